Run a thin path end to end as separate processes

Lays down the module, the root types, an entry.Host without I/O, the inner protocol's codec, the object protocol of the platform with its memory stand-in, and the thin shells. TestThinPathOverProcesses starts two daemons and the stand-ins as processes: a caller's packet and a caller's request each reach a target and are answered, and a changed document takes force on both hosts.

Not there yet: flow table, warmth, tickets, retries, net/rpc between hosts, validation of documents.

--- /dev/null
+++ b/entry/config.go
@@ -0,0 +1,53 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/config"
+	"github.com/cornelbay/cornelbay/peer"
+	"github.com/cornelbay/cornelbay/platform"
+)
+
+// Head returns the head of the generation in force; its Generation is 0 while
+// there is none.
+func (h *Host) Head() config.Head { return h.keeper.Head() }
+
+// Document returns the document in force, or nil.
+func (h *Host) Document() *config.Document { return h.keeper.Document() }
+
+// StoreAnswer takes the platform's answer to a call.
+func (h *Host) StoreAnswer(now time.Time, a platform.Answer) []cornelbay.Effect {
+	out, changed := h.keeper.StoreAnswer(now, a)
+	if !changed {
+		return out
+	}
+	return append(out, h.configChanged(now)...)
+}
+
+func (h *Host) configChanged(now time.Time) []cornelbay.Effect {
+	doc := h.keeper.Document()
+	out := make(map[cornelbay.DataCentreName]bool)
+	for _, dc := range doc.DataCentres {
+		out[dc.Name] = dc.Out
+	}
+	var services []cornelbay.Service
+	var targets []cornelbay.Target
+	for _, s := range doc.Services {
+		if s.Group == h.Group {
+			services = append(services, s)
+			targets = append(targets, s.Targets...)
+		}
+	}
+	h.judge.SetTargets(now, targets, out)
+	effects := h.flows.SetServices(now, services, out)
+	return append(effects, h.Requests.SetServices(now, services, out)...)
+}
+
+// PeerAnswer takes another host's answer to a call over net/rpc.
+func (h *Host) PeerAnswer(now time.Time, a peer.Answer) []cornelbay.Effect { return nil }
+
+// ServePeer answers another host's call over net/rpc.
+func (h *Host) ServePeer(now time.Time, from cornelbay.HostName, args peer.Args) (any, []cornelbay.Effect, error) {
+	return nil, nil, peer.ErrMalformed
+}
--- /dev/null
+++ b/entry/messages.go
@@ -0,0 +1,10 @@
+package entry
+
+import (
+	"github.com/cornelbay/cornelbay/member"
+	"github.com/cornelbay/cornelbay/peer"
+)
+
+func init() {
+	peer.Register(member.Heartbeat{})
+}
--- /dev/null
+++ b/standin/fabric.go
@@ -0,0 +1,107 @@
+package standin
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/gopacket/gopacket"
+	"github.com/gopacket/gopacket/layers"
+
+	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/fabric"
+)
+
+func (t *Target) reply(inner []byte) {
+	b, err := json.Marshal(Reply{t.Name, inner})
+	if err != nil {
+		return
+	}
+	_, _ = t.tunnel.WriteToUDPAddrPort(b, t.Return) // a lost answer is a lost packet
+}
+
+// Fabric sprays callers' packets over hosts and takes the targets' answers.
+type Fabric struct {
+	// Replies receives the targets' answers.
+	Replies chan Reply
+
+	mu    sync.Mutex
+	hosts []netip.AddrPort
+	conn  *net.UDPConn
+}
+
+// Start binds the fabric's address on loopback.
+func (f *Fabric) Start() error {
+	c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		return merry.Prepend(err, "fabric")
+	}
+	f.conn = c
+	f.Replies = make(chan Reply, 1024)
+	go f.receive()
+	return nil
+}
+
+// Address returns the address that takes the targets' answers.
+func (f *Fabric) Address() netip.AddrPort { return f.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
+
+// Close frees the fabric's address.
+func (f *Fabric) Close() { _ = f.conn.Close() } // nothing is buffered
+
+// SetHosts sets the hosts that packets are sprayed over.
+func (f *Fabric) SetHosts(hosts ...netip.AddrPort) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hosts = hosts
+}
+
+// Send hands a caller's IP packet to any host.
+func (f *Fabric) Send(inner []byte) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.hosts) == 0 {
+		return merry.New("fabric has no hosts")
+	}
+	to := f.hosts[rand.IntN(len(f.hosts))]
+	_, err := f.conn.WriteToUDPAddrPort(fabric.Append(nil, inner), to)
+	return err
+}
+
+func (f *Fabric) receive() {
+	b := make([]byte, 2*fabric.MaxPacketBytes)
+	for {
+		n, _, err := f.conn.ReadFromUDPAddrPort(b)
+		if err != nil {
+			return
+		}
+		var r Reply
+		if json.Unmarshal(b[:n], &r) == nil {
+			f.Replies <- r
+		}
+	}
+}
+
+// Segment returns the IPv4 packet with a TCP segment of the flow.
+func Segment(key cornelbay.FlowKey, fl cornelbay.PacketFlags, payload []byte) ([]byte, error) {
+	ip := &layers.IPv4{
+		Version: 4, TTL: 64, Protocol: layers.IPProtocolTCP,
+		SrcIP: key.Source.Addr().AsSlice(), DstIP: key.Destination.Addr().AsSlice(),
+	}
+	tcp := &layers.TCP{
+		SrcPort: layers.TCPPort(key.Source.Port()), DstPort: layers.TCPPort(key.Destination.Port()),
+		SYN: fl&cornelbay.Opening != 0, ACK: fl&cornelbay.Opening == 0,
+		FIN: fl&cornelbay.Finishing != 0, RST: fl&cornelbay.Resetting != 0, Window: 65535,
+	}
+	if err := tcp.SetNetworkLayerForChecksum(ip); err != nil {
+		return nil, merry.Prepend(err, "segment")
+	}
+	buf := gopacket.NewSerializeBuffer()
+	opts := gopacket.SerializeOptions{FixLengths: true, ComputeChecksums: true}
+	if err := gopacket.SerializeLayers(buf, opts, ip, tcp, gopacket.Payload(payload)); err != nil {
+		return nil, merry.Prepend(err, "segment")
+	}
+	return buf.Bytes(), nil
+}
