Let experiments see each effect and wait within an event

The fault matrix has to act at the moment a host sends a given message, and an operator's retry has to wait on the virtual clock. Driver.Run no longer moves the clock back when an event has run it further. go test ./measure passes.

--- a/measure/driver.go
+++ b/measure/driver.go
@@ -66,7 +66,7 @@
 	})
 }
 
-// Run runs the events of the next span of time.
+// Run runs the events of the next span of time; an event may call it, to wait.
 func (d *Driver) Run(span time.Duration) {
 	end := d.Now.Add(span)
 	for len(d.events) > 0 && !d.events[0].at.After(end) {
@@ -74,5 +74,7 @@
 		d.Now = e.at
 		e.run()
 	}
-	d.Now = end
+	if d.Now.Before(end) {
+		d.Now = end
+	}
 }
