config, operator: validate the whole document and commit it with one conditional update

Purpose: an operator must be told of every fault at once, a lost answer must neither lose nor double a change, and a host must take a generation whole.

The document is decoded by a strict reader of JSON tokens over the types, since encoding/json stops at the first fault, matches keys in any case and takes the last of two equal keys. Every fault has its path. A document is split into a base, a manifest a group and shards of services, so that a host reads its own group only and a change of one service rewrites two objects; the head names the base and the manifests and carries a digest of itself.

The commit is the conditional update of the head. It is repeated with the same version when the answer is lost, so it takes effect once at most, and a conflict is resolved by the change id in the head and the history; reading back alone was ruled out because a stale read would show the change as not made. The head that is replaced is written to the history first. Old shards are deleted under the version that was listed before the head moved, which spares those that a racing change wrote again.

--- a/cmd/cornelbay/main.go
+++ b/cmd/cornelbay/main.go
@@ -54,6 +54,7 @@
 	Platform string `help:"URL of the platform's service." required:"" env:"CORNELBAY_PLATFORM"`
 	Author   string `help:"Who makes the change." required:"" env:"CORNELBAY_AUTHOR"`
 	Reason   string `help:"Why the change is made." required:""`
+	Force    bool   `help:"Allow the removal of targets that still take new work."`
 }
 
 func (c *applyCmd) Run() error {
@@ -62,7 +63,7 @@
 		return err
 	}
 	s := &platform.Client{Base: c.Platform}
-	h, err := operator.Apply(context.Background(), s, doc, operator.Change{Author: c.Author, Reason: c.Reason})
+	h, err := operator.Apply(context.Background(), s, doc, operator.Change{Author: c.Author, Reason: c.Reason, Force: c.Force})
 	if err != nil {
 		return err
 	}
@@ -90,9 +91,9 @@
 		return err
 	}
 	if c.Bound != "" {
-		b, err := doc.Canonical()
+		b, err := json.Marshal(doc)
 		if err != nil {
-			return err
+			return merry.Prepend(err, "--bound")
 		}
 		if err := os.WriteFile(c.Bound, b, 0o600); err != nil {
 			return merry.Prepend(err, "--bound")
@@ -128,7 +129,9 @@
 	defer stop()
 	context.AfterFunc(ctx, func() { _ = l.Close() }) // the process ends
 	m := http.NewServeMux()
-	objects := &platform.Server{Service: &platform.Memory{}}
+	faulty := &platform.Faulty{Service: &platform.Memory{}}
+	objects := &platform.Server{Service: faulty}
+	m.Handle("/standin/platform/faults", faulty)
 	m.Handle("/objects", objects)
 	m.Handle("/objects/", objects)
 	m.Handle("POST /standin/packet", &standin.Control{Fabric: f})
--- a/config/document.go
+++ b/config/document.go
@@ -3,12 +3,11 @@
 package config
 
 import (
-	"bytes"
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-
-	"github.com/ansel1/merry/v2"
+	"slices"
 
 	"github.com/cornelbay/cornelbay"
 )
@@ -20,20 +19,62 @@
 	Services    []cornelbay.Service    `json:"services"`
 }
 
-// Parse reads a document strictly: an unknown key is an error.
+// Parse reads and validates a document; the error is of type Errors and lists
+// everything that is wrong with it.
 func Parse(b []byte) (*Document, error) {
-	d := json.NewDecoder(bytes.NewReader(b))
-	d.DisallowUnknownFields()
 	var doc Document
-	if err := d.Decode(&doc); err != nil {
-		return nil, merry.Prepend(err, "document")
+	errs := decodeStrict(b, &doc)
+	if len(errs) > 0 {
+		return nil, errs
+	}
+	if errs := doc.Validate(); len(errs) > 0 {
+		return nil, errs
 	}
 	return &doc, nil
 }
 
-// Canonical returns the document's canonical JSON form.
+// Clone returns a copy that shares nothing with d.
+func (d *Document) Clone() *Document {
+	out := &Document{Deployment: d.Deployment, DataCentres: slices.Clone(d.DataCentres)}
+	for _, s := range d.Services {
+		s.Targets = slices.Clone(s.Targets)
+		if s.Level != nil {
+			level := *s.Level
+			s.Level = &level
+		}
+		out.Services = append(out.Services, s)
+	}
+	return out
+}
+
+// sorted returns a copy with every list ordered by name.
+func (d *Document) sorted() *Document {
+	out := d.Clone()
+	out.DataCentres = notNil(out.DataCentres)
+	out.Services = notNil(out.Services)
+	for i := range out.Services {
+		out.Services[i].Targets = notNil(out.Services[i].Targets)
+	}
+	slices.SortStableFunc(out.DataCentres, func(a, b cornelbay.DataCentre) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortStableFunc(out.Services, func(a, b cornelbay.Service) int { return cmp.Compare(a.Name, b.Name) })
+	for _, s := range out.Services {
+		slices.SortStableFunc(s.Targets, func(a, b cornelbay.Target) int { return cmp.Compare(a.Name, b.Name) })
+	}
+	return out
+}
+
+// notNil keeps an empty list from being written as null.
+func notNil[T any](s []T) []T {
+	if s == nil {
+		return []T{}
+	}
+	return s
+}
+
+// Canonical returns the document's canonical JSON form, in which every list is
+// ordered by name.
 func (d *Document) Canonical() ([]byte, error) {
-	return json.Marshal(d)
+	return json.Marshal(d.sorted())
 }
 
 // Digest returns the SHA-256 of b in hexadecimal digits.
@@ -41,20 +82,3 @@
 	sum := sha256.Sum256(b)
 	return hex.EncodeToString(sum[:])
 }
-
-// Head is the object whose conditional update commits a change.
-type Head struct {
-	Generation uint64 `json:"generation"`
-	// Digest is the digest of the canonical document.
-	Digest   string `json:"digest"`
-	Change   string `json:"change"`
-	Author   string `json:"author"`
-	Reason   string `json:"reason"`
-	Previous string `json:"previous,omitempty"`
-}
-
-// The keys of the configuration's objects in the platform's service.
-const (
-	HeadKey     = "config/head"
-	ShardPrefix = "config/shard/"
-)
--- /dev/null
+++ b/config/shard.go
@@ -0,0 +1,262 @@
+package config
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/platform"
+)
+
+// ShardBytes is the size at which a shard takes no further service.
+const ShardBytes = 16 << 10
+
+// ErrShard is the error of a shard that is corrupted, missing or inconsistent.
+var ErrShard = merry.New("shard is corrupted or missing")
+
+// Base is the shard that every group reads.
+type Base struct {
+	Deployment  string                 `json:"deployment"`
+	DataCentres []cornelbay.DataCentre `json:"dataCentres"`
+}
+
+// Manifest lists the shards of one group of services, by digest.
+type Manifest struct {
+	Group  string   `json:"group"`
+	Shards []string `json:"shards"`
+}
+
+// Shard holds some services of one group, whole.
+type Shard struct {
+	Services []cornelbay.Service `json:"services"`
+}
+
+// Objects holds immutable objects by their digest.
+type Objects map[string][]byte
+
+// add stores v as JSON and returns its digest.
+func (o Objects) add(v any) (string, error) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return "", merry.Prepend(err, "shard")
+	}
+	d := Digest(b)
+	o[d] = b
+	return d, nil
+}
+
+// Split returns the document's objects, and a head that names them but has no
+// generation and no change yet.
+func (d *Document) Split() (Head, Objects, error) {
+	doc := d.sorted()
+	b, err := json.Marshal(doc)
+	if err != nil {
+		return Head{}, nil, merry.Prepend(err, "document")
+	}
+	h, objects := Head{Digest: Digest(b)}, make(Objects)
+	if h.Base, err = objects.add(Base{doc.Deployment, doc.DataCentres}); err != nil {
+		return Head{}, nil, err
+	}
+	groups := make(map[string][]cornelbay.Service)
+	for _, s := range doc.Services {
+		groups[s.Group] = append(groups[s.Group], s)
+	}
+	for _, group := range sortedKeys(groups) {
+		m, err := objects.addGroup(group, groups[group])
+		if err != nil {
+			return Head{}, nil, err
+		}
+		h.Groups = append(h.Groups, GroupManifest{group, m})
+	}
+	return h, objects, nil
+}
+
+// addGroup cuts a group's services into shards. A cut falls where the digest of
+// a service's name says so, or before a shard grows over ShardBytes, so that a
+// change of one service leaves most other shards as they were.
+func (o Objects) addGroup(group string, services []cornelbay.Service) (string, error) {
+	m := Manifest{Group: group, Shards: []string{}}
+	var open Shard
+	size := 0
+	flush := func() error {
+		if len(open.Services) == 0 {
+			return nil
+		}
+		d, err := o.add(open)
+		if err != nil {
+			return err
+		}
+		m.Shards = append(m.Shards, d)
+		open, size = Shard{}, 0
+		return nil
+	}
+	for _, s := range services {
+		b, err := json.Marshal(s)
+		if err != nil {
+			return "", merry.Prepend(err, "service")
+		}
+		if size+len(b) > ShardBytes || startsShard(s.Name) {
+			if err := flush(); err != nil {
+				return "", err
+			}
+		}
+		open.Services = append(open.Services, s)
+		size += len(b)
+	}
+	if err := flush(); err != nil {
+		return "", err
+	}
+	return o.add(m)
+}
+
+// startsShard reports whether a shard always starts at the named service; one
+// name in eight does.
+func startsShard(name cornelbay.ServiceName) bool {
+	return strings.IndexByte("02", Digest([]byte(name))[0]) >= 0
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// Missing returns the digests that are still wanted before Join can succeed for
+// the group, as far as the objects at hand tell.
+func (o Objects) Missing(h Head, group string) []string {
+	var out []string
+	want := func(d string) bool {
+		_, ok := o[d]
+		if !ok {
+			out = append(out, d)
+		}
+		return ok
+	}
+	want(h.Base)
+	digest := h.Manifest(group)
+	if digest == "" || !want(digest) {
+		return out
+	}
+	var m Manifest
+	if errs := decodeStrict(o[digest], &m); len(errs) > 0 {
+		return out
+	}
+	for _, d := range m.Shards {
+		want(d)
+	}
+	return out
+}
+
+// Named returns the digests of all objects at hand that the head names for the
+// group, its base and manifest first.
+func (o Objects) Named(h Head, group string) []string {
+	out := []string{h.Base}
+	digest := h.Manifest(group)
+	if digest == "" {
+		return out
+	}
+	out = append(out, digest)
+	var m Manifest
+	if errs := decodeStrict(o[digest], &m); len(errs) > 0 {
+		return out
+	}
+	return append(out, m.Shards...)
+}
+
+// Join returns the document with the services of the given groups. The error is
+// ErrShard when an object is missing or does not fit its digest.
+func (o Objects) Join(h Head, groups ...string) (*Document, error) {
+	var base Base
+	if err := o.read(h.Base, &base); err != nil {
+		return nil, err
+	}
+	doc := &Document{Deployment: base.Deployment, DataCentres: base.DataCentres, Services: []cornelbay.Service{}}
+	for _, group := range groups {
+		digest := h.Manifest(group)
+		if digest == "" {
+			continue
+		}
+		var m Manifest
+		if err := o.read(digest, &m); err != nil {
+			return nil, err
+		}
+		for _, d := range m.Shards {
+			var s Shard
+			if err := o.read(d, &s); err != nil {
+				return nil, err
+			}
+			doc.Services = append(doc.Services, s.Services...)
+		}
+	}
+	return doc.sorted(), nil
+}
+
+// JoinAll returns the whole document and checks it against the head's digest.
+func (o Objects) JoinAll(h Head) (*Document, error) {
+	var groups []string
+	for _, g := range h.Groups {
+		groups = append(groups, g.Group)
+	}
+	doc, err := o.Join(h, groups...)
+	if err != nil {
+		return nil, err
+	}
+	b, err := doc.Canonical()
+	if err != nil {
+		return nil, err
+	}
+	if Digest(b) != h.Digest {
+		return nil, merry.Wrap(ErrShard, merry.AppendMessage("the document's digest differs"))
+	}
+	return doc, nil
+}
+
+func (o Objects) read(digest string, v any) error {
+	b, ok := o[digest]
+	if !ok {
+		return merry.Wrap(ErrShard, merry.AppendMessagef("%s is missing", digest))
+	}
+	if Digest(b) != digest {
+		return merry.Wrap(ErrShard, merry.AppendMessagef("%s is corrupted", digest))
+	}
+	if errs := decodeStrict(b, v); len(errs) > 0 {
+		return merry.Wrap(ErrShard, merry.AppendMessagef("%s: %v", digest, errs[0]))
+	}
+	return nil
+}
+
+// sizes adds a fault for each object that is larger than the platform holds.
+func (v *validator) sizes(d *Document) {
+	for i, s := range d.Services {
+		b, err := json.Marshal(Shard{Services: []cornelbay.Service{s}})
+		if err != nil || len(b) > platform.MaxValueBytes {
+			v.errs.add(servicePath(i), "%d bytes, the platform holds %d", len(b), platform.MaxValueBytes)
+		}
+	}
+	if len(v.errs) > 0 {
+		return
+	}
+	h, objects, err := d.Split()
+	if err != nil {
+		v.errs.add("", "%v", err)
+		return
+	}
+	head, err := h.Marshal()
+	if err != nil || len(head)+MaxChangeBytes+MaxAuthorBytes+MaxReasonBytes > platform.MaxValueBytes {
+		v.errs.add("services", "more groups than one object of the platform holds")
+	}
+	if len(objects[h.Base]) > platform.MaxValueBytes {
+		v.errs.add("dataCentres", "%d bytes, the platform holds %d", len(objects[h.Base]), platform.MaxValueBytes)
+	}
+	for _, g := range h.Groups {
+		if n := len(objects[g.Manifest]); n > platform.MaxValueBytes {
+			v.errs.add("services", "group %q lists more shards than one object of the platform holds", g.Group)
+		}
+	}
+}
--- a/entry/config.go
+++ b/entry/config.go
@@ -5,6 +5,7 @@
 
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/config"
+	"github.com/cornelbay/cornelbay/member"
 	"github.com/cornelbay/cornelbay/peer"
 	"github.com/cornelbay/cornelbay/platform"
 )
@@ -19,10 +20,7 @@
 // StoreAnswer takes the platform's answer to a call.
 func (h *Host) StoreAnswer(now time.Time, a platform.Answer) []cornelbay.Effect {
 	out, changed := h.keeper.StoreAnswer(now, a)
-	if !changed {
-		return out
-	}
-	return append(out, h.configChanged(now)...)
+	return append(out, h.adopted(now, changed)...)
 }
 
 func (h *Host) configChanged(now time.Time) []cornelbay.Effect {
@@ -45,9 +43,38 @@
 }
 
 // PeerAnswer takes another host's answer to a call over net/rpc.
-func (h *Host) PeerAnswer(now time.Time, a peer.Answer) []cornelbay.Effect { return nil }
+func (h *Host) PeerAnswer(now time.Time, a peer.Answer) []cornelbay.Effect {
+	switch a.Call.Args.(type) {
+	case config.FetchArgs:
+		out, changed := h.keeper.PeerAnswer(now, a)
+		return append(out, h.adopted(now, changed)...)
+	}
+	return nil
+}
 
 // ServePeer answers another host's call over net/rpc.
 func (h *Host) ServePeer(now time.Time, from cornelbay.HostName, args peer.Args) (any, []cornelbay.Effect, error) {
+	switch args := args.(type) {
+	case config.FetchArgs:
+		r, err := h.keeper.Serve(now, args)
+		return r, nil, err
+	}
 	return nil, nil, peer.ErrMalformed
 }
+
+// ConfigStats returns what the keeper of the configuration counted.
+func (h *Host) ConfigStats() config.Stats { return h.keeper.Stats }
+
+// heardConfig takes what a heartbeat tells of the configuration.
+func (h *Host) heardConfig(now time.Time, b member.Heartbeat) []cornelbay.Effect {
+	h.keeper.SetMembers(h.members.Live(now))
+	return h.keeper.Heard(now, b.Host.Name, b.Generation, b.ConfirmedAgeMs)
+}
+
+// adopted passes a generation that came into force on to the other concerns.
+func (h *Host) adopted(now time.Time, changed bool) []cornelbay.Effect {
+	if !changed {
+		return nil
+	}
+	return h.configChanged(now)
+}
--- a/entry/host.go
+++ b/entry/host.go
@@ -28,6 +28,9 @@
 	TicketKeys [][]byte
 	// Seed seeds the host's source of randomness.
 	Seed uint64
+	// Poll replaces watches and fetches from peers by a read of the platform's head
+	// at this interval, as a baseline for measurements; 0 is the product's way.
+	Poll time.Duration
 	// Introduce lists hosts that are asked before any was heard.
 	Introduce []cornelbay.Host
 }
@@ -52,6 +55,7 @@
 	h.Plane.HashKey = s.HashKey
 	h.members = member.View{Self: s.Self, Fill: h.fill}
 	h.members.Introduce(s.Introduce...)
+	h.keeper = config.Keeper{Self: s.Self, Group: s.Group, Poll: s.Poll}
 	h.flows = flow.Control{Self: s.Self.Name, Plane: &h.Plane}
 	h.Requests.Self = s.Self.Name
 	return h
@@ -62,8 +66,8 @@
 
 // Tick advances the control state to now.
 func (h *Host) Tick(now time.Time) []cornelbay.Effect {
-	out := h.tickMembers(now)
-	out = append(out, h.keeper.Tick(now)...)
+	out := h.keeper.Tick(now) // first, since it notices a pause
+	out = append(out, h.tickMembers(now)...)
 	out = append(out, h.tickTargets(now)...)
 	out = append(out, h.flows.Tick(now)...)
 	return append(out, h.Requests.Tick(now)...)
--- a/entry/members.go
+++ b/entry/members.go
@@ -11,10 +11,15 @@
 func (h *Host) fill(b *member.Heartbeat) {
 	b.Generation = h.keeper.Generation()
 	b.Digest = h.keeper.Head().Digest
+	b.ConfirmedAgeMs = h.keeper.ConfirmedAgeMs()
 }
 
 // Members returns what is known of the group at now.
-func (h *Host) Members(now time.Time) cornelbay.Members { return h.members.Members(now) }
+func (h *Host) Members(now time.Time) cornelbay.Members {
+	m := h.members.Members(now)
+	m.ConfirmedAt = h.keeper.ConfirmedAt()
+	return m
+}
 
 // Lookup returns what is known of the named host.
 func (h *Host) Lookup(name cornelbay.HostName) (cornelbay.Host, bool) {
@@ -27,11 +32,12 @@
 
 func (h *Host) heartbeat(now time.Time, b member.Heartbeat) []cornelbay.Effect {
 	h.members.Receive(now, b)
-	return h.membersChanged(now)
+	return append(h.heardConfig(now, b), h.membersChanged(now)...)
 }
 
 func (h *Host) membersChanged(now time.Time) []cornelbay.Effect {
-	m := h.members.Members(now)
+	m := h.Members(now)
+	h.keeper.SetMembers(m.Live)
 	if slices.Equal(m.Live, h.known.Live) && slices.Equal(m.Missing, h.known.Missing) &&
 		m.ConfirmedAt.Equal(h.known.ConfirmedAt) {
 		return nil
--- a/member/member.go
+++ b/member/member.go
@@ -21,6 +21,9 @@
 	Host       cornelbay.Host `json:"host"`
 	Generation uint64         `json:"generation"`
 	Digest     string         `json:"digest"`
+	// ConfirmedAgeMs is how long ago the platform confirmed the generation, in
+	// milliseconds; 0 when that is not known.
+	ConfirmedAgeMs int64 `json:"confirmedAgeMs,omitempty"`
 }
 
 // Kind returns KindHeartbeat.
--- /dev/null
+++ b/operator/read.go
@@ -0,0 +1,271 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"errors"
+	"slices"
+	"strings"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/cornelbay/cornelbay/config"
+	"github.com/cornelbay/cornelbay/platform"
+)
+
+func newID() string { return rand.Text() }
+
+// head reads the head and its version; ErrNoConfig tells that there is none.
+func (c *Client) head(ctx context.Context) (config.Head, uint64, error) {
+	a := c.retry(ctx, platform.Call{Op: platform.Get, Key: config.HeadKey})
+	if errors.Is(a.Err, platform.ErrNotFound) {
+		return config.Head{}, 0, ErrNoConfig
+	}
+	if a.Err != nil {
+		return config.Head{}, 0, merry.Prepend(a.Err, "read head")
+	}
+	h, err := config.ParseHead(a.Object.Value)
+	return h, a.Object.Version, err
+}
+
+// Head returns the head that is committed.
+func (c *Client) Head(ctx context.Context) (config.Head, error) {
+	h, _, err := c.head(ctx)
+	return h, err
+}
+
+// Load returns the head and the whole document that are committed.
+func (c *Client) Load(ctx context.Context) (config.Head, *config.Document, error) {
+	h, _, err := c.head(ctx)
+	if err != nil {
+		return h, nil, err
+	}
+	doc, err := c.document(ctx, h)
+	return h, doc, err
+}
+
+func (c *Client) document(ctx context.Context, h config.Head) (*config.Document, error) {
+	objects, err := c.objects(ctx, h)
+	if err != nil {
+		return nil, err
+	}
+	return objects.JoinAll(h)
+}
+
+// objects reads all objects that a head names.
+func (c *Client) objects(ctx context.Context, h config.Head) (config.Objects, error) {
+	objects := make(config.Objects)
+	for _, g := range append(h.Groups, config.GroupManifest{}) {
+		for {
+			missing := objects.Missing(h, g.Group)
+			if len(missing) == 0 {
+				break
+			}
+			for _, d := range missing {
+				a := c.retry(ctx, platform.Call{Op: platform.Get, Key: config.ShardPrefix + d})
+				if a.Err != nil {
+					return nil, merry.Prependf(a.Err, "read shard %s", d)
+				}
+				if config.Digest(a.Object.Value) != d {
+					return nil, merry.Wrap(config.ErrShard, merry.AppendMessagef("%s is corrupted", d))
+				}
+				objects[d] = a.Object.Value
+			}
+		}
+	}
+	return objects, nil
+}
+
+// writeObjects writes the objects that are not known to be kept. One that
+// exists already is written again, so that its version tells a collector that
+// it is wanted.
+func (c *Client) writeObjects(ctx context.Context, objects config.Objects, known map[string]bool) error {
+	digests := make([]string, 0, len(objects))
+	for d := range objects {
+		if !known[d] {
+			digests = append(digests, d)
+		}
+	}
+	slices.Sort(digests)
+	for _, d := range digests {
+		if err := c.writeObject(ctx, config.ShardPrefix+d, objects[d]); err != nil {
+			return merry.Prependf(err, "write shard %s", d)
+		}
+	}
+	return nil
+}
+
+func (c *Client) writeObject(ctx context.Context, key string, value []byte) error {
+	for range c.attempts() {
+		a := c.retry(ctx, platform.Call{Op: platform.Create, Key: key, Value: value})
+		if !errors.Is(a.Err, platform.ErrExists) {
+			return a.Err
+		}
+		a = c.retry(ctx, platform.Call{Op: platform.Get, Key: key})
+		if a.Err == nil {
+			a = c.rewrite(ctx, a.Object, value)
+		}
+		if !errors.Is(a.Err, platform.ErrNotFound) {
+			return a.Err
+		}
+		// A collector deleted the object.
+	}
+	return platform.ErrUnavailable
+}
+
+// rewrite gives an object a new version. A conflict tells that it has one by
+// now, from this client by a call whose answer was lost or from another.
+func (c *Client) rewrite(ctx context.Context, o platform.Object, value []byte) platform.Answer {
+	a := c.retry(ctx, platform.Call{Op: platform.Update, Key: o.Key, Version: o.Version, Value: value})
+	if !errors.Is(a.Err, platform.ErrConflict) {
+		return a
+	}
+	a = c.retry(ctx, platform.Call{Op: platform.Get, Key: o.Key})
+	if a.Err == nil && (a.Object.Version == o.Version || !bytes.Equal(a.Object.Value, value)) {
+		a.Err = platform.ErrConflict
+	}
+	return a
+}
+
+// past returns the heads in the history, oldest first, with those that are
+// corrupted left out.
+func (c *Client) past(ctx context.Context) ([]config.Head, error) {
+	a := c.retry(ctx, platform.Call{Op: platform.List, Key: config.HistoryPrefix})
+	if a.Err != nil {
+		return nil, merry.Prepend(a.Err, "read history")
+	}
+	var out []config.Head
+	for _, o := range a.Objects {
+		if h, err := config.ParseHead(o.Value); err == nil {
+			out = append(out, h)
+		}
+	}
+	return out, nil
+}
+
+// History returns the heads that were committed, oldest first.
+func (c *Client) History(ctx context.Context) ([]config.Head, error) {
+	now, _, err := c.head(ctx)
+	if err != nil {
+		return nil, err
+	}
+	past, err := c.past(ctx)
+	if err != nil {
+		return nil, err
+	}
+	past = slices.DeleteFunc(past, func(h config.Head) bool { return h.Generation >= now.Generation })
+	return append(past, now), nil
+}
+
+// Generation returns the head and the document of a generation in the history.
+func (c *Client) Generation(ctx context.Context, generation uint64) (config.Head, *config.Document, error) {
+	all, err := c.History(ctx)
+	if err != nil {
+		return config.Head{}, nil, err
+	}
+	for _, h := range all {
+		if h.Generation == generation {
+			doc, err := c.document(ctx, h)
+			return h, doc, err
+		}
+	}
+	return config.Head{}, nil, merry.Wrap(ErrNoGeneration, merry.AppendMessagef("generation %d", generation))
+}
+
+// Rollback commits the document of an earlier generation as a new one.
+func (c *Client) Rollback(ctx context.Context, generation uint64, change Change) (config.Head, error) {
+	_, doc, err := c.Generation(ctx, generation)
+	if err != nil {
+		return config.Head{}, err
+	}
+	return c.Apply(ctx, doc, change)
+}
+
+// collectInterval is the number of generations between two collections.
+const collectInterval = 64
+
+// collectable lists the shards, with their versions, before the head moves, in
+// the generations that collect. A shard whose version is the same afterwards was
+// not written for a change that can still be committed: such a change reads the
+// head after it moved, and writes its shards again.
+func (c *Client) collectable(ctx context.Context, base config.Head) ([]platform.Object, error) {
+	if base.Generation == 0 || base.Generation%collectInterval != 0 {
+		return nil, nil
+	}
+	a := c.retry(ctx, platform.Call{Op: platform.List, Key: config.ShardPrefix})
+	if a.Err != nil {
+		return nil, merry.Prepend(a.Err, "list shards")
+	}
+	return a.Objects, nil
+}
+
+// collect deletes what no kept generation names. What fails, or cannot be told
+// from incomplete lists, is left to the next collection.
+func (c *Client) collect(ctx context.Context, head config.Head, old []platform.Object) {
+	if len(old) == 0 {
+		return
+	}
+	a := c.retry(ctx, platform.Call{Op: platform.List, Key: config.HistoryPrefix})
+	heads, ok := contiguous(a, head)
+	if !ok {
+		return
+	}
+	objects := make(config.Objects)
+	for _, o := range old {
+		objects[strings.TrimPrefix(o.Key, config.ShardPrefix)] = o.Value
+	}
+	past := c.Keep
+	if past == 0 {
+		past = HistoryKept
+	}
+	kept := make(map[string]bool)
+	for i, h := range heads {
+		if h.Generation+past < head.Generation {
+			o := a.Objects[i]
+			c.retry(ctx, platform.Call{Op: platform.Delete, Key: o.Key, Version: o.Version})
+			continue
+		}
+		if !keep(kept, objects, h) {
+			return
+		}
+	}
+	if !keep(kept, objects, head) {
+		return
+	}
+	for _, o := range old {
+		if !kept[strings.TrimPrefix(o.Key, config.ShardPrefix)] {
+			c.retry(ctx, platform.Call{Op: platform.Delete, Key: o.Key, Version: o.Version})
+		}
+	}
+}
+
+// contiguous returns the heads of a listed history when it is whole up to the
+// given head.
+func contiguous(a platform.Answer, head config.Head) ([]config.Head, bool) {
+	if a.Err != nil {
+		return nil, false
+	}
+	var out []config.Head
+	for i, o := range a.Objects {
+		h, err := config.ParseHead(o.Value)
+		if err != nil || h.Generation+uint64(len(a.Objects)-i) != head.Generation {
+			return nil, false
+		}
+		out = append(out, h)
+	}
+	return out, true
+}
+
+// keep marks what a head names and reports whether all of it is at hand.
+func keep(kept map[string]bool, objects config.Objects, h config.Head) bool {
+	for _, g := range append(h.Groups, config.GroupManifest{}) {
+		if len(objects.Missing(h, g.Group)) > 0 {
+			return false
+		}
+		for _, d := range objects.Named(h, g.Group) {
+			kept[d] = true
+		}
+	}
+	return true
+}
