--- a/config/document_test.go
+++ b/config/document_test.go
@@ -188,7 +188,7 @@
 
 func TestHeadIsChecked(t *testing.T) {
 	is := is.New(t)
-	h := Head{Generation: 7, Digest: "d", Change: "c", Base: "b", Groups: []GroupManifest{{"", "m"}}}
+	h := Head{Generation: 7, Digest: "d", Change: "c", Base: "b", Groups: []GroupManifest{{Manifest: "m"}}}
 	b, err := h.Marshal()
 	is.NoErr(err)
 	back, err := ParseHead(b)
--- a/config/fetch.go
+++ b/config/fetch.go
@@ -55,11 +55,10 @@
 
 // fetch is a generation that is being gathered.
 type fetch struct {
-	// head is zero until it is read.
-	head    Head
-	raw     []byte
-	version uint64
-	sentAt  time.Time
+	// found has no generation until a head is read.
+	found
+	// next is a higher head that is fetched afterwards.
+	next    found
 	objects Objects
 	// asked holds the hosts that did not help.
 	asked map[cornelbay.HostName]bool
@@ -67,26 +66,41 @@
 	peer cornelbay.HostName
 	call uint64
 	due  time.Time
-	// askedAt is when the host was asked.
-	askedAt time.Time
-	// platformAt is when the platform may be asked next.
-	platformAt time.Time
+	// sent holds when each call to a host was made; a late answer is taken too.
+	sent map[uint64]time.Time
+	// platformAt is when the platform may be asked next, and peersAt when the hosts
+	// that did not help are asked again.
+	platformAt, peersAt time.Time
 }
 
-// take starts or redirects a fetch towards a head.
-func (k *Keeper) take(h Head, raw []byte, version uint64, sentAt time.Time) {
+// found is a head that is higher than the one in force.
+type found struct {
+	head    Head
+	raw     []byte
+	version uint64
+	// sentAt is a time at which the head was the platform's or older, or zero.
+	sentAt time.Time
+}
+
+// take starts a fetch of a head. A fetch that runs is finished first, so that
+// changes in quick succession do not keep each other from coming into force.
+func (k *Keeper) take(n found) {
 	f := k.fetching()
-	if f.head.Generation > h.Generation {
-		return
+	switch {
+	case f.head.Generation == 0, f.head.Generation == n.head.Generation:
+		f.found = n
+	case n.head.Generation > max(f.head.Generation, f.next.head.Generation):
+		f.next = n
 	}
-	f.head, f.raw, f.version, f.sentAt = h, raw, version, sentAt
 }
 
 // fetching returns the fetch that runs; a new one starts with the objects in
 // force, most of which a new generation shares.
 func (k *Keeper) fetching() *fetch {
 	if k.fetch == nil {
-		k.fetch = &fetch{objects: make(Objects), asked: make(map[cornelbay.HostName]bool)}
+		k.fetch = &fetch{
+			objects: make(Objects), asked: make(map[cornelbay.HostName]bool), sent: make(map[uint64]time.Time),
+		}
 		for d, b := range k.objects {
 			k.fetch.objects[d] = b
 		}
@@ -125,7 +139,7 @@
 	}
 	if f.head.Generation > 0 && len(f.objects.Missing(f.head, k.Group)) == 0 {
 		k.adopt(now)
-		return nil
+		return k.advance(now)
 	}
 	if f.call != 0 && now.Before(f.due) {
 		return nil
@@ -133,8 +147,13 @@
 	if f.call != 0 {
 		f.call = 0
 		f.asked[f.peer] = true
+		f.peersAt = later(f.peersAt, now.Add(peerRound))
 	}
 	if k.Poll == 0 {
+		if len(f.asked) > 0 && now.After(f.peersAt) {
+			clear(f.asked)
+			f.peersAt = now.Add(peerRound + k.spread(peerRound))
+		}
 		if h, ok := k.source(f); ok {
 			return k.askPeer(now, f, h)
 		}
@@ -146,7 +165,7 @@
 func (k *Keeper) highest() uint64 {
 	var n uint64
 	for name, g := range k.heard {
-		if _, ok := k.lookup(name); ok {
+		if k.names[name] {
 			n = max(n, g)
 		}
 	}
@@ -178,7 +197,8 @@
 func (k *Keeper) askPeer(now time.Time, f *fetch, h cornelbay.Host) []cornelbay.Effect {
 	k.peerCalls++
 	k.Stats.PeerCalls++
-	f.peer, f.call, f.due, f.askedAt = h.Name, k.peerCalls, now.Add(peerTimeout), now
+	f.peer, f.call, f.due = h.Name, k.peerCalls, now.Add(peerTimeout)
+	f.sent[f.call] = now
 	args := FetchArgs{Group: k.Group, Generation: k.head.Generation, Base: k.head.Base, Manifest: k.head.Manifest(k.Group)}
 	if f.head.Generation > 0 {
 		args.Want = f.objects.Missing(f.head, k.Group)
@@ -216,7 +236,6 @@
 	if now.Before(f.platformAt) {
 		return nil
 	}
-	clear(f.asked) // the hosts are asked again after the platform
 	if f.head.Generation == 0 {
 		f.platformAt = now.Add(k.probeInterval())
 		if k.asking(HeadKey) {
@@ -248,13 +267,20 @@
 func (k *Keeper) PeerAnswer(now time.Time, a peer.Answer) ([]cornelbay.Effect, bool) {
 	k.input(now)
 	f := k.fetch
-	if f == nil || a.Call.ID != f.call {
+	if f == nil {
 		return nil, false
 	}
-	f.call = 0
+	askedAt, ok := f.sent[a.Call.ID]
+	if !ok {
+		return nil, false
+	}
+	delete(f.sent, a.Call.ID)
+	if a.Call.ID == f.call {
+		f.call = 0
+	}
 	before := k.head.Generation
 	r, ok := a.Reply.(FetchReply)
-	if a.Err != nil || !ok || !k.fetched(now, f, r) {
+	if a.Err != nil || !ok || !k.fetched(f, r, askedAt) {
 		f.asked[a.Call.To] = true
 	}
 	out := k.advance(now)
@@ -262,11 +288,11 @@
 }
 
 // fetched takes the reply of another host and reports whether it helped.
-func (k *Keeper) fetched(now time.Time, f *fetch, r FetchReply) bool {
+func (k *Keeper) fetched(f *fetch, r FetchReply, askedAt time.Time) bool {
 	age := time.Duration(r.ConfirmedAgeMs) * time.Millisecond
 	if r.Generation == k.head.Generation {
 		if r.ConfirmedAgeMs > 0 {
-			k.confirmByCall(f.askedAt, f.askedAt.Add(-age))
+			k.confirmByCall(askedAt, askedAt.Add(-age))
 		}
 		return false
 	}
@@ -280,11 +306,11 @@
 	}
 	helped := false
 	if h.Generation > f.head.Generation {
-		sentAt := time.Time{}
+		n := found{head: h, raw: r.Head, version: r.Version}
 		if r.ConfirmedAgeMs > 0 {
-			sentAt = f.askedAt.Add(-age)
+			n.sentAt = askedAt.Add(-age)
 		}
-		k.take(h, r.Head, r.Version, sentAt)
+		k.take(n)
 		helped = true
 	}
 	for _, b := range r.Objects {
@@ -326,6 +352,9 @@
 		k.pausedAt = time.Time{} // the fetch was started after any pause
 		k.confirm(f.sentAt)
 	}
+	if f.next.head.Generation > 0 {
+		k.fetching().found = f.next
+	}
 }
 
 // serveObjects returns the objects that an asking host wants, or those that it
--- a/config/head.go
+++ b/config/head.go
@@ -49,8 +49,14 @@
 type GroupManifest struct {
 	Group    string `json:"group"`
 	Manifest string `json:"manifest"`
+	// Fresh lists the shards that are new in this generation, so that they can be
+	// read together with the manifest; it may be incomplete.
+	Fresh []string `json:"fresh,omitempty"`
 }
 
+// MaxFresh bounds GroupManifest.Fresh.
+const MaxFresh = 16
+
 // HistoryKey returns the key of the head of a past generation; keys order as
 // generations do.
 func HistoryKey(generation uint64) string {
@@ -86,6 +92,29 @@
 	return h, nil
 }
 
+// fresh returns the digests that are listed as new for the group.
+func (h Head) fresh(group string) []string {
+	for _, g := range h.Groups {
+		if g.Group == group {
+			return g.Fresh
+		}
+	}
+	return nil
+}
+
+// SetFresh lists the shards that are not among the known ones as fresh.
+func (h *Head) SetFresh(objects Objects, known map[string]bool) {
+	for i := range h.Groups {
+		g := &h.Groups[i]
+		g.Fresh = nil
+		for _, d := range objects.shards(g.Manifest) {
+			if !known[d] && len(g.Fresh) < MaxFresh {
+				g.Fresh = append(g.Fresh, d)
+			}
+		}
+	}
+}
+
 // Manifest returns the digest of the group's manifest, or "" when the group has
 // no services.
 func (h Head) Manifest(group string) string {
--- a/config/keeper.go
+++ b/config/keeper.go
@@ -21,7 +21,9 @@
 	// forgetAfter is when an answer that came too late is not taken any more.
 	forgetAfter = 30 * time.Second
 	// peerTimeout is when another host is asked in place of one that is silent.
-	peerTimeout = 400 * time.Millisecond
+	peerTimeout = 250 * time.Millisecond
+	// peerRound is the least time before hosts that did not help are asked again.
+	peerRound = 300 * time.Millisecond
 	// startSpread spreads the first calls of hosts that start together.
 	startSpread = 500 * time.Millisecond
 	// PauseGap is the time without input from which a host counts as paused.
@@ -69,6 +71,7 @@
 	Stats Stats
 
 	live  []cornelbay.Host
+	names map[cornelbay.HostName]bool
 	heard map[cornelbay.HostName]uint64
 
 	// The generation in force.
@@ -137,22 +140,17 @@
 // SetMembers takes the hosts that are alive, the own one included.
 func (k *Keeper) SetMembers(live []cornelbay.Host) {
 	k.live = live
+	k.names = make(map[cornelbay.HostName]bool, len(live))
+	for _, h := range live {
+		k.names[h.Name] = true
+	}
 	for name := range k.heard {
-		if _, ok := k.lookup(name); !ok {
+		if !k.names[name] {
 			delete(k.heard, name)
 		}
 	}
 }
 
-func (k *Keeper) lookup(name cornelbay.HostName) (cornelbay.Host, bool) {
-	for _, h := range k.live {
-		if h.Name == name {
-			return h, true
-		}
-	}
-	return cornelbay.Host{}, false
-}
-
 // Heard takes what a heartbeat of another host tells: the generation it has in
 // force and, where ageMs is not 0, how long ago the platform confirmed it.
 func (k *Keeper) Heard(now time.Time, from cornelbay.HostName, generation uint64, ageMs int64) []cornelbay.Effect {
@@ -220,10 +218,12 @@
 	case !k.pausedAt.IsZero():
 		k.nextHead = now.Add(pauseQuiet + k.spread(pauseQuiet))
 		return append(k.ask(now, c), k.askConfirmation(now)...)
+	case k.watcher() && k.failures > 0:
+		// After a failure a plain read tells sooner than a watch that may be silent.
 	case k.watcher():
 		c = platform.Call{Op: platform.Watch, Key: HeadKey, Version: k.version, Wait: WatchWait}
 		if k.fetch != nil && k.fetch.version != 0 {
-			c.Version = k.fetch.version
+			c.Version = max(k.fetch.version, k.fetch.next.version)
 		}
 	case now.Sub(later(k.confirmedAt, k.started)) > UnconfirmedAfter:
 		k.nextHead = now.Add(k.probeInterval())
@@ -337,7 +337,7 @@
 		k.confirmByCall(c.sentAt, c.sentAt)
 	default:
 		k.failures = 0
-		k.take(h, o.Value, o.Version, c.sentAt)
+		k.take(found{head: h, raw: o.Value, version: o.Version, sentAt: c.sentAt})
 	}
 }
 
--- /dev/null
+++ b/config/keeper_test.go
@@ -0,0 +1,315 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/peer"
+	"github.com/cornelbay/cornelbay/platform"
+)
+
+// fakes answers the calls of keepers at once.
+type fakes struct {
+	t       *testing.T
+	now     time.Time
+	store   platform.Memory
+	down    error
+	mangle  func(platform.Answer) platform.Answer
+	keepers map[cornelbay.HostName]*Keeper
+	paused  cornelbay.HostName
+	cut     bool
+	calls   int
+}
+
+func newFakes(t *testing.T, names ...cornelbay.HostName) *fakes {
+	f := &fakes{t: t, now: time.Unix(1_800_000_000, 0), keepers: make(map[cornelbay.HostName]*Keeper)}
+	var live []cornelbay.Host
+	for _, n := range names {
+		live = append(live, cornelbay.Host{Name: n, DataCentre: "imlil"})
+	}
+	for _, h := range live {
+		f.keepers[h.Name] = &Keeper{Self: h}
+		f.keepers[h.Name].SetMembers(live)
+	}
+	return f
+}
+
+// commit writes a document as the given generation.
+func (f *fakes) commit(generation uint64, latencyMs int) (Head, Objects) {
+	f.t.Helper()
+	doc, err := Parse(example(f.t, "agence.json"))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	doc.Services[0].Level.LatencyMs = latencyMs
+	h, objects, err := doc.Split()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	h.Generation = generation
+	for d, b := range objects {
+		f.put(ShardPrefix+d, b)
+	}
+	b, err := h.Marshal()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.put(HeadKey, b)
+	return h, objects
+}
+
+func (f *fakes) put(key string, b []byte) {
+	f.t.Helper()
+	c := platform.Call{Op: platform.Create, Key: key, Value: b}
+	if a := f.store.Do(context.Background(), platform.Call{Key: key}); a.Err == nil {
+		c.Op, c.Version = platform.Update, a.Object.Version
+	}
+	if a := f.store.Do(context.Background(), c); a.Err != nil {
+		f.t.Fatal(a.Err)
+	}
+}
+
+func (f *fakes) do(k *Keeper, effects []cornelbay.Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case platform.Call:
+			out, _ := k.StoreAnswer(f.now, f.platform(e))
+			f.do(k, out)
+		case peer.Call:
+			a := peer.Answer{Call: e, Err: peer.ErrNoAnswer}
+			if !f.cut {
+				a.Reply, a.Err = f.keepers[e.To].Serve(f.now, e.Args.(FetchArgs))
+			}
+			out, _ := k.PeerAnswer(f.now, a)
+			f.do(k, out)
+		}
+	}
+}
+
+func (f *fakes) platform(c platform.Call) platform.Answer {
+	f.calls++
+	if f.down != nil {
+		return platform.Answer{Call: c, Err: f.down, RetryAfter: time.Second}
+	}
+	ctx := context.Background()
+	a := f.store.Do(ctx, platform.Call{ID: c.ID, Op: platform.Get, Key: c.Key})
+	a.Call = c
+	if c.Op == platform.Watch && a.Object.Version == c.Version {
+		a.Err = platform.ErrNotModified
+	}
+	if f.mangle != nil {
+		a = f.mangle(a)
+	}
+	return a
+}
+
+// run ticks every keeper for a time; each hears the others twice a second.
+func (f *fakes) run(span time.Duration) {
+	for end := f.now.Add(span); f.now.Before(end); f.now = f.now.Add(100 * time.Millisecond) {
+		for _, name := range sortedKeys(f.keepers) {
+			if name != f.paused {
+				k := f.keepers[name]
+				f.do(k, k.Tick(f.now))
+				f.hear(k)
+			}
+		}
+	}
+}
+
+// hear passes on the others' heartbeats that are due.
+func (f *fakes) hear(k *Keeper) {
+	if f.cut || f.now.UnixMilli()%500 != 0 {
+		return
+	}
+	for _, from := range sortedKeys(f.keepers) {
+		if other := f.keepers[from]; from != k.Self.Name && from != f.paused {
+			f.do(k, k.Heard(f.now, from, other.Generation(), other.ConfirmedAgeMs()))
+		}
+	}
+}
+
+func TestKeeperRefusesWhatIsNotWhole(t *testing.T) {
+	swap := func(b []byte) func(a platform.Answer) platform.Answer {
+		return func(a platform.Answer) platform.Answer {
+			if a.Call.Key != HeadKey {
+				a.Object.Value = b
+			}
+			return a
+		}
+	}
+	for _, c := range []struct {
+		name   string
+		mangle func(a platform.Answer) platform.Answer
+	}{
+		{"shards missing", func(a platform.Answer) platform.Answer {
+			if a.Call.Key != HeadKey {
+				a.Err = platform.ErrNotFound
+			}
+			return a
+		}},
+		{"shards corrupted", swap([]byte(`{"services":[]}`))},
+		{"shards empty", swap(nil)},
+		{"head half-written", func(a platform.Answer) platform.Answer {
+			if a.Call.Key == HeadKey {
+				a.Object.Value = a.Object.Value[:len(a.Object.Value)/2]
+			}
+			return a
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFakes(t, "a")
+			k := f.keepers["a"]
+			f.mangle = c.mangle
+			f.commit(1, 100)
+			f.run(3 * time.Second)
+			is.True(k.Document() == nil) // serves nothing rather than a part
+			f.mangle = nil
+			f.run(3 * time.Second)
+			is.Equal(k.Generation(), uint64(1))
+			f.mangle = c.mangle
+			f.commit(2, 200)
+			f.run(3 * time.Second)
+			is.Equal(k.Generation(), uint64(1)) // the last good one
+			is.Equal(k.Document().Services[1].Level.LatencyMs, 100)
+			f.mangle = nil
+			f.run(3 * time.Second)
+			is.Equal(k.Generation(), uint64(2))
+		})
+	}
+}
+
+func TestKeeperNeverGoesBack(t *testing.T) {
+	is := is.New(t)
+	f := newFakes(t, "a")
+	k := f.keepers["a"]
+	f.commit(5, 100)
+	f.run(2 * time.Second)
+	f.commit(4, 200)
+	f.run(5 * time.Second)
+	is.Equal(k.Generation(), uint64(5))
+	f.commit(5, 200) // the same number for another document
+	f.run(5 * time.Second)
+	is.Equal(k.Document().Services[1].Level.LatencyMs, 100)
+	is.True(f.now.Sub(k.ConfirmedAt()) > 9*time.Second) // neither read confirms the head
+	f.commit(6, 300)
+	f.run(4 * time.Second)
+	is.Equal(k.Generation(), uint64(6))
+}
+
+func TestFreshKeeperLearnsFromPeers(t *testing.T) {
+	is := is.New(t)
+	f := newFakes(t, "a", "b")
+	f.commit(1, 100)
+	f.run(2 * time.Second)
+	f.down = platform.ErrUnavailable
+	fresh := newFakes(t, "a", "b", "c").keepers["c"]
+	f.keepers["c"] = fresh
+	f.cut = true
+	f.run(5 * time.Second)
+	is.True(fresh.Document() == nil) // nobody can tell it
+	f.cut = false
+	f.run(time.Second)
+	is.Equal(fresh.Generation(), uint64(1))
+	is.True(!fresh.ConfirmedAt().IsZero()) // by its peers' word
+	is.True(f.now.Sub(fresh.ConfirmedAt()) > 5*time.Second)
+}
+
+func TestPlatformDownForAnHour(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		err  error
+	}{{"down", platform.ErrUnavailable}, {"limited", platform.ErrLimited}} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			names := []cornelbay.HostName{"a", "b", "c", "d", "e", "f", "g", "h"}
+			f := newFakes(t, names...)
+			f.commit(1, 100)
+			f.run(2 * time.Second)
+			f.down, f.calls = c.err, 0
+			f.run(time.Hour)
+			perSecond := float64(f.calls) / time.Hour.Seconds()
+			is.True(perSecond < 2*WatchersPerDataCentre+5) // two a watcher, five of the others together
+			f.down = nil
+			f.commit(2, 200)
+			f.calls = 0
+			f.run(time.Second)
+			is.True(f.calls < 40) // the return is no storm
+			f.run(3 * time.Second)
+			for _, n := range names {
+				is.Equal(f.keepers[n].Generation(), uint64(2))
+			}
+		})
+	}
+}
+
+func TestOnlyWatchersCallThePlatform(t *testing.T) {
+	is := is.New(t)
+	f := newFakes(t, "a", "b", "c", "d", "e", "f")
+	f.run(2 * time.Second)
+	f.commit(1, 100)
+	f.run(10 * time.Second)
+	callers := 0
+	for _, k := range f.keepers {
+		is.Equal(k.Generation(), uint64(1))
+		if k.Stats.PlatformCalls > 0 {
+			callers++
+		}
+	}
+	is.Equal(callers, WatchersPerDataCentre)
+}
+
+func TestPausedKeeperConfirmsBeforeItTrusts(t *testing.T) {
+	is := is.New(t)
+	f := newFakes(t, "a", "b")
+	f.commit(1, 100)
+	f.run(3 * time.Second)
+	k := f.keepers["a"]
+	is.True(!k.ConfirmedAt().IsZero())
+	f.paused = "a"
+	f.run(time.Minute)
+	f.paused, f.down, f.cut = "", platform.ErrUnavailable, true
+	is.True(k.Stale(f.now))
+	is.True(k.ConfirmedAt().IsZero())
+	k.Heard(f.now, "b", 1, 200) // it may have waited in a queue for a minute
+	is.True(k.ConfirmedAt().IsZero())
+	f.run(3 * time.Second)
+	is.True(k.Stale(f.now))
+	f.cut = false
+	f.run(3 * time.Second)
+	is.True(!k.Stale(f.now)) // by the answer of a peer to a call made since
+	is.True(f.now.Sub(k.ConfirmedAt()) < 8*time.Second)
+}
+
+func TestLateAnswerIsTaken(t *testing.T) {
+	is := is.New(t)
+	f := newFakes(t, "a")
+	f.commit(1, 100)
+	k := f.keepers["a"]
+	var first platform.Call
+	for first.ID == 0 {
+		for _, e := range k.Tick(f.now) {
+			first = e.(platform.Call)
+		}
+		f.now = f.now.Add(100 * time.Millisecond)
+	}
+	for range 40 {
+		k.Tick(f.now) // its answer is four seconds late
+		f.now = f.now.Add(100 * time.Millisecond)
+	}
+	out, _ := k.StoreAnswer(f.now, f.platform(first))
+	f.do(k, out)
+	is.Equal(k.Generation(), uint64(1))
+}
+
+func TestFetchOfAnotherGroupIsRefused(t *testing.T) {
+	is := is.New(t)
+	k := &Keeper{Group: "north"}
+	_, err := k.Serve(time.Unix(1_800_000_000, 0), FetchArgs{Group: "south"})
+	is.True(errors.Is(err, ErrGroup))
+}
--- a/config/shard.go
+++ b/config/shard.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"cmp"
 	"encoding/json"
 	"slices"
 	"strings"
@@ -69,7 +70,7 @@
 		if err != nil {
 			return Head{}, nil, err
 		}
-		h.Groups = append(h.Groups, GroupManifest{group, m})
+		h.Groups = append(h.Groups, GroupManifest{Group: group, Manifest: m})
 	}
 	return h, objects, nil
 }
@@ -118,8 +119,8 @@
 	return strings.IndexByte("02", Digest([]byte(name))[0]) >= 0
 }
 
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	keys := make([]K, 0, len(m))
 	for k := range m {
 		keys = append(keys, k)
 	}
@@ -128,45 +129,35 @@
 }
 
 // Missing returns the digests that are still wanted before Join can succeed for
-// the group, as far as the objects at hand tell.
+// the group, as far as the head and the objects at hand tell.
 func (o Objects) Missing(h Head, group string) []string {
 	var out []string
-	want := func(d string) bool {
-		_, ok := o[d]
-		if !ok {
+	for _, d := range append(o.Named(h, group), h.fresh(group)...) {
+		if _, ok := o[d]; !ok && !slices.Contains(out, d) {
 			out = append(out, d)
 		}
-		return ok
-	}
-	want(h.Base)
-	digest := h.Manifest(group)
-	if digest == "" || !want(digest) {
-		return out
-	}
-	var m Manifest
-	if errs := decodeStrict(o[digest], &m); len(errs) > 0 {
-		return out
-	}
-	for _, d := range m.Shards {
-		want(d)
 	}
 	return out
 }
 
-// Named returns the digests of all objects at hand that the head names for the
-// group, its base and manifest first.
+// Named returns the digests of the objects that the head names for the group,
+// its base and manifest first; the rest is known from the manifest at hand.
 func (o Objects) Named(h Head, group string) []string {
 	out := []string{h.Base}
 	digest := h.Manifest(group)
 	if digest == "" {
 		return out
 	}
-	out = append(out, digest)
+	return append(append(out, digest), o.shards(digest)...)
+}
+
+// shards returns the digests in a manifest at hand.
+func (o Objects) shards(manifest string) []string {
 	var m Manifest
-	if errs := decodeStrict(o[digest], &m); len(errs) > 0 {
-		return out
+	if errs := decodeStrict(o[manifest], &m); len(errs) > 0 {
+		return nil
 	}
-	return append(out, m.Shards...)
+	return m.Shards
 }
 
 // Join returns the document with the services of the given groups. The error is
--- a/entry/config.go
+++ b/entry/config.go
@@ -67,7 +67,6 @@
 
 // heardConfig takes what a heartbeat tells of the configuration.
 func (h *Host) heardConfig(now time.Time, b member.Heartbeat) []cornelbay.Effect {
-	h.keeper.SetMembers(h.members.Live(now))
 	return h.keeper.Heard(now, b.Host.Name, b.Generation, b.ConfirmedAgeMs)
 }
 
--- a/entry/members.go
+++ b/entry/members.go
@@ -32,16 +32,17 @@
 
 func (h *Host) heartbeat(now time.Time, b member.Heartbeat) []cornelbay.Effect {
 	h.members.Receive(now, b)
-	return append(h.heardConfig(now, b), h.membersChanged(now)...)
+	out := h.membersChanged(now)
+	return append(out, h.heardConfig(now, b)...)
 }
 
 func (h *Host) membersChanged(now time.Time) []cornelbay.Effect {
 	m := h.Members(now)
-	h.keeper.SetMembers(m.Live)
 	if slices.Equal(m.Live, h.known.Live) && slices.Equal(m.Missing, h.known.Missing) &&
 		m.ConfirmedAt.Equal(h.known.ConfirmedAt) {
 		return nil
 	}
 	h.known = m
+	h.keeper.SetMembers(m.Live)
 	return append(h.flows.SetMembers(now, m), h.Requests.SetMembers(now, m)...)
 }
--- a/measure/group.go
+++ b/measure/group.go
@@ -5,6 +5,8 @@
 	"strings"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/entry"
 	"github.com/cornelbay/cornelbay/peer"
@@ -49,6 +51,8 @@
 	SentBytes int
 	// SentDatagrams counts the datagrams.
 	SentDatagrams int
+	// RPCBytes counts the bytes of net/rpc calls and replies that the node sent.
+	RPCBytes int
 	// Oversize counts the messages that did not fit a datagram.
 	Oversize int
 
@@ -189,6 +193,18 @@
 	return nil
 }
 
+// rpcHeaderBytes is what net/rpc, TLS, TCP and IP add to a call or a reply with
+// its acknowledgement.
+const rpcHeaderBytes = 180
+
+func rpcBytes(v any) int {
+	b, err := cbor.Marshal(v)
+	if err != nil {
+		return rpcHeaderBytes
+	}
+	return len(b) + rpcHeaderBytes
+}
+
 // RPCTimeout is when a call over net/rpc without an answer fails.
 const RPCTimeout = time.Second
 
@@ -201,6 +217,7 @@
 		}
 	}
 	g.After(RPCTimeout, func() { finish(nil, peer.ErrNoAnswer) })
+	n.RPCBytes += rpcBytes(c.Args)
 	to, ok := g.Nodes[c.To]
 	if !ok {
 		return
@@ -215,6 +232,7 @@
 		}
 		reply, effects, err := to.ServePeer(g.Now, n.Self.Name, c.Args)
 		g.CarryOut(to, effects)
+		to.RPCBytes += rpcBytes(reply)
 		if back, ok := g.Between(c.To, n.Self.Name); ok {
 			g.After(back, func() { finish(reply, err) })
 		}
--- a/measure/store.go
+++ b/measure/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cornelbay/cornelbay/platform"
@@ -18,16 +19,25 @@
 	// LoseAnswer reports whether the answer to a call is lost after it took
 	// effect; nil loses none.
 	LoseAnswer func(c platform.Call) bool
+	// Silent reports whether a call of a caller is never answered; nil: none.
+	Silent func(caller string, c platform.Call) bool
+	// Stale reports whether a read answers the version before the present one;
+	// nil: none.
+	Stale func(c platform.Call) bool
+	// Limited reports whether a call is refused for its rate; nil: none.
+	Limited func(caller string) bool
 	// Unreachable reports whether a caller cannot reach the service; nil: none.
 	Unreachable func(caller string) bool
-	// Reads and Writes count the calls; a watch is a read.
+	// Reads and Writes count the calls that reached the service; a watch is a read.
 	Reads, Writes int
 
-	watches []*watch
+	watches  []*watch
+	previous map[string]platform.Object
 }
 
 type watch struct {
 	call   platform.Call
+	caller string
 	answer func(platform.Answer)
 	done   bool
 }
@@ -42,69 +52,100 @@
 }
 
 func (s *Store) serve(caller string, c platform.Call, answer func(platform.Answer)) {
-	if s.Down || (s.Unreachable != nil && s.Unreachable(caller)) {
+	if s.cut(caller) {
 		answer(platform.Answer{Call: c, Err: platform.ErrUnavailable})
 		return
 	}
-	if c.Op == platform.Watch {
-		s.Reads++
-		s.watch(c, answer)
-		return
-	}
-	a := s.Memory.Do(context.Background(), c)
-	if c.Op == platform.Get || c.Op == platform.List {
+	if c.Op == platform.Watch || c.Op == platform.Get || c.Op == platform.List {
 		s.Reads++
 	} else {
 		s.Writes++
+	}
+	switch {
+	case s.Silent != nil && s.Silent(caller, c):
+	case s.Limited != nil && s.Limited(caller):
+		answer(platform.Answer{Call: c, Err: platform.ErrLimited, RetryAfter: time.Second})
+	case c.Op == platform.Watch:
+		s.watch(caller, c, answer)
+	default:
+		answer(s.apply(c))
+	}
+}
+
+// cut reports whether a caller gets no answer from the service.
+func (s *Store) cut(caller string) bool {
+	return s.Down || (s.Unreachable != nil && s.Unreachable(caller))
+}
+
+// apply does a call that does not wait, under the faults of its answer.
+func (s *Store) apply(c platform.Call) platform.Answer {
+	old := s.Memory.Do(context.Background(), platform.Call{Op: platform.Get, Key: c.Key})
+	a := s.Memory.Do(context.Background(), c)
+	if c.Op == platform.Get && s.Stale != nil && s.Stale(c) {
+		if o, ok := s.previous[c.Key]; ok {
+			a.Object = o
+		}
+	}
+	if a.Err == nil && c.Op != platform.Get && c.Op != platform.List {
+		if s.previous == nil {
+			s.previous = make(map[string]platform.Object)
+		}
+		if old.Err == nil {
+			s.previous[c.Key] = old.Object
+		}
 		s.Changed()
 	}
 	if s.LoseAnswer != nil && s.LoseAnswer(c) {
-		a = platform.Answer{Call: c, Err: platform.ErrUnavailable}
+		return platform.Answer{Call: c, Err: platform.ErrUnavailable}
 	}
-	answer(a)
+	return a
 }
 
-func (s *Store) watch(c platform.Call, answer func(platform.Answer)) {
-	w := &watch{call: c, answer: answer}
+func (s *Store) watch(caller string, c platform.Call, answer func(platform.Answer)) {
+	w := &watch{call: c, caller: caller, answer: answer}
 	s.watches = append(s.watches, w)
-	s.After(platform.WatchTimeout, func() {
-		if !w.done {
-			w.done = true
-			answer(platform.Answer{Call: c, Err: platform.ErrUnavailable})
+	s.After(c.WaitTime(), func() {
+		if w.done {
+			return
 		}
+		err := platform.ErrNotModified
+		if s.cut(caller) {
+			err = platform.ErrUnavailable
+		}
+		s.finish(w, platform.Answer{Err: err})
 	})
 	s.Changed()
 }
 
+// finish answers a watch and forgets it.
+func (s *Store) finish(w *watch, a platform.Answer) {
+	w.done = true
+	s.watches = slices.DeleteFunc(s.watches, func(o *watch) bool { return o == w })
+	a.Call = w.call
+	w.answer(a)
+}
+
 // CutWatches fails every waiting watch.
 func (s *Store) CutWatches() {
-	for _, w := range s.watches {
-		if !w.done {
-			w.done = true
-			w.answer(platform.Answer{Call: w.call, Err: platform.ErrUnavailable})
-		}
+	for _, w := range slices.Clone(s.watches) {
+		s.finish(w, platform.Answer{Err: platform.ErrUnavailable})
 	}
-	s.watches = nil
 }
 
 // Changed answers the watches whose object has another version by now; it is
 // called after a write from outside.
 func (s *Store) Changed() {
-	var rest []*watch
-	for _, w := range s.watches {
-		if w.done {
-			continue
-		}
+	for _, w := range slices.Clone(s.watches) {
 		a := s.Memory.Do(context.Background(), platform.Call{Op: platform.Get, Key: w.call.Key})
-		if a.Err != nil || a.Object.Version == w.call.Version {
-			rest = append(rest, w)
+		if s.cut(w.caller) || a.Err != nil || a.Object.Version == w.call.Version {
 			continue
 		}
-		w.done = true
-		a.Call = w.call
-		s.After(time.Millisecond, func() { w.answer(a) })
+		s.After(time.Millisecond, func() {
+			if !w.done {
+				s.finish(w, a)
+			}
+		})
 	}
-	s.watches = rest
 }
 
 // Do does a call at once, for operators whose latency does not matter.
@@ -112,15 +153,10 @@
 	if s.Down {
 		return platform.Answer{Call: c, Err: platform.ErrUnavailable}
 	}
-	a := s.Memory.Do(context.Background(), c)
 	if c.Op != platform.Get && c.Op != platform.List {
 		s.Writes++
-		s.Changed()
 	} else {
 		s.Reads++
 	}
-	if s.LoseAnswer != nil && s.LoseAnswer(c) {
-		return platform.Answer{Call: c, Err: platform.ErrUnavailable}
-	}
-	return a
+	return s.apply(c)
 }
--- a/operator/commit.go
+++ b/operator/commit.go
@@ -248,6 +248,7 @@
 	if err != nil {
 		return config.Head{}, err
 	}
+	p.next.SetFresh(p.objects, known)
 	p.next.Generation, p.next.Previous = base.Generation+1, base.Digest
 	h, err := c.moveHead(ctx, p.next, base, version)
 	if err == nil {
