--- /dev/null
+++ b/burn/ring.go
@@ -0,0 +1,88 @@
+// Package burn measures how requests meet their service levels: counts by
+// minute on hosts, error budgets, burn rates and their report.
+package burn
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cornelbay/cornelbay"
+)
+
+// HistoryMinutes is the number of minutes that a host keeps in memory.
+const HistoryMinutes = 72 * 60
+
+// Minute holds the counts of one minute.
+type Minute struct {
+	// Start is the minute's number since 1970.
+	Start int64  `json:"start"`
+	Good  uint64 `json:"good"`
+	Total uint64 `json:"total"`
+}
+
+// Ring keeps the counts of the last HistoryMinutes by service; its zero value
+// works and it may be used by many goroutines. A host that ends loses them.
+type Ring struct {
+	mu       sync.Mutex
+	services map[cornelbay.ServiceName][]Minute
+}
+
+// Add counts one request.
+func (r *Ring) Add(now time.Time, name cornelbay.ServiceName, good bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.services == nil {
+		r.services = make(map[cornelbay.ServiceName][]Minute)
+	}
+	ms := r.services[name]
+	start := minuteOf(now)
+	if len(ms) == 0 || ms[len(ms)-1].Start < start {
+		ms = append(trim(ms, start), Minute{Start: start})
+	}
+	last := &ms[len(ms)-1]
+	last.Total++
+	if good {
+		last.Good++
+	}
+	r.services[name] = ms
+}
+
+func minuteOf(t time.Time) int64 { return t.Unix() / 60 }
+
+// trim drops the minutes that are too old at the given one.
+func trim(ms []Minute, now int64) []Minute {
+	for len(ms) > 0 && ms[0].Start <= now-HistoryMinutes {
+		ms = ms[1:]
+	}
+	return ms
+}
+
+// ServiceCounts holds the counts of one service.
+type ServiceCounts struct {
+	Service cornelbay.ServiceName  `json:"service"`
+	Level   cornelbay.ServiceLevel `json:"level"`
+	// Minutes lists the minutes that had requests, in order.
+	Minutes []Minute `json:"minutes"`
+}
+
+// Counts is what a host serves under /burn.
+type Counts struct {
+	Now      time.Time       `json:"now"`
+	Services []ServiceCounts `json:"services"`
+}
+
+// Counts returns the counts of the services that have a level.
+func (r *Ring) Counts(now time.Time, levels map[cornelbay.ServiceName]cornelbay.ServiceLevel) Counts {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := Counts{Now: now}
+	for name, level := range levels {
+		out.Services = append(out.Services, ServiceCounts{
+			Service: name, Level: level, Minutes: slices.Clone(trim(r.services[name], minuteOf(now))),
+		})
+	}
+	slices.SortFunc(out.Services, func(a, b ServiceCounts) int { return cmp.Compare(a.Service, b.Service) })
+	return out
+}
--- a/cmd/cornelbayd/main.go
+++ b/cmd/cornelbayd/main.go
@@ -3,86 +3,104 @@
 
 import (
 	"context"
-	"encoding/hex"
-	"net/netip"
+	"errors"
 	"os"
 	"os/signal"
 	"syscall"
-	"time"
 
 	"github.com/alecthomas/kong"
-	"github.com/ansel1/merry/v2"
 	"github.com/apex/log"
 	logjson "github.com/apex/log/handlers/json"
+	logtext "github.com/apex/log/handlers/text"
 
-	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/daemon"
-	"github.com/cornelbay/cornelbay/entry"
 )
 
-type cli struct {
-	Name       string           `help:"Name of the host." required:"" env:"CORNELBAY_NAME"`
-	DataCentre string           `help:"Data centre of the host." required:"" env:"CORNELBAY_DATA_CENTRE"`
-	Group      string           `help:"Group of services to serve." env:"CORNELBAY_GROUP"`
-	Platform   string           `help:"URL of the platform's service." required:"" env:"CORNELBAY_PLATFORM"`
-	Fabric     netip.AddrPort   `help:"Address for Geneve packets." default:"127.0.0.1:0" env:"CORNELBAY_FABRIC"`
-	Datagram   netip.AddrPort   `help:"Address for control datagrams." default:"127.0.0.1:0" env:"CORNELBAY_DATAGRAM"`
-	RPC        netip.AddrPort   `name:"rpc" help:"Address for net/rpc." default:"127.0.0.1:0" env:"CORNELBAY_RPC"`
-	HTTP       netip.AddrPort   `name:"http" help:"Address for callers' requests." default:"127.0.0.1:0" env:"CORNELBAY_HTTP"`
-	Admin      netip.AddrPort   `help:"Address for metrics, health and status." default:"127.0.0.1:0" env:"CORNELBAY_ADMIN"`
-	Peers      []netip.AddrPort `help:"Datagram addresses of hosts to ask first." env:"CORNELBAY_PEERS"`
-	Key        []string         `help:"Keys for datagrams, in hexadecimal; the first seals." required:"" env:"CORNELBAY_KEY"`
-	LogLevel   string           `help:"Least level of log entries." enum:"debug,info,warn,error" default:"info" env:"CORNELBAY_LOG_LEVEL"`
-}
+// The exit codes besides 0.
+const (
+	exitFailed    = 1
+	exitStopTime  = 2
+	exitCutShort  = 3
+	exitBadFlags  = 80 // kong's own
+	signalBacklog = 4
+)
 
 func main() {
 	var c cli
-	k := kong.Parse(&c, kong.Description("Runs one entry host of cornelbay."))
-	k.FatalIfErrorf(c.run())
+	kong.Parse(&c, kong.Name("cornelbayd"), kong.Description("Runs one entry host of cornelbay."))
+	setLog(c.LogLevel)
+	s, err := c.settings()
+	if err != nil {
+		log.WithError(err).Error("settings refused")
+		os.Exit(exitBadFlags)
+	}
+	os.Exit(run(&c, s))
 }
 
-func (c *cli) run() error {
+// setLog writes text to a terminal and JSON elsewhere.
+func setLog(level string) {
 	log.SetHandler(logjson.New(os.Stderr))
-	log.SetLevelFromString(c.LogLevel)
-	s, err := c.settings()
+	if st, err := os.Stderr.Stat(); err == nil && st.Mode()&os.ModeCharDevice != 0 {
+		log.SetHandler(logtext.New(os.Stderr))
+	}
+	log.SetLevelFromString(level)
+}
+
+func run(c *cli, s daemon.Settings) int {
+	signals := make(chan os.Signal, signalBacklog)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	d, err := daemon.Start(context.Background(), s)
 	if err != nil {
-		return err
+		log.WithError(err).Error("not started")
+		return exitFailed
+	}
+	logStarted(d)
+	stopped := make(chan error, 1)
+	stopping := false
+	for {
+		select {
+		case <-d.Done():
+			return exitCode(d.Stop(context.Background()))
+		case err := <-stopped:
+			return exitCode(err)
+		case sig := <-signals:
+			switch {
+			case sig == syscall.SIGHUP:
+				reload(c, d)
+			case stopping:
+				log.Warn("second signal: ended at once")
+				return exitCutShort
+			default:
+				stopping = true
+				go func() { stopped <- d.Stop(context.Background()) }()
+			}
+		}
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	d, err := daemon.Start(ctx, s)
+}
+
+func exitCode(err error) int {
+	if errors.Is(err, daemon.ErrStopTimeout) {
+		return exitStopTime
+	}
+	return 0
+}
+
+// reload reads the key files again; what cannot be read leaves the old keys.
+func reload(c *cli, d *daemon.Daemon) {
+	s, err := c.settings()
 	if err != nil {
-		return err
+		log.WithError(err).Error("keys not reloaded")
+		return
 	}
+	d.Reload(s)
+	log.WithField("keys", len(s.Keys)).Info("keys reloaded")
+}
+
+func logStarted(d *daemon.Daemon) {
 	self := d.Self()
 	log.WithFields(log.Fields{
-		"host": self.Name, "fabric": self.Fabric.String(), "datagram": self.Datagram.String(),
+		"host": self.Name, "dataCentre": self.DataCentre, "incarnation": self.Incarnation,
+		"fabric": self.Fabric.String(), "datagram": self.Datagram.String(), "rpc": self.RPC.String(),
 		"http": self.HTTP.String(), "admin": self.Admin.String(),
 	}).Info("started")
-	<-ctx.Done()
-	return nil
-}
-
-func (c *cli) settings() (daemon.Settings, error) {
-	s := daemon.Settings{Platform: c.Platform}
-	for _, k := range c.Key {
-		b, err := hex.DecodeString(k)
-		if err != nil {
-			return s, merry.Prepend(err, "--key")
-		}
-		s.Keys = append(s.Keys, b)
-	}
-	now := time.Now().UnixNano()
-	s.Settings = entry.Settings{
-		Group: c.Group, Seed: uint64(now),
-		Self: cornelbay.Host{
-			Name: cornelbay.HostName(c.Name), DataCentre: cornelbay.DataCentreName(c.DataCentre),
-			Incarnation: cornelbay.Incarnation(now), Fabric: c.Fabric, Datagram: c.Datagram,
-			RPC: c.RPC, HTTP: c.HTTP, Admin: c.Admin,
-		},
-	}
-	for _, p := range c.Peers {
-		s.Introduce = append(s.Introduce, cornelbay.Host{Name: cornelbay.HostName(p.String()), Datagram: p})
-	}
-	return s, nil
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,33 +4,54 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/apex/log"
 
 	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/burn"
 	"github.com/cornelbay/cornelbay/caller"
 	"github.com/cornelbay/cornelbay/entry"
+	"github.com/cornelbay/cornelbay/fabric"
 	"github.com/cornelbay/cornelbay/peer"
 	"github.com/cornelbay/cornelbay/platform"
-	"github.com/cornelbay/cornelbay/request"
 	"github.com/cornelbay/cornelbay/target"
 	"github.com/cornelbay/cornelbay/warmth"
 )
 
-const inputBacklog = 1024
+// The lengths of the daemon's queues.
+const (
+	inputBacklog   = 1024
+	signalBacklog  = 4096
+	releaseBacklog = 4096
+)
+
+// headerTimeout bounds the time in which a client sends a request's header.
+const headerTimeout = 5 * time.Second
 
 // Settings are what a daemon is started with.
 type Settings struct {
 	entry.Settings
 	// Platform is the URL of the platform's service.
 	Platform string
-	// Keys authenticate datagrams: the first seals, any opens.
+	// Keys authenticate datagrams and relayed packets: the first seals, any opens.
 	Keys [][]byte
+	// TrafficWorkers is the number of traffic goroutines; 0 stands for 1.
+	TrafficWorkers int
+	// StopNotice is the time that the fabric has to notice that a stopping host
+	// is not ready, before the host refuses new requests.
+	StopNotice time.Duration
+	// StopTimeout bounds a planned stop; 0 stands for DefaultStopTimeout.
+	StopTimeout time.Duration
+	// Log receives the daemon's log entries; nil stands for the standard logger.
+	Log log.Interface
 }
 
 // Daemon runs one entry host on real sockets.
@@ -38,50 +59,132 @@
 	Settings
 
 	host     *entry.Host
-	codec    peer.Codec
+	codec    codec
 	store    platform.Service
 	targets  target.Client
 	inputs   chan func(now time.Time) []cornelbay.Effect
+	signals  chan warmth.Signal
+	released chan cornelbay.FlowKey
 	requests requests
-
-	fabric, datagram *net.UDPConn
-	http, admin      net.Listener
+	holds    holds
+	metrics  metrics
+	burn     burn.Ring
+
+	relayKeys atomic.Pointer[fabric.RelayKeys]
+	view      atomic.Pointer[view]
+	stopping  atomic.Bool
+	lastTick  atomic.Int64
+	stopOnce  sync.Once
+	stopErr   error
+
+	fabric      []*net.UDPConn
+	datagram    *net.UDPConn
+	http, admin net.Listener
+	httpServer  *http.Server
+
+	// ctx ends with the daemon.
+	ctx    context.Context
+	cancel context.CancelFunc
+	// wg counts goroutines and handlers; none joins once ended is set.
+	wg    sync.WaitGroup
+	mu    sync.Mutex
+	ended bool
+	done  chan struct{}
 }
 
-// Start binds the daemon's addresses and runs it until ctx ends.
+// Start binds the daemon's addresses and runs it until ctx ends or a planned
+// stop is done.
 func Start(ctx context.Context, s Settings) (*Daemon, error) {
-	d := &Daemon{Settings: s, inputs: make(chan func(time.Time) []cornelbay.Effect, inputBacklog)}
+	d := &Daemon{
+		Settings: s,
+		inputs:   make(chan func(time.Time) []cornelbay.Effect, inputBacklog),
+		signals:  make(chan warmth.Signal, signalBacklog),
+		released: make(chan cornelbay.FlowKey, releaseBacklog),
+		done:     make(chan struct{}),
+	}
+	if d.Log == nil {
+		d.Log = log.Log
+	}
 	if err := d.bind(); err != nil {
 		d.close()
 		return nil, err
 	}
 	d.host = entry.New(d.Settings.Settings)
-	d.codec = peer.Codec{Self: s.Self.Name, Incarnation: s.Self.Incarnation, Keys: s.Keys}
+	d.codec.Codec = peer.Codec{Self: s.Self.Name, Incarnation: s.Self.Incarnation, Keys: s.Keys}
 	d.store = &platform.Client{Base: s.Platform}
-	go d.control(ctx)
-	go d.receiveDatagrams()
-	go d.forward()
-	go d.serve(ctx, d.http, caller.NewServer(d.do))
-	go d.serve(ctx, d.admin, d.adminHandler())
-	context.AfterFunc(ctx, d.close)
+	d.relayKeys.Store(fabric.NewRelayKeys(s.Keys...))
+	d.view.Store(&view{})
+	d.metrics.init(d)
+	d.ctx, d.cancel = context.WithCancel(ctx)
+	d.run(d.ctx)
 	return d, nil
 }
 
+// run starts the daemon's goroutines; Done tells when all have ended.
+func (d *Daemon) run(ctx context.Context) {
+	d.goes(func() { d.control(ctx) })
+	d.goes(func() { d.receiveDatagrams(ctx) })
+	for _, c := range d.fabric {
+		d.goes(newWorker(d, c).run)
+	}
+	d.goes(func() { d.release(ctx) })
+	d.httpServer = d.serve(ctx, d.http, caller.NewServer(d.do))
+	d.serve(ctx, d.admin, d.adminHandler())
+	context.AfterFunc(ctx, d.close)
+	go func() {
+		<-ctx.Done()
+		d.mu.Lock()
+		d.ended = true
+		d.mu.Unlock()
+		d.wg.Wait()
+		close(d.done)
+	}()
+}
+
+// tracked makes Done wait for the handler's requests.
+func (d *Daemon) tracked(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !d.enter() {
+			http.Error(w, "host has ended", http.StatusServiceUnavailable)
+			return
+		}
+		defer d.wg.Done()
+		h.ServeHTTP(w, r)
+	})
+}
+
+func (d *Daemon) enter() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.ended {
+		return false
+	}
+	d.wg.Add(1)
+	return true
+}
+
+func (d *Daemon) goes(f func()) { d.wg.Go(f) }
+
 // Self returns the host with the addresses that were bound.
 func (d *Daemon) Self() cornelbay.Host { return d.Settings.Self }
 
+// Done is closed when the daemon has ended and its addresses are free.
+func (d *Daemon) Done() <-chan struct{} { return d.done }
+
 func (d *Daemon) bind() error {
 	var err error
-	if d.fabric, err = listenUDP("fabric", &d.Settings.Self.Fabric); err != nil {
-		return err
+	self := &d.Settings.Self
+	if d.fabric, err = fabric.Listen(self.Fabric, max(d.TrafficWorkers, 1)); err != nil {
+		return merry.Prepend(err, "fabric")
 	}
-	if d.datagram, err = listenUDP("datagram", &d.Settings.Self.Datagram); err != nil {
+	self.Fabric = d.fabric[0].LocalAddr().(*net.UDPAddr).AddrPort()
+	if d.datagram, err = listenUDP("datagram", &self.Datagram); err != nil {
 		return err
 	}
-	if d.http, err = listenTCP("http", &d.Settings.Self.HTTP); err != nil {
+	if d.http, err = listenTCP("http", &self.HTTP); err != nil {
 		return err
 	}
-	d.admin, err = listenTCP("admin", &d.Settings.Self.Admin)
+	d.admin, err = listenTCP("admin", &self.Admin)
 	return err
 }
 
@@ -104,7 +207,7 @@
 }
 
 func (d *Daemon) close() {
-	for _, c := range []*net.UDPConn{d.fabric, d.datagram} {
+	for _, c := range append(d.fabric, d.datagram) {
 		if c != nil {
 			_ = c.Close() // nothing is buffered
 		}
@@ -114,100 +217,19 @@
 			_ = l.Close() // nothing is buffered
 		}
 	}
+	d.targets.HTTP.CloseIdleConnections()
 }
 
-func (d *Daemon) serve(ctx context.Context, l net.Listener, h http.Handler) {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
-	context.AfterFunc(ctx, func() { _ = s.Close() }) // the process ends
-	if err := s.Serve(l); ctx.Err() == nil {
-		log.WithError(err).Error("server ended")
-	}
-}
-
-// control is the one goroutine that owns the control state.
-func (d *Daemon) control(ctx context.Context) {
-	tick := time.NewTicker(entry.TickInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-tick.C:
-			d.carryOut(ctx, d.host.Tick(now))
-		case in := <-d.inputs:
-			d.carryOut(ctx, in(time.Now()))
-		}
-	}
-}
-
-func (d *Daemon) input(ctx context.Context, in func(now time.Time) []cornelbay.Effect) {
-	select {
-	case d.inputs <- in:
-	case <-ctx.Done():
+func (d *Daemon) serve(ctx context.Context, l net.Listener, h http.Handler) *http.Server {
+	s := &http.Server{
+		Handler: d.tracked(h), ReadHeaderTimeout: headerTimeout,
+		BaseContext: func(net.Listener) context.Context { return ctx },
 	}
-}
-
-func (d *Daemon) carryOut(ctx context.Context, effects []cornelbay.Effect) {
-	for _, e := range effects {
-		switch e := e.(type) {
-		case cornelbay.Send:
-			d.send(e)
-		case platform.Call:
-			go d.call(ctx, e)
-		case warmth.Probe:
-			go d.probe(ctx, e)
-		case request.Attempt:
-			go d.attempt(ctx, e)
-		case request.Cancel:
-			d.requests.cancel(e.ID)
-		case request.Finish:
-			d.requests.finish(e)
+	context.AfterFunc(ctx, func() { _ = s.Close() }) // the process ends
+	d.goes(func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) && ctx.Err() == nil {
+			d.Log.WithError(err).Error("server ended")
 		}
-	}
-}
-
-func (d *Daemon) call(ctx context.Context, c platform.Call) {
-	ctx, cancel := context.WithTimeout(ctx, platform.WatchTimeout+time.Second)
-	defer cancel()
-	a := d.store.Do(ctx, c)
-	d.input(ctx, func(now time.Time) []cornelbay.Effect { return d.host.StoreAnswer(now, a) })
-}
-
-func (d *Daemon) probe(ctx context.Context, p warmth.Probe) {
-	s := d.targets.Probe(ctx, p)
-	d.input(ctx, func(now time.Time) []cornelbay.Effect {
-		d.host.Observe(now, s)
-		return nil
 	})
-}
-
-func (d *Daemon) send(s cornelbay.Send) {
-	h, ok := d.host.Lookup(s.To)
-	if !ok {
-		return
-	}
-	b, err := d.codec.Seal(s.Message)
-	if err != nil {
-		log.WithError(err).WithField("to", string(s.To)).Error("message not sent")
-		return
-	}
-	if _, err := d.datagram.WriteToUDPAddrPort(b, h.Datagram); err != nil {
-		log.WithError(err).WithField("to", string(s.To)).Debug("datagram not sent")
-	}
-}
-
-func (d *Daemon) receiveDatagrams() {
-	b := make([]byte, 64<<10)
-	for {
-		n, _, err := d.datagram.ReadFromUDPAddrPort(b)
-		if err != nil {
-			return
-		}
-		e, m, err := d.codec.Open(b[:n])
-		if err != nil {
-			log.WithError(err).Warn("datagram refused")
-			continue
-		}
-		d.inputs <- func(now time.Time) []cornelbay.Effect { return d.host.Receive(now, e.From, m) }
-	}
+	return s
 }
--- /dev/null
+++ b/daemon/daemon_test.go
@@ -0,0 +1,227 @@
+package daemon_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/config"
+	"github.com/cornelbay/cornelbay/daemon"
+	"github.com/cornelbay/cornelbay/entry"
+	"github.com/cornelbay/cornelbay/operator"
+	"github.com/cornelbay/cornelbay/platform"
+	"github.com/cornelbay/cornelbay/standin"
+)
+
+func TestMain(m *testing.M) {
+	log.SetHandler(discard.New())
+	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("net/http.(*persistConn).readLoop"),
+		goleak.IgnoreAnyFunction("net/http.(*persistConn).writeLoop"))
+}
+
+// trial is one daemon in this process with stand-ins around it.
+type trial struct {
+	t       *testing.T
+	doc     *config.Document
+	memory  platform.Memory
+	base    string
+	fabric  standin.Fabric
+	targets []*standin.Target
+}
+
+func newTrial(t *testing.T) *trial {
+	t.Helper()
+	b, err := os.ReadFile("../examples/agence.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	tr := &trial{t: t}
+	if tr.doc, err = config.Parse(b); err != nil {
+		t.Fatal(err)
+	}
+	if err := tr.fabric.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(tr.fabric.Close)
+	any := netip.MustParseAddrPort("127.0.0.1:0")
+	for _, s := range tr.doc.Services {
+		for i := range s.Targets {
+			st := &standin.Target{Name: s.Targets[i].Name, Return: tr.fabric.Address()}
+			if err := st.Start(any, any); err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(st.Close)
+			s.Targets[i].Tunnel, s.Targets[i].HTTP = st.Tunnel(), st.HTTP()
+			tr.targets = append(tr.targets, st)
+		}
+	}
+	tr.base = tr.listen(&platform.Server{Service: &tr.memory})
+	return tr
+}
+
+// listen serves h on a free port until the test ends.
+func (tr *trial) listen(h http.Handler) string {
+	tr.t.Helper()
+	base, stop, err := standin.Serve(netip.MustParseAddrPort("127.0.0.1:0"), h)
+	if err != nil {
+		tr.t.Fatal(err)
+	}
+	tr.t.Cleanup(stop)
+	return "http://" + base.String()
+}
+
+func (tr *trial) start(ctx context.Context) *daemon.Daemon {
+	tr.t.Helper()
+	at := netip.MustParseAddrPort("127.0.0.1:0")
+	d, err := daemon.Start(ctx, daemon.Settings{
+		Settings: entry.Settings{Self: cornelbay.Host{
+			Name: "imlil-1", DataCentre: "imlil", Incarnation: 1,
+			Fabric: at, Datagram: at, RPC: at, HTTP: at, Admin: at,
+		}},
+		Platform: tr.base, Keys: [][]byte{[]byte(trialKey)}, TrafficWorkers: 2,
+	})
+	if err != nil {
+		tr.t.Fatal(err)
+	}
+	return d
+}
+
+func (tr *trial) apply() {
+	tr.t.Helper()
+	s := &platform.Client{Base: tr.base}
+	if _, err := operator.Apply(tr.t.Context(), s, tr.doc, operator.Change{ID: "first", Author: "test", Reason: "test"}); err != nil {
+		tr.t.Fatal(err)
+	}
+}
+
+func (tr *trial) get(d *daemon.Daemon, path string) (int, string) {
+	tr.t.Helper()
+	res, err := http.Get("http://" + d.Self().Admin.String() + path)
+	if err != nil {
+		tr.t.Fatal(err)
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	if err != nil {
+		tr.t.Fatal(err)
+	}
+	return res.StatusCode, string(b)
+}
+
+func (tr *trial) waitReady(d *daemon.Daemon) {
+	tr.t.Helper()
+	for {
+		if status, _ := tr.get(d, "/readyz"); status == http.StatusOK {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func TestAdminPages(t *testing.T) {
+	is := is.New(t)
+	tr := newTrial(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	d := tr.start(ctx)
+	status, body := tr.get(d, "/readyz")
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.Equal(body, "no configuration in force\n")
+	tr.apply()
+	tr.waitReady(d)
+	status, _ = tr.get(d, "/healthz")
+	is.Equal(status, http.StatusOK)
+	_, body = tr.get(d, "/status")
+	var st daemon.Status
+	is.NoErr(json.Unmarshal([]byte(body), &st))
+	is.Equal(st.Head.Author, "test")
+	is.Equal(len(st.Targets), 18)
+	_, body = tr.get(d, "/metrics")
+	for _, want := range []string{
+		"cornelbay_generation 1", `cornelbay_dropped_packets_total{reason="forged"} 0`,
+		`cornelbay_packets_total{verdict="forward"} 0`, "cornelbay_live_hosts 1",
+	} {
+		is.True(strings.Contains(body, want)) // metric is exported
+	}
+	cancel()
+	<-d.Done()
+}
+
+func TestDropsAreCounted(t *testing.T) {
+	is := is.New(t)
+	tr := newTrial(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	d := tr.start(ctx)
+	tr.apply()
+	tr.waitReady(d)
+	tr.fabric.SetHosts(d.Self().Fabric)
+	key := cornelbay.FlowKey{
+		Source: netip.MustParseAddrPort("203.0.113.9:40000"), Destination: netip.MustParseAddrPort("192.0.2.10:444"),
+		Protocol: cornelbay.TCP.Number(),
+	}
+	wrongPort, err := standin.Segment(key, cornelbay.Opening, nil)
+	is.NoErr(err)
+	is.NoErr(tr.fabric.Send(wrongPort))
+	is.NoErr(tr.fabric.Send(wrongPort[:30]))
+	for _, want := range []string{"noService", "truncated"} {
+		line := fmt.Sprintf("cornelbay_dropped_packets_total{reason=%q} 1\n", want)
+		for {
+			if _, body := tr.get(d, "/metrics"); strings.Contains(body, line) {
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	cancel()
+	<-d.Done()
+}
+
+func TestPlannedStopFinishesRequests(t *testing.T) {
+	is := is.New(t)
+	tr := newTrial(t)
+	arrived, answer := make(chan struct{}), make(chan struct{})
+	for _, st := range tr.targets {
+		st.OnRequest = func(*http.Request) {
+			close(arrived)
+			<-answer
+		}
+	}
+	d := tr.start(context.Background())
+	tr.apply()
+	tr.waitReady(d)
+	outcome := make(chan string, 1)
+	go func() {
+		res, err := http.Get("http://" + d.Self().HTTP.String() + "/services/statut/routes/7")
+		if err != nil {
+			outcome <- err.Error()
+			return
+		}
+		_ = res.Body.Close() // the header has come
+		outcome <- res.Header.Get(cornelbay.OutcomeHeader)
+	}()
+	<-arrived
+	stopped := make(chan error, 1)
+	go func() { stopped <- d.Stop(context.Background()) }()
+	for {
+		if status, _ := tr.get(d, "/readyz"); status == http.StatusServiceUnavailable {
+			break
+		}
+	}
+	close(answer)
+	is.Equal(<-outcome, "answered")
+	is.NoErr(<-stopped)
+	_, err := http.Get("http://" + d.Self().HTTP.String() + "/services/statut/routes/7")
+	is.True(err != nil) // the address is free
+}
--- /dev/null
+++ b/daemon/datagram.go
@@ -0,0 +1,57 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/cornelbay/cornelbay"
+)
+
+// datagramHeaderBytes is the length of the IPv4 and UDP headers of a datagram.
+const datagramHeaderBytes = 28
+
+// readPause is the wait after a failed read of a socket that is still open.
+const readPause = 10 * time.Millisecond
+
+func (d *Daemon) send(s cornelbay.Send) {
+	h, ok := d.host.Lookup(s.To)
+	if !ok {
+		return
+	}
+	b, err := d.codec.Seal(s.Message)
+	if err != nil {
+		d.Log.WithError(err).WithField("to", string(s.To)).Error("message not sent")
+		return
+	}
+	if _, err := d.datagram.WriteToUDPAddrPort(b, h.Datagram); err != nil {
+		d.Log.WithError(err).WithField("to", string(s.To)).Debug("datagram not sent")
+		return
+	}
+	d.metrics.sentDatagrams.Inc()
+	d.metrics.sentBytes.Add(float64(len(b) + datagramHeaderBytes))
+}
+
+func (d *Daemon) receiveDatagrams(ctx context.Context) {
+	b := make([]byte, 64<<10)
+	for {
+		n, _, err := d.datagram.ReadFromUDPAddrPort(b)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(readPause)
+			continue
+		}
+		d.metrics.receivedDatagrams.Inc()
+		d.metrics.receivedBytes.Add(float64(n + datagramHeaderBytes))
+		e, m, err := d.codec.Open(b[:n])
+		if err != nil {
+			d.metrics.refusedDatagrams.Inc()
+			d.Log.WithError(err).Debug("datagram refused")
+			continue
+		}
+		d.input(ctx, func(now time.Time) []cornelbay.Effect { return d.host.Receive(now, e.From, m) })
+	}
+}
--- /dev/null
+++ b/daemon/metrics.go
@@ -0,0 +1,128 @@
+package daemon
+
+import (
+	"strings"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/config"
+)
+
+// metrics are what a daemon exports under /metrics.
+type metrics struct {
+	registry *prometheus.Registry
+
+	// packets and drops are indexed by cornelbay.Action and cornelbay.DropReason.
+	packets [cornelbay.Hold + 1]prometheus.Counter
+	drops   [cornelbay.DropReasons]prometheus.Counter
+
+	sendErrors, sentDatagrams, sentBytes, receivedDatagrams, receivedBytes,
+	refusedDatagrams, controlSeconds prometheus.Counter
+	droppedReports, storeCalls, peerCalls, probes, requests, levelGood, levelTotal *prometheus.CounterVec
+
+	requestSeconds            *prometheus.HistogramVec
+	generation, live, missing prometheus.Gauge
+	ready                     prometheus.Gauge
+	targets                   *prometheus.GaugeVec
+}
+
+var actionNames = [...]string{
+	cornelbay.Drop: "drop", cornelbay.Forward: "forward", cornelbay.Relay: "relay", cornelbay.Hold: "hold",
+}
+
+// requestBuckets are the bounds in seconds of the request histogram.
+var requestBuckets = []float64{.001, .0025, .005, .01, .025, .05, .1, .25, .5, 1, 2.5, 5, 10}
+
+const namespace = "cornelbay"
+
+func (m *metrics) init(d *Daemon) {
+	m.registry = prometheus.NewRegistry()
+	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	m.initTraffic(d)
+	m.initControl()
+	m.initRequests()
+}
+
+func (m *metrics) initTraffic(d *Daemon) {
+	packets := m.counters("packets_total", "Packets by verdict.", "verdict")
+	for a := cornelbay.Forward; a <= cornelbay.Hold; a++ {
+		m.packets[a] = packets.WithLabelValues(actionNames[a])
+	}
+	drops := m.counters("dropped_packets_total", "Packets dropped, by reason.", "reason")
+	for r := range m.drops {
+		m.drops[r] = drops.WithLabelValues(cornelbay.DropReason(r).String())
+	}
+	m.sendErrors = m.counter("send_errors_total", "Packets that the socket refused to send.")
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: namespace, Name: "held_packets", Help: "Packets held until a question about their flow is answered.",
+	}, func() float64 { return float64(d.holds.count()) }))
+}
+
+func (m *metrics) initControl() {
+	m.sentDatagrams = m.counter("sent_datagrams_total", "Control datagrams sent.")
+	m.sentBytes = m.counter("sent_datagram_bytes_total", "Bytes of control datagrams sent, IP and UDP headers included.")
+	m.receivedDatagrams = m.counter("received_datagrams_total", "Control datagrams received.")
+	m.receivedBytes = m.counter("received_datagram_bytes_total", "Bytes of control datagrams received, IP and UDP headers included.")
+	m.refusedDatagrams = m.counter("refused_datagrams_total", "Datagrams without a valid MAC, replayed or malformed.")
+	m.controlSeconds = m.counter("control_seconds_total", "Time spent by the control goroutine on decisions.")
+	m.droppedReports = m.counters("dropped_reports_total", "Reports to the control goroutine dropped because a queue was full.", "queue")
+	m.storeCalls = m.counters("store_calls_total", "Calls to the platform's service.", "op", "result")
+	m.peerCalls = m.counters("peer_calls_total", "Calls to other hosts over net/rpc.", "method", "result")
+	m.probes = m.counters("probes_total", "Health probes of targets.", "result")
+	m.generation = m.gauge("generation", "Generation of the configuration in force.")
+	m.live = m.gauge("live_hosts", "Hosts of the group that are heard, this one included.")
+	m.missing = m.gauge("missing_hosts", "Hosts of the group that are not heard and not known to have ended.")
+	m.ready = m.gauge("ready", "1 while the host is ready for packets.")
+	m.targets = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Namespace: namespace, Name: "targets", Help: "Targets by phase, as this host sees them.",
+	}, []string{"phase"})
+	m.registry.MustRegister(m.targets)
+}
+
+func (m *metrics) initRequests() {
+	m.requests = m.counters("requests_total", "Callers' requests by outcome.", "service", "outcome")
+	m.levelGood = m.counters("level_good_total", "Requests that met their service's level.", "service")
+	m.levelTotal = m.counters("level_requests_total", "Requests that count against their service's level.", "service")
+	m.requestSeconds = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: namespace, Name: "request_seconds", Help: "Time from a request's arrival to its answer.", Buckets: requestBuckets,
+	}, []string{"service"})
+	m.registry.MustRegister(m.requestSeconds)
+}
+
+func (m *metrics) counter(name, help string) prometheus.Counter {
+	c := prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help})
+	m.registry.MustRegister(c)
+	return c
+}
+
+func (m *metrics) counters(name, help string, labels ...string) *prometheus.CounterVec {
+	c := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+	m.registry.MustRegister(c)
+	return c
+}
+
+func (m *metrics) gauge(name, help string) prometheus.Gauge {
+	g := prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
+	m.registry.MustRegister(g)
+	return g
+}
+
+// publish sets the gauges of the control state.
+func (m *metrics) publish(head config.Head, members cornelbay.Members, states []cornelbay.TargetState, ready bool) {
+	m.generation.Set(float64(head.Generation))
+	m.live.Set(float64(len(members.Live)))
+	m.missing.Set(float64(len(members.Missing)))
+	m.ready.Set(0)
+	if ready {
+		m.ready.Set(1)
+	}
+	var phases [cornelbay.Gone + 1]int
+	for _, s := range states {
+		phases[s.Phase]++
+	}
+	for p, n := range phases {
+		m.targets.WithLabelValues(strings.ToLower(cornelbay.TargetPhase(p).String())).Set(float64(n))
+	}
+}
--- a/daemon/process_test.go
+++ b/daemon/process_test.go
@@ -82,7 +82,7 @@
 
 func (p *processes) daemon(name string, peers ...string) started {
 	p.t.Helper()
-	args := []string{"--name=" + name, "--data-centre=imlil", "--platform=" + p.platform, "--key=" + trialKey}
+	args := []string{"--name=" + name, "--data-centre=imlil", "--platform=" + p.platform, "--key=" + trialKey, "--hash-key=" + trialKey[:32]}
 	if len(peers) > 0 {
 		args = append(args, "--peers="+strings.Join(peers, ","))
 	}
--- a/daemon/traffic.go
+++ b/daemon/traffic.go
@@ -1,143 +1,131 @@
 package daemon
 
 import (
-	"context"
-	"encoding/json"
-	"net/http"
-	"sync"
+	"errors"
+	"net"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus/promhttp"
-
 	"github.com/cornelbay/cornelbay"
-	"github.com/cornelbay/cornelbay/config"
 	"github.com/cornelbay/cornelbay/fabric"
-	"github.com/cornelbay/cornelbay/request"
 )
 
-// forward decides and sends each packet from the fabric.
-func (d *Daemon) forward() {
-	in, out := make([]byte, fabric.MaxPacketBytes), make([]byte, 0, fabric.MaxPacketBytes)
-	var dec fabric.Decoder
-	var pk cornelbay.Packet
-	for {
-		n, _, err := d.fabric.ReadFromUDPAddrPort(in)
-		if err != nil {
-			return
-		}
-		if dec.Decode(in[:n], &pk) != cornelbay.NotDropped {
-			continue
-		}
-		v := d.host.Plane.Decide(time.Now(), &pk)
-		if v.Action == cornelbay.Forward {
-			out = fabric.Append(out[:0], pk.Inner)
-			_, _ = d.fabric.WriteToUDPAddrPort(out, v.Tunnel) // a lost packet is sent again
-		}
-	}
-}
+// worker decides and sends the packets of one socket; one goroutine uses it.
+type worker struct {
+	d   *Daemon
+	r   *fabric.Reader
+	w   *fabric.Writer
+	dec fabric.Decoder
 
-// requests holds what the shell knows of callers that wait.
-type requests struct {
-	mu      sync.Mutex
-	last    request.ID
-	waiting map[request.ID]chan request.Response
-	cancels map[request.AttemptID]context.CancelFunc
+	verdicts [cornelbay.Hold + 1]int
+	drops    [cornelbay.DropReasons]int
 }
 
-func (q *requests) add() (request.ID, chan request.Response) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if q.waiting == nil {
-		q.waiting = make(map[request.ID]chan request.Response)
-	}
-	q.last++
-	ch := make(chan request.Response, 1)
-	q.waiting[q.last] = ch
-	return q.last, ch
+func newWorker(d *Daemon, c *net.UDPConn) *worker {
+	return &worker{d: d, r: fabric.NewReader(c), w: fabric.NewWriter(c)}
 }
 
-func (q *requests) finish(f request.Finish) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if ch, ok := q.waiting[f.Request]; ok {
-		delete(q.waiting, f.Request)
-		ch <- f.Response
-	}
+// newReleaser returns a worker that sends on the first socket and reads none.
+func newReleaser(d *Daemon) *worker {
+	return &worker{d: d, w: fabric.NewWriter(d.fabric[0])}
 }
 
-func (q *requests) started(id request.AttemptID, cancel context.CancelFunc) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if q.cancels == nil {
-		q.cancels = make(map[request.AttemptID]context.CancelFunc)
+// run forwards until the socket is closed.
+func (w *worker) run() {
+	for {
+		n, err := w.r.Read()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(readPause)
+			continue
+		}
+		w.batch(time.Now(), n)
 	}
-	q.cancels[id] = cancel
 }
 
-func (q *requests) cancel(id request.AttemptID) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if cancel, ok := q.cancels[id]; ok {
-		delete(q.cancels, id)
-		cancel()
+func (w *worker) batch(now time.Time, n int) {
+	w.begin()
+	var pk cornelbay.Packet
+	for i := range n {
+		b, whole := w.r.Datagram(i)
+		if !whole {
+			w.drops[cornelbay.Truncated]++
+			continue
+		}
+		if reason := w.dec.Decode(b, &pk); reason != cornelbay.NotDropped {
+			w.drops[reason]++
+			continue
+		}
+		w.decide(now, now, &pk)
 	}
+	w.end()
 }
 
-// do serves one request of a caller.
-func (d *Daemon) do(ctx context.Context, v any) (any, error) {
-	r := v.(request.Request)
-	id, ch := d.requests.add()
-	r.ID = id
-	d.carryOut(context.WithoutCancel(ctx), d.host.Requests.Submit(time.Now(), r))
-	return <-ch, nil
+// begin takes the keys in force.
+func (w *worker) begin() {
+	keys := w.d.relayKeys.Load()
+	w.dec.Keys, w.w.Keys = keys, keys
 }
 
-func (d *Daemon) attempt(ctx context.Context, a request.Attempt) {
-	ctx, cancel := context.WithDeadline(ctx, a.Deadline)
-	d.requests.started(a.ID, cancel)
-	res := d.targets.Do(ctx, a)
-	d.requests.cancel(a.ID)
-	d.carryOut(context.WithoutCancel(ctx), d.host.Requests.Ended(time.Now(), res))
+// end sends what was decided and counts it.
+func (w *worker) end() {
+	w.w.Flush()
+	m := &w.d.metrics
+	for a, n := range w.verdicts {
+		if n > 0 && cornelbay.Action(a) != cornelbay.Drop {
+			m.packets[a].Add(float64(n))
+		}
+	}
+	for r, n := range w.drops {
+		if n > 0 {
+			m.drops[r].Add(float64(n))
+		}
+	}
+	if w.w.Failed > 0 {
+		m.sendErrors.Add(float64(w.w.Failed))
+	}
+	clear(w.verdicts[:])
+	clear(w.drops[:])
+	w.w.Failed = 0
 }
 
-// Status is what a host tells operators of itself.
-type Status struct {
-	Host    cornelbay.Host          `json:"host"`
-	Head    config.Head             `json:"head"`
-	Live    []cornelbay.Host        `json:"live"`
-	Targets []cornelbay.TargetState `json:"targets"`
+// decide takes and carries out the verdict for pk, which came at since.
+func (w *worker) decide(now, since time.Time, pk *cornelbay.Packet) {
+	v := w.d.host.Plane.Decide(now, pk)
+	switch v.Action {
+	case cornelbay.Forward:
+		w.w.Forward(pk.Inner, v.Tunnel)
+	case cornelbay.Relay:
+		if !w.relay(pk.Inner, v) {
+			w.drops[cornelbay.NoTarget]++
+			return
+		}
+	case cornelbay.Hold:
+		if !w.hold(since, pk) {
+			w.drops[cornelbay.HoldFull]++
+			return
+		}
+	default:
+		w.drops[v.Reason]++
+	}
+	w.verdicts[v.Action]++
 }
 
-func (d *Daemon) adminHandler() http.Handler {
-	m := http.NewServeMux()
-	m.Handle("GET /metrics", promhttp.Handler())
-	m.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
-	m.HandleFunc("GET /readyz", d.readyz)
-	m.HandleFunc("GET /status", d.status)
-	return m
+func (w *worker) relay(inner []byte, v cornelbay.Verdict) bool {
+	to, ok := w.d.view.Load().fabric[v.Host]
+	return ok && w.w.Relay(inner, v.Relay, to) == nil
 }
 
-func (d *Daemon) snapshot(ctx context.Context) Status {
-	ch := make(chan Status, 1)
-	d.input(ctx, func(now time.Time) []cornelbay.Effect {
-		ch <- Status{d.Self(), d.host.Head(), d.host.Members(now).Live, d.host.States(now)}
-		return nil
-	})
-	select {
-	case s := <-ch:
-		return s
-	case <-ctx.Done():
-		return Status{}
+func (w *worker) hold(since time.Time, pk *cornelbay.Packet) bool {
+	first, ok := w.d.holds.add(since, pk)
+	if !ok || !first {
+		return ok
 	}
-}
-
-func (d *Daemon) readyz(w http.ResponseWriter, r *http.Request) {
-	if d.snapshot(r.Context()).Head.Generation == 0 {
-		http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
+	key := pk.Key
+	if w.d.tryInput(func(now time.Time) []cornelbay.Effect { return w.d.host.Held(now, key) }) {
+		return true
 	}
-}
-
-func (d *Daemon) status(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(d.snapshot(r.Context())) // the reader sees a cut answer
+	w.d.holds.take(key)
+	return false
 }
--- a/fabric/geneve.go
+++ b/fabric/geneve.go
@@ -4,123 +4,109 @@
 
 import (
 	"encoding/binary"
-	"net/netip"
-
-	"github.com/gopacket/gopacket"
-	"github.com/gopacket/gopacket/layers"
 
 	"github.com/cornelbay/cornelbay"
 )
 
-// HeaderBytes is the length of a Geneve header without options.
-const HeaderBytes = 8
+// The sizes of Geneve datagrams in bytes.
+const (
+	// HeaderBytes is the length of a Geneve header without options.
+	HeaderBytes = 8
+	// MaxHeaderBytes is the length of the longest Geneve header.
+	MaxHeaderBytes = HeaderBytes + 63*4
+	// MaxPacketBytes is the largest IP packet that is read or sent.
+	MaxPacketBytes = 9216
+	// MaxDatagramBytes is the largest datagram that is read or sent.
+	MaxDatagramBytes = MaxHeaderBytes + MaxPacketBytes
+)
+
+// The protocol types of Geneve's payload.
+const (
+	etherTypeIPv4 = 0x0800
+	etherTypeIPv6 = 0x86dd
+)
+
+// The flags in the second byte of a Geneve header.
+const (
+	flagOAM      = 0x80
+	flagCritical = 0x40
+)
 
-// MaxPacketBytes is the largest packet that is read or sent.
-const MaxPacketBytes = 9216
+// The parts of a Geneve option's header.
+const (
+	optionHeaderBytes = 4
+	typeCritical      = 0x80
+	lengthMask        = 0x1f
+)
 
-// Decoder reads Geneve datagrams; its zero value works. One goroutine uses it.
+// Decoder reads Geneve datagrams; its zero value takes no relayed packets. One
+// goroutine uses it.
 type Decoder struct {
-	geneve layers.Geneve
-	ip4    layers.IPv4
-	ip6    layers.IPv6
-	tcp    layers.TCP
-	udp    layers.UDP
+	// Keys authenticate relayed packets.
+	Keys *RelayKeys
+
+	inner innerDecoder
+	names names
 }
 
 // Decode reads the Geneve datagram b into pk, which refers to b.
 func (d *Decoder) Decode(b []byte, pk *cornelbay.Packet) cornelbay.DropReason {
-	if err := d.geneve.DecodeFromBytes(b, gopacket.NilDecodeFeedback); err != nil {
-		return cornelbay.Malformed
+	*pk = cornelbay.Packet{}
+	if len(b) < HeaderBytes {
+		return cornelbay.Truncated
 	}
-	return d.DecodeInner(d.geneve.LayerPayload(), pk)
-}
-
-// DecodeInner reads an IP packet into pk, which refers to b.
-func (d *Decoder) DecodeInner(b []byte, pk *cornelbay.Packet) cornelbay.DropReason {
-	if len(b) == 0 {
+	n := HeaderBytes + int(b[0]&0x3f)*4
+	switch {
+	case b[0]>>6 != 0:
+		return cornelbay.Malformed
+	case b[1]&flagOAM != 0:
+		return cornelbay.OAM
+	case n > len(b):
 		return cornelbay.Truncated
 	}
-	*pk = cornelbay.Packet{Inner: b}
-	if b[0]>>4 == 6 {
-		return d.decode6(b, pk)
+	var relay relayOptions
+	if r := relay.read(b, n); r != cornelbay.NotDropped {
+		return r
 	}
-	return d.decode4(b, pk)
-}
-
-func (d *Decoder) decode4(b []byte, pk *cornelbay.Packet) cornelbay.DropReason {
-	if err := d.ip4.DecodeFromBytes(b, gopacket.NilDecodeFeedback); err != nil {
+	if r := d.DecodeInner(b[n:], pk); r != cornelbay.NotDropped {
+		return r
+	}
+	if !matches(b, pk.Inner) {
 		return cornelbay.Malformed
 	}
-	if d.ip4.Flags&layers.IPv4MoreFragments != 0 || d.ip4.FragOffset != 0 {
-		return cornelbay.Fragment
+	if !relay.present() {
+		return cornelbay.NotDropped
 	}
-	src, _ := netip.AddrFromSlice(d.ip4.SrcIP)
-	dst, _ := netip.AddrFromSlice(d.ip4.DstIP)
-	return d.transport(uint8(d.ip4.Protocol), src, dst, d.ip4.Payload, pk)
+	return d.relayed(b, &relay, pk)
 }
 
-func (d *Decoder) decode6(b []byte, pk *cornelbay.Packet) cornelbay.DropReason {
-	if err := d.ip6.DecodeFromBytes(b, gopacket.NilDecodeFeedback); err != nil {
-		return cornelbay.Malformed
-	}
-	src, _ := netip.AddrFromSlice(d.ip6.SrcIP)
-	dst, _ := netip.AddrFromSlice(d.ip6.DstIP)
-	return d.transport(uint8(d.ip6.NextHeader), src, dst, d.ip6.Payload, pk)
+// DecodeInner reads an IP packet into pk, which refers to b.
+func (d *Decoder) DecodeInner(b []byte, pk *cornelbay.Packet) cornelbay.DropReason {
+	return d.inner.decode(b, pk)
 }
 
-func (d *Decoder) transport(proto uint8, src, dst netip.Addr, b []byte, pk *cornelbay.Packet) cornelbay.DropReason {
-	var sp, dp uint16
-	switch proto {
-	case cornelbay.TCP.Number():
-		if err := d.tcp.DecodeFromBytes(b, gopacket.NilDecodeFeedback); err != nil {
-			return cornelbay.Truncated
-		}
-		sp, dp = uint16(d.tcp.SrcPort), uint16(d.tcp.DstPort)
-		pk.Flags = flags(&d.tcp)
-	case cornelbay.UDP.Number():
-		if err := d.udp.DecodeFromBytes(b, gopacket.NilDecodeFeedback); err != nil {
-			return cornelbay.Truncated
-		}
-		sp, dp = uint16(d.udp.SrcPort), uint16(d.udp.DstPort)
-	default:
-		return cornelbay.NoService
-	}
-	pk.Key = cornelbay.FlowKey{
-		Source:      netip.AddrPortFrom(src, sp),
-		Destination: netip.AddrPortFrom(dst, dp),
-		Protocol:    proto,
-	}
-	return cornelbay.NotDropped
+// matches reports whether the protocol type of the datagram b is that of its
+// IP packet.
+func matches(b, inner []byte) bool {
+	return binary.BigEndian.Uint16(b[2:]) == etherType(inner)
 }
 
-func flags(t *layers.TCP) cornelbay.PacketFlags {
-	var f cornelbay.PacketFlags
-	if t.SYN && !t.ACK {
-		f |= cornelbay.Opening
-	}
-	if t.FIN {
-		f |= cornelbay.Finishing
-	}
-	if t.RST {
-		f |= cornelbay.Resetting
+func etherType(inner []byte) uint16 {
+	if len(inner) > 0 && inner[0]>>4 == 6 {
+		return etherTypeIPv6
 	}
-	return f
+	return etherTypeIPv4
 }
 
-// The protocol types of Geneve's payload.
-const (
-	etherTypeIPv4 = 0x0800
-	etherTypeIPv6 = 0x86dd
-)
-
 // Append appends the Geneve datagram that carries the IP packet inner.
 func Append(dst, inner []byte) []byte {
-	t := uint16(etherTypeIPv4)
-	if len(inner) > 0 && inner[0]>>4 == 6 {
-		t = etherTypeIPv6
-	}
+	return append(AppendHeader(dst, inner), inner...)
+}
+
+// AppendHeader appends the Geneve header, without options, that goes before
+// the IP packet inner.
+func AppendHeader(dst, inner []byte) []byte {
 	dst = append(dst, 0, 0)
-	dst = binary.BigEndian.AppendUint16(dst, t)
-	dst = append(dst, 0, 0, 0, 0)
-	return append(dst, inner...)
+	dst = binary.BigEndian.AppendUint16(dst, etherType(inner))
+	return append(dst, 0, 0, 0, 0)
 }
--- /dev/null
+++ b/fabric/main_test.go
@@ -0,0 +1,14 @@
+package fabric_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err) // the flag is rapid's own
+	}
+	os.Exit(m.Run())
+}
--- a/flow.go
+++ b/flow.go
@@ -84,13 +84,21 @@
 	HopLimit
 	Unanswered
 	HoldFull
+	OAM
+	CriticalOption
+	Forged
+	Extension
 )
 
 var reasonNames = [...]string{
 	"notDropped", "noService", "noTarget", "noConfig", "malformed",
 	"truncated", "fragment", "hopLimit", "unanswered", "holdFull",
+	"oam", "criticalOption", "forged", "extension",
 }
 
+// DropReasons is the number of reasons, NotDropped included.
+const DropReasons = len(reasonNames)
+
 // String returns the reason's name in camel case, as metrics show it.
 func (r DropReason) String() string {
 	if int(r) < len(reasonNames) {
--- a/standin/fabric.go
+++ b/standin/fabric.go
@@ -8,10 +8,7 @@
 	"sync"
 
 	"github.com/ansel1/merry/v2"
-	"github.com/gopacket/gopacket"
-	"github.com/gopacket/gopacket/layers"
 
-	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/fabric"
 )
 
@@ -83,25 +80,3 @@
 		}
 	}
 }
-
-// Segment returns the IPv4 packet with a TCP segment of the flow.
-func Segment(key cornelbay.FlowKey, fl cornelbay.PacketFlags, payload []byte) ([]byte, error) {
-	ip := &layers.IPv4{
-		Version: 4, TTL: 64, Protocol: layers.IPProtocolTCP,
-		SrcIP: key.Source.Addr().AsSlice(), DstIP: key.Destination.Addr().AsSlice(),
-	}
-	tcp := &layers.TCP{
-		SrcPort: layers.TCPPort(key.Source.Port()), DstPort: layers.TCPPort(key.Destination.Port()),
-		SYN: fl&cornelbay.Opening != 0, ACK: fl&cornelbay.Opening == 0,
-		FIN: fl&cornelbay.Finishing != 0, RST: fl&cornelbay.Resetting != 0, Window: 65535,
-	}
-	if err := tcp.SetNetworkLayerForChecksum(ip); err != nil {
-		return nil, merry.Prepend(err, "segment")
-	}
-	buf := gopacket.NewSerializeBuffer()
-	opts := gopacket.SerializeOptions{FixLengths: true, ComputeChecksums: true}
-	if err := gopacket.SerializeLayers(buf, opts, ip, tcp, gopacket.Payload(payload)); err != nil {
-		return nil, merry.Prepend(err, "segment")
-	}
-	return buf.Bytes(), nil
-}
--- a/standin/target.go
+++ b/standin/target.go
@@ -18,9 +18,12 @@
 	Name cornelbay.TargetName
 	// Return receives the answers to flows' packets, as the callers would.
 	Return netip.AddrPort
+	// OnRequest is called with each request before it is answered; it may wait.
+	OnRequest func(*http.Request)
 
 	tunnel *net.UDPConn
-	http   net.Listener
+	http   netip.AddrPort
+	stop   func()
 }
 
 // Start binds the target's addresses; port 0 picks a free one.
@@ -29,14 +32,13 @@
 	if err != nil {
 		return merry.Prependf(err, "target %s tunnel", t.Name)
 	}
-	l, err := net.Listen("tcp", web.String())
+	t.http, t.stop, err = Serve(web, t)
 	if err != nil {
 		_ = c.Close() // the listen error is the one to report
 		return merry.Prependf(err, "target %s http", t.Name)
 	}
-	t.tunnel, t.http = c, l
+	t.tunnel = c
 	go t.echo()
-	go func() { _ = http.Serve(l, t) }() // ends when Close closes the listener
 	return nil
 }
 
@@ -44,16 +46,19 @@
 func (t *Target) Tunnel() netip.AddrPort { return t.tunnel.LocalAddr().(*net.UDPAddr).AddrPort() }
 
 // HTTP returns the bound address of the HTTP server.
-func (t *Target) HTTP() netip.AddrPort { return t.http.Addr().(*net.TCPAddr).AddrPort() }
+func (t *Target) HTTP() netip.AddrPort { return t.http }
 
 // Close frees the target's addresses.
 func (t *Target) Close() {
 	_ = t.tunnel.Close() // nothing is buffered
-	_ = t.http.Close()   // nothing is buffered
+	t.stop()
 }
 
 // ServeHTTP answers a request or a health probe with the target's name.
 func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if t.OnRequest != nil && r.URL.Path != "/health" {
+		t.OnRequest(r)
+	}
 	w.Header().Set("Standin-Target", string(t.Name))
 	_, _ = w.Write([]byte("answer of " + string(t.Name) + " to " + r.URL.Path + "\n")) // the reader sees a cut answer
 }
