Test a kill, a planned stop and a second signal over processes

Purpose: the shell's behaviour at its end is shown on real processes under load.

Callers use a daemon while its readyz says so, as the fabric does. A planned stop under 12 callers cuts no request and exits 0; a second SIGTERM exits 3; after kill -9 of one of three daemons under load the others see two live hosts and 20 open flows go on at their targets.

Ran: go test ./daemon, 14.1 s, passes once.

--- a/cmd/cornelbay/standin.go
+++ b/cmd/cornelbay/standin.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 
@@ -21,6 +22,8 @@
 	Listen   netip.AddrPort `help:"Address of the platform's service." default:"127.0.0.1:7400"`
 	AnyPort  bool           `help:"Bind the targets to free ports of 127.0.0.1 in place of the document's."`
 	Bound    string         `help:"File to write the document with the bound addresses to."`
+
+	AnswerDelay time.Duration `help:"Time that a target takes for a request."`
 }
 
 func (c *standinCmd) Run() error {
@@ -57,6 +60,9 @@
 				t.Tunnel, t.HTTP = anyPort, anyPort
 			}
 			st := &standin.Target{Name: t.Name, Return: replies}
+			if c.AnswerDelay > 0 {
+				st.OnRequest = func(*http.Request) { time.Sleep(c.AnswerDelay) }
+			}
 			if err := st.Start(t.Tunnel, t.HTTP); err != nil {
 				return err
 			}
--- a/daemon/process_test.go
+++ b/daemon/process_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -12,11 +11,15 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/config"
 	"github.com/cornelbay/cornelbay/daemon"
 	"github.com/cornelbay/cornelbay/standin"
@@ -32,7 +35,8 @@
 	document string
 }
 
-func start(t *testing.T) *processes {
+// start builds the commands and starts the stand-in with further flags.
+func start(t *testing.T, args ...string) *processes {
 	t.Helper()
 	p := &processes{t: t, dir: t.TempDir()}
 	out, err := exec.Command("go", "build", "-o", p.dir, "../cmd/cornelbayd", "../cmd/cornelbay").CombinedOutput()
@@ -40,34 +44,54 @@
 		t.Fatalf("build: %v\n%s", err, out)
 	}
 	p.document = filepath.Join(p.dir, "document.json")
-	lines := p.run("cornelbay", "standin", "../examples/agence.json", "--listen=127.0.0.1:0", "--any-port", "--bound="+p.document)
-	p.platform = strings.TrimPrefix(<-lines, "platform at ")
+	args = append([]string{"standin", "../examples/agence.json", "--listen=127.0.0.1:0", "--any-port", "--bound=" + p.document}, args...)
+	p.platform = strings.TrimPrefix(<-p.run("cornelbay", args...).lines, "platform at ")
 	return p
 }
 
-// run starts a process and returns its lines of output.
-func (p *processes) run(name string, args ...string) <-chan string {
+// process is one that the test has started.
+type process struct {
+	*exec.Cmd
+	// lines are its lines of output.
+	lines chan string
+	// ended is closed when it has ended.
+	ended chan struct{}
+}
+
+// run starts a process that is killed when the test ends.
+func (p *processes) run(name string, args ...string) *process {
 	p.t.Helper()
-	ctx, cancel := context.WithCancel(context.Background())
-	cmd := exec.CommandContext(ctx, filepath.Join(p.dir, name), args...)
+	c := &process{
+		Cmd:   exec.Command(filepath.Join(p.dir, name), args...),
+		lines: make(chan string, 1024), ended: make(chan struct{}),
+	}
 	r, w := io.Pipe()
-	cmd.Stdout, cmd.Stderr = w, w
-	if err := cmd.Start(); err != nil {
+	c.Stdout, c.Stderr = w, w
+	if err := c.Start(); err != nil {
 		p.t.Fatal(err)
 	}
-	p.t.Cleanup(func() {
-		cancel()
-		_ = cmd.Wait() // killed by the cancel
+	go func() {
+		defer close(c.ended)
+		_ = c.Wait() // ProcessState tells
 		_ = w.Close()
+	}()
+	go c.scan(r)
+	p.t.Cleanup(func() {
+		_ = c.Process.Kill() // it may have ended
+		<-c.ended
 	})
-	lines := make(chan string, 1024)
-	go func() {
-		for s := bufio.NewScanner(r); s.Scan(); {
-			lines <- s.Text()
+	return c
+}
+
+// scan keeps the lines that there is room for.
+func (c *process) scan(r io.Reader) {
+	for s := bufio.NewScanner(r); s.Scan(); {
+		select {
+		case c.lines <- s.Text():
+		default:
 		}
-		close(lines)
-	}()
-	return lines
+	}
+	close(c.lines)
 }
 
 type started struct {
@@ -78,6 +102,14 @@
 		Admin    netip.AddrPort `json:"admin"`
 	} `json:"fields"`
 	Message string `json:"message"`
+
+	process *process
+}
+
+func (s started) admin(path string) string { return "http://" + s.Fields.Admin.String() + path }
+
+func (s started) lookup() string {
+	return "http://" + s.Fields.HTTP.String() + "/services/statut/routes/7"
 }
 
 func (p *processes) daemon(name string, peers ...string) started {
@@ -86,8 +118,9 @@
 	if len(peers) > 0 {
 		args = append(args, "--peers="+strings.Join(peers, ","))
 	}
-	for line := range p.run("cornelbayd", args...) {
-		var s started
+	c := p.run("cornelbayd", args...)
+	for line := range c.lines {
+		s := started{process: c}
 		if json.Unmarshal([]byte(line), &s) == nil && s.Message == "started" {
 			return s
 		}
@@ -110,7 +143,7 @@
 	p.t.Helper()
 	for {
 		var st daemon.Status
-		p.getJSON("http://"+s.Fields.Admin.String()+"/status", &st)
+		p.getJSON(s.admin("/status"), &st)
 		if st.Head.Generation >= generation {
 			return
 		}
@@ -159,7 +192,7 @@
 	p.waitGeneration(first, 1)
 	p.waitGeneration(second, 1)
 
-	res, err := http.Get("http://" + second.Fields.HTTP.String() + "/services/statut/routes/7")
+	res, err := http.Get(second.lookup())
 	is.NoErr(err)
 	body, err := io.ReadAll(res.Body)
 	is.NoErr(err)
@@ -197,3 +230,155 @@
 	_, status = p.packet(pk)
 	is.Equal(status, http.StatusGatewayTimeout) // the service is gone from the document
 }
+
+// ready asks as the fabric does whether to send to the daemon.
+func (s started) ready() bool {
+	res, err := http.Get(s.admin("/readyz"))
+	if err != nil {
+		return false
+	}
+	_ = res.Body.Close() // the status has come
+	return res.StatusCode == http.StatusOK
+}
+
+// load asks lookups of whichever daemons are ready until stop is closed.
+type load struct {
+	stop     chan struct{}
+	wg       sync.WaitGroup
+	answered atomic.Int64
+	// cut counts requests without an answer or with an unknown outcome.
+	cut atomic.Int64
+}
+
+func startLoad(daemons []started, callers int) *load {
+	l := &load{stop: make(chan struct{})}
+	for i := range callers {
+		l.wg.Go(func() {
+			for n := i; ; n++ {
+				select {
+				case <-l.stop:
+					return
+				default:
+					l.ask(daemons[n%len(daemons)])
+				}
+			}
+		})
+	}
+	return l
+}
+
+func (l *load) ask(s started) {
+	if !s.ready() {
+		return
+	}
+	res, err := http.Get(s.lookup())
+	if err != nil {
+		l.cut.Add(1)
+		return
+	}
+	_, err = io.Copy(io.Discard, res.Body)
+	_ = res.Body.Close() // read whole
+	switch {
+	case err != nil || res.Header.Get(cornelbay.OutcomeHeader) == cornelbay.Unknown.String():
+		l.cut.Add(1)
+	case res.Header.Get(cornelbay.OutcomeHeader) == cornelbay.Answered.String():
+		l.answered.Add(1)
+	}
+}
+
+// end stops the load and waits for its last answers.
+func (l *load) end() {
+	close(l.stop)
+	l.wg.Wait()
+}
+
+// waitAnswered returns when n more requests were answered.
+func (l *load) waitAnswered(n int64) {
+	for want := l.answered.Load() + n; l.answered.Load() < want; {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (p *processes) three() []started {
+	p.t.Helper()
+	first := p.daemon("imlil-1")
+	peers := first.Fields.Datagram.String()
+	all := []started{first, p.daemon("imlil-2", peers), p.daemon("imlil-3", peers)}
+	p.apply(p.document)
+	for _, s := range all {
+		p.waitGeneration(s, 1)
+	}
+	for _, s := range all {
+		for !s.ready() {
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	return all
+}
+
+func TestPlannedStopCutsNoRequest(t *testing.T) {
+	is := is.New(t)
+	p := start(t, "--answer-delay=50ms")
+	all := p.three()
+	l := startLoad(all, 12)
+	l.waitAnswered(30)
+	is.NoErr(all[0].process.Process.Signal(syscall.SIGTERM))
+	<-all[0].process.ended
+	l.waitAnswered(30)
+	l.end()
+	is.Equal(all[0].process.ProcessState.ExitCode(), 0)
+	is.Equal(l.cut.Load(), int64(0)) // no request was cut
+}
+
+func TestSecondSignalEndsAtOnce(t *testing.T) {
+	is := is.New(t)
+	p := start(t)
+	s := p.daemon("imlil-1")
+	is.NoErr(s.process.Process.Signal(syscall.SIGTERM))
+	for line := range s.process.lines {
+		if strings.Contains(line, "planned stop begins") {
+			break
+		}
+	}
+	is.NoErr(s.process.Process.Signal(syscall.SIGTERM))
+	<-s.process.ended
+	is.Equal(s.process.ProcessState.ExitCode(), 3)
+}
+
+func TestKilledDaemonUnderLoad(t *testing.T) {
+	is := is.New(t)
+	p := start(t)
+	all := p.three()
+	var hosts []netip.AddrPort
+	for _, s := range all {
+		hosts = append(hosts, s.Fields.Fabric)
+	}
+	flows := make(map[uint16]cornelbay.TargetName)
+	pk := standin.SendPacket{Hosts: hosts, Destination: netip.MustParseAddrPort("192.0.2.10:443"), Opening: true}
+	for port := uint16(40000); port < 40020; port++ {
+		pk.Source = netip.AddrPortFrom(netip.MustParseAddr("203.0.113.9"), port)
+		r, status := p.packet(pk)
+		is.Equal(status, http.StatusOK)
+		flows[port] = r.Target
+	}
+	l := startLoad(all, 6)
+	l.waitAnswered(30)
+	is.NoErr(all[2].process.Process.Kill())
+	<-all[2].process.ended
+	for _, s := range all[:2] {
+		for live := 0; live != 2; {
+			var st daemon.Status
+			p.getJSON(s.admin("/status"), &st)
+			live = len(st.Live)
+		}
+	}
+	l.waitAnswered(30)
+	l.end()
+	pk.Hosts, pk.Opening = hosts[:2], false
+	for port, want := range flows {
+		pk.Source = netip.AddrPortFrom(netip.MustParseAddr("203.0.113.9"), port)
+		r, status := p.packet(pk)
+		is.Equal(status, http.StatusOK)
+		is.Equal(r.Target, want) // the flow goes on at its target
+	}
+}
