peer: serve calls between hosts over net/rpc with mutual TLS

Purpose: hosts fetch configuration and hand over records over net/rpc, and operators' certificates carry a role. Types are registered with RegisterCall[Args, Reply], and every call goes through one net/rpc method in frames of CBOR with a bounded length, since gob has no bound on a message.

A call is sent at most once: a connection that has been silent is checked by a ping first and replaced when it stays silent; ErrNotSent proves that the other host did not take the call, ErrNoAnswer leaves it open. Ruled out: sending a call again on a fresh connection, which would run a ticket's call twice.

Host names are no DNS names, so the client checks the chain and the name in VerifyConnection. Key pairs are read anew for each connection, so that they can be rolled without a restart. cornelbay keys writes a set for a trial; the command struct of cornelbay gets one line.

Tests: plain and TLS calls, wrong names, roles, authorities, a connection that goes silent, rolled authorities.

--- /dev/null
+++ b/peer/keys.go
@@ -0,0 +1,172 @@
+package peer
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/hex"
+	"encoding/pem"
+	"math/big"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/cornelbay/cornelbay"
+)
+
+// The files of a key set; a holder's files are its name with these endings.
+const (
+	CAFile          = "ca.pem"
+	DatagramKeyFile = "datagram.key"
+	CertificateEnd  = ".pem"
+	KeyEnd          = ".key"
+)
+
+const (
+	datagramKeyBytes = 32
+	setValidFor      = 90 * 24 * time.Hour
+	clockSkew        = time.Hour
+)
+
+// Authority signs the certificates of a key set.
+type Authority struct {
+	Certificate *x509.Certificate
+	Key         *ecdsa.PrivateKey
+}
+
+// NewAuthority returns an authority whose certificate is valid from now on.
+func NewAuthority(now time.Time) (*Authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, merry.Prepend(err, "authority key")
+	}
+	t, err := template(now, pkix.Name{CommonName: "cornelbay trial authority"})
+	if err != nil {
+		return nil, err
+	}
+	t.IsCA, t.BasicConstraintsValid = true, true
+	t.KeyUsage = x509.KeyUsageCertSign
+	b, err := x509.CreateCertificate(rand.Reader, t, t, &key.PublicKey, key)
+	if err != nil {
+		return nil, merry.Prepend(err, "authority certificate")
+	}
+	c, err := x509.ParseCertificate(b)
+	if err != nil {
+		return nil, merry.Prepend(err, "authority certificate")
+	}
+	return &Authority{Certificate: c, Key: key}, nil
+}
+
+func template(now time.Time, subject pkix.Name) (*x509.Certificate, error) {
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), 120))
+	if err != nil {
+		return nil, merry.Prepend(err, "serial number")
+	}
+	return &x509.Certificate{
+		SerialNumber: serial, Subject: subject,
+		NotBefore: now.Add(-clockSkew), NotAfter: now.Add(setValidFor),
+	}, nil
+}
+
+// Issue returns a key pair whose certificate names its holder and role.
+func (a *Authority) Issue(now time.Time, name string, role Role) (KeyPair, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return KeyPair{}, merry.Prepend(err, "key")
+	}
+	t, err := template(now, pkix.Name{CommonName: name, OrganizationalUnit: []string{string(role)}})
+	if err != nil {
+		return KeyPair{}, err
+	}
+	t.KeyUsage = x509.KeyUsageDigitalSignature
+	t.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	t.DNSNames = []string{name}
+	b, err := x509.CreateCertificate(rand.Reader, t, a.Certificate, &key.PublicKey, a.Key)
+	if err != nil {
+		return KeyPair{}, merry.Prepend(err, "certificate")
+	}
+	roots := x509.NewCertPool()
+	roots.AddCert(a.Certificate)
+	return KeyPair{tls.Certificate{Certificate: [][]byte{b}, PrivateKey: key}, roots}, nil
+}
+
+// LoadKeyPair reads the key pair of a holder and the authority from a directory.
+func LoadKeyPair(dir, name string) (KeyPair, error) {
+	base := filepath.Join(dir, name)
+	c, err := tls.LoadX509KeyPair(base+CertificateEnd, base+KeyEnd)
+	if err != nil {
+		return KeyPair{}, merry.Prepend(err, "key pair")
+	}
+	b, err := os.ReadFile(filepath.Join(dir, CAFile))
+	if err != nil {
+		return KeyPair{}, merry.Prepend(err, "authority")
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(b) {
+		return KeyPair{}, merry.Prepend(ErrNoCertificate, CAFile)
+	}
+	return KeyPair{c, roots}, nil
+}
+
+// WriteSet writes a set for a trial into a directory: the authority's
+// certificate, a key pair for each host and for the operators "reader" and
+// "changer", and a datagram key in hexadecimal digits.
+func WriteSet(dir string, now time.Time, hosts []cornelbay.HostName) error {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return merry.Prepend(err, "key set")
+	}
+	a, err := NewAuthority(now)
+	if err != nil {
+		return err
+	}
+	if err := writePEM(filepath.Join(dir, CAFile), "CERTIFICATE", a.Certificate.Raw); err != nil {
+		return err
+	}
+	for _, h := range hosts {
+		if err := a.write(dir, now, string(h), RoleHost); err != nil {
+			return err
+		}
+	}
+	for _, r := range []Role{RoleReader, RoleChanger} {
+		if err := a.write(dir, now, string(r), r); err != nil {
+			return err
+		}
+	}
+	key := make([]byte, datagramKeyBytes)
+	if _, err := rand.Read(key); err != nil {
+		return merry.Prepend(err, "datagram key")
+	}
+	b := []byte(hex.EncodeToString(key) + "\n")
+	if err := os.WriteFile(filepath.Join(dir, DatagramKeyFile), b, 0o600); err != nil {
+		return merry.Prepend(err, "datagram key")
+	}
+	return nil
+}
+
+func (a *Authority) write(dir string, now time.Time, name string, role Role) error {
+	p, err := a.Issue(now, name, role)
+	if err != nil {
+		return err
+	}
+	base := filepath.Join(dir, name)
+	if err := writePEM(base+CertificateEnd, "CERTIFICATE", p.Certificate.Certificate[0]); err != nil {
+		return err
+	}
+	b, err := x509.MarshalPKCS8PrivateKey(p.Certificate.PrivateKey)
+	if err != nil {
+		return merry.Prepend(err, "key")
+	}
+	return writePEM(base+KeyEnd, "PRIVATE KEY", b)
+}
+
+func writePEM(path, kind string, b []byte) error {
+	if err := os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: b}), 0o600); err != nil {
+		return merry.Prepend(err, "key set")
+	}
+	return nil
+}
