--- a/cmd/cornelbay/main.go
+++ b/cmd/cornelbay/main.go
@@ -49,6 +49,7 @@
 	Platform string `help:"URL of the platform's service." required:"" env:"CORNELBAY_PLATFORM"`
 	Author   string `help:"Who makes the change." required:"" env:"CORNELBAY_AUTHOR"`
 	Reason   string `help:"Why the change is made." required:""`
+	Force    bool   `help:"Allow the removal of targets that still take new work."`
 }
 
 func (c *applyCmd) Run() error {
@@ -57,7 +58,7 @@
 		return err
 	}
 	s := &platform.Client{Base: c.Platform}
-	h, err := operator.Apply(context.Background(), s, doc, operator.Change{Author: c.Author, Reason: c.Reason})
+	h, err := operator.Apply(context.Background(), s, doc, operator.Change{Author: c.Author, Reason: c.Reason, Force: c.Force})
 	if err != nil {
 		return err
 	}
--- a/cmd/cornelbay/standin.go
+++ b/cmd/cornelbay/standin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -40,9 +41,9 @@
 		return err
 	}
 	if c.Bound != "" {
-		b, err := doc.Canonical()
+		b, err := json.Marshal(doc)
 		if err != nil {
-			return err
+			return merry.Prepend(err, "--bound")
 		}
 		if err := os.WriteFile(c.Bound, b, 0o600); err != nil {
 			return merry.Prepend(err, "--bound")
@@ -81,7 +82,9 @@
 	defer stop()
 	context.AfterFunc(ctx, func() { _ = l.Close() }) // the process ends
 	m := http.NewServeMux()
-	objects := &platform.Server{Service: &platform.Memory{}}
+	faulty := &platform.Faulty{Service: &platform.Memory{}}
+	objects := &platform.Server{Service: faulty}
+	m.Handle("/standin/platform/faults", faulty)
 	m.Handle("/objects", objects)
 	m.Handle("/objects/", objects)
 	m.Handle("POST /standin/packet", &standin.Control{Fabric: f})
