Tell outcomes by one table of reasons and prove them at the target

Purpose: a refusal that says notRun must be true, an answer must be whole and of its own attempt, and a request that is not idempotent must run at most once.

Change: package ticket issues, redeems, remembers and hands over tickets with a MAC over host, incarnation, number, service, caller and expiry. request.Reason is the one table of refusals with status, outcome and proof. target.Client takes an answer only when its length or chunks are complete, its SHA-2 digest (RFC 9530), where given, matches and the attempt id, where echoed, is its own. NeverSent needs a connection that was never got; requests that are not idempotent get a fresh connection without keep-alive, no GetBody and no Idempotency-Key header, so that net/http cannot send them twice. A silent pooled connection is replaced before the target is blamed. Bodies over the limit get 413.

Ruled out: a silence timeout in kernel terms alone (TCP_USER_TIMEOUT), since something between may acknowledge segments and pass none on.

Conclusion: the ledger agrees with a naive set under generated redemptions, pauses, clocks that step back and stops; the client's table of cut, foreign and refused answers passes with GET and POST, one connection each.

--- a/caller/server.go
+++ b/caller/server.go
@@ -17,46 +17,92 @@
 
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/request"
+	"github.com/cornelbay/cornelbay/target"
+	"github.com/cornelbay/cornelbay/ticket"
 )
 
-// The limits of a request.
-const (
-	MaxBodyBytes    = 1 << 20
-	DefaultDeadline = 2 * time.Second
-)
+// DefaultDeadline is the time for a request that gives none.
+const DefaultDeadline = 2 * time.Second
+
+// MaxDeadline bounds the time that a caller may ask for.
+const MaxDeadline = time.Minute
+
+// TicketsPath is where callers fetch tickets: ?service=NAME&count=N.
+const TicketsPath = "/tickets"
 
-// DeadlineHeader gives the milliseconds that the caller waits for the answer.
-const DeadlineHeader = "Cornelbay-Deadline-Ms"
+// Tickets is the answer to a request for tickets.
+type Tickets struct {
+	Tickets []string `json:"tickets"`
+}
 
-// NewServer returns the handler of callers' requests under /services/NAME/; do
-// takes a request.Request and returns a request.Response.
+// NewServer returns the handler of callers' requests under /services/NAME/ and
+// of requests for tickets; do takes a request.Request and returns a
+// request.Response.
 func NewServer(do endpoint.Endpoint) http.Handler {
-	return kithttp.NewServer(do, decode, encode)
+	return kithttp.NewServer(do, decode, encode, kithttp.ServerErrorEncoder(encodeError))
 }
 
 func decode(_ context.Context, r *http.Request) (any, error) {
-	name, path, ok := strings.Cut(strings.TrimPrefix(r.URL.Path, "/services/"), "/")
-	if !ok || name == "" {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return nil, merry.Prepend(err, "remote address")
+	}
+	req := request.Request{Caller: host, Method: r.Method, Header: r.Header, Deadline: deadline(r.Header)}
+	if r.URL.Path == TicketsPath {
+		return decodeTickets(r, req)
+	}
+	name, path, ok := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), "/services/"), "/")
+	if !ok || name == "" || !strings.HasPrefix(r.URL.Path, "/services/") {
 		return nil, merry.New("path must be /services/NAME/...", merry.WithHTTPCode(http.StatusNotFound))
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, MaxBodyBytes+1))
-	if err != nil {
-		return nil, merry.Prepend(err, "body")
+	req.Service, req.Path = cornelbay.ServiceName(name), "/"+path
+	if r.URL.RawQuery != "" {
+		req.Path += "?" + r.URL.RawQuery
 	}
-	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if req.Body, err = readBody(r); err != nil {
+		return nil, err
+	}
+	req.Ticket = r.Header.Get(request.TicketHeader)
+	req.Header = r.Header.Clone()
+	target.StripHopByHop(req.Header)
+	return req, nil
+}
+
+func decodeTickets(r *http.Request, req request.Request) (any, error) {
+	q := r.URL.Query()
+	n, err := strconv.Atoi(q.Get("count"))
+	if q.Get("count") == "" {
+		n, err = 1, nil
+	}
+	if err != nil || n < 1 || n > ticket.MaxBatch || r.Method != http.MethodGet {
+		return nil, merry.Errorf("GET with count from 1 to %d", ticket.MaxBatch, merry.WithHTTPCode(http.StatusBadRequest))
+	}
+	req.Service, req.Tickets, req.Header = cornelbay.ServiceName(q.Get("service")), n, nil
+	return req, nil
+}
+
+func readBody(r *http.Request) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, request.MaxBodyBytes+1))
 	if err != nil {
-		return nil, merry.Prepend(err, "remote address")
+		return nil, merry.Prepend(err, "body", merry.WithHTTPCode(http.StatusBadRequest))
+	}
+	if len(body) > request.MaxBodyBytes {
+		return nil, merry.Errorf("body is over the limit of %d bytes", request.MaxBodyBytes,
+			merry.WithHTTPCode(http.StatusRequestEntityTooLarge))
 	}
-	return request.Request{
-		Service: cornelbay.ServiceName(name), Caller: host, Method: r.Method,
-		Path: "/" + path, Header: r.Header, Body: body, Deadline: deadline(r.Header),
-	}, nil
+	return body, nil
+}
+
+// encodeError answers a request that was refused before it was submitted.
+func encodeError(_ context.Context, err error, w http.ResponseWriter) {
+	w.Header().Set(cornelbay.OutcomeHeader, cornelbay.NotRun.String())
+	http.Error(w, err.Error(), merry.HTTPCode(err))
 }
 
 func deadline(h http.Header) time.Time {
 	d := DefaultDeadline
-	if ms, err := strconv.Atoi(h.Get(DeadlineHeader)); err == nil && ms > 0 {
-		d = time.Duration(ms) * time.Millisecond
+	if ms, err := strconv.Atoi(h.Get(request.DeadlineHeader)); err == nil && ms > 0 {
+		d = min(MaxDeadline, time.Duration(ms)*time.Millisecond)
 	}
 	return time.Now().Add(d)
 }
@@ -66,12 +112,15 @@
 	for k, vs := range r.Header {
 		w.Header()[k] = vs
 	}
+	// The outcome is the host's own word, whatever a target says.
 	w.Header().Set(cornelbay.OutcomeHeader, r.Outcome.String())
 	if r.RetryAfter > 0 {
 		s := int((r.RetryAfter + time.Second - 1) / time.Second)
 		w.Header().Set("Retry-After", strconv.Itoa(s))
 	}
-	w.Header().Set("Content-Length", strconv.Itoa(len(r.Body)))
+	if w.Header().Get("Content-Length") == "" || len(r.Body) > 0 {
+		w.Header().Set("Content-Length", strconv.Itoa(len(r.Body)))
+	}
 	w.WriteHeader(r.Status)
 	_, err := w.Write(r.Body)
 	return err
--- /dev/null
+++ b/request/reason.go
@@ -0,0 +1,187 @@
+package request
+
+import (
+	"net/http"
+
+	"github.com/cornelbay/cornelbay"
+)
+
+// Reason tells why a request ended without the answer of a target.
+type Reason uint8
+
+// The reasons. Each has one outcome, status and proof in Explain.
+const (
+	// NoReason goes with an answer of a target.
+	NoReason Reason = iota
+	NoService
+	NoTarget
+	BodyTooLarge
+	NoTicket
+	TicketMalformed
+	TicketExpired
+	TicketService
+	TicketCaller
+	TicketUsed
+	TicketsFull
+	TicketHandedOver
+	Stopping
+	QueueFull
+	TooLate
+	DeadlineQueued
+	TargetsRefused
+	TicketMAC
+	TicketMoved
+	TicketForgotten
+	AnswerForgotten
+	IssuerGone
+	IssuerSilent
+	AttemptFailed
+	DeadlineRunning
+	DeadlineRelayed
+)
+
+// Explanation is what callers and operators are told of a Reason.
+type Explanation struct {
+	Name    string
+	Status  int
+	Outcome cornelbay.Outcome
+	// Field names the part of the request that is at fault, or "".
+	Field string
+	// Text tells the caller what happened and what to do.
+	Text string
+	// Proof tells why a NotRun outcome is true, or why an Unknown one is not known.
+	Proof string
+}
+
+const (
+	notRun  = cornelbay.NotRun
+	unknown = cornelbay.Unknown
+)
+
+// explanations is the only place that gives a refusal its outcome.
+var explanations = [...]Explanation{
+	NoReason: {"", http.StatusOK, cornelbay.Answered, "", "", ""},
+	NoService: {
+		"noService", http.StatusNotFound, notRun, "service",
+		"no such service here", "the request was refused before any attempt",
+	},
+	NoTarget: {
+		"noTarget", http.StatusServiceUnavailable, notRun, "",
+		"no target of the service takes requests now; try again", "the request was refused before any attempt",
+	},
+	BodyTooLarge: {
+		"bodyTooLarge", http.StatusRequestEntityTooLarge, notRun, "body",
+		"the body is over the limit", "the request was refused before any attempt",
+	},
+	NoTicket: {
+		"noTicket", http.StatusPreconditionRequired, notRun, TicketHeader,
+		"a request that is not idempotent needs a ticket: GET /tickets?service=NAME&count=N and send one in " + TicketHeader,
+		"the request was refused before any attempt",
+	},
+	TicketMalformed: {
+		"ticketMalformed", http.StatusBadRequest, notRun, TicketHeader,
+		"the ticket cannot be read", "no host runs a request with a ticket that cannot be read",
+	},
+	TicketExpired: {
+		"ticketExpired", http.StatusGone, notRun, "expiry",
+		"the ticket has expired; fetch another", "the issuer still remembers every redemption of such tickets and has none of this one",
+	},
+	TicketService: {
+		"ticketService", http.StatusForbidden, notRun, "service",
+		"the ticket is for another service", "the issuer remembers no redemption of this ticket",
+	},
+	TicketCaller: {
+		"ticketCaller", http.StatusForbidden, notRun, "caller",
+		"the ticket is for another caller", "the issuer remembers no redemption of this ticket",
+	},
+	TicketUsed: {
+		"ticketUsed", http.StatusUnprocessableEntity, notRun, TicketHeader,
+		"the ticket was redeemed for another request; fetch another", "the ticket's one run had other content",
+	},
+	TicketsFull: {
+		"ticketsFull", http.StatusServiceUnavailable, notRun, "",
+		"too many tickets are in use; try again", "the ticket was not redeemed and the request was refused before any attempt",
+	},
+	TicketHandedOver: {
+		"ticketHandedOver", http.StatusConflict, notRun, TicketHeader,
+		"the ticket's host has stopped; fetch another", "the closed ledger of the issuer, or its handover, has no redemption of this ticket and takes none",
+	},
+	Stopping: {
+		"stopping", http.StatusServiceUnavailable, notRun, "",
+		"this host is stopping; try again", "the request was refused before any attempt",
+	},
+	QueueFull: {
+		"queueFull", http.StatusServiceUnavailable, notRun, "",
+		"all targets are busy; try again", "the request waited in the queue and no attempt was started, or each was refused",
+	},
+	TooLate: {
+		"tooLate", http.StatusServiceUnavailable, notRun, "",
+		"the answer would miss the deadline; try again", "the request was refused before any attempt, or each was refused",
+	},
+	DeadlineQueued: {
+		"deadlineQueued", http.StatusGatewayTimeout, notRun, "",
+		"the deadline passed while the request waited", "no attempt was started, or each was refused",
+	},
+	TargetsRefused: {
+		"targetsRefused", http.StatusServiceUnavailable, notRun, "",
+		"the targets refused the request; try again", "each attempt was refused by the target itself or never written to its connection",
+	},
+	TicketMAC: {
+		"ticketMac", http.StatusForbidden, unknown, "mac",
+		"the ticket is not authentic", "its key may have been retired since it was redeemed",
+	},
+	TicketMoved: {
+		"ticketMoved", http.StatusForbidden, unknown, TicketHeader,
+		"the ticket is for another caller or service", "its own caller may have redeemed it",
+	},
+	TicketForgotten: {
+		"ticketForgotten", http.StatusGone, unknown, "expiry",
+		"the ticket has expired long ago", "redemptions are no longer remembered",
+	},
+	AnswerForgotten: {
+		"answerForgotten", http.StatusGone, unknown, TicketHeader,
+		"the request was taken before and its answer is no longer remembered", "the answer was dropped to bound the memory",
+	},
+	IssuerGone: {
+		"issuerGone", http.StatusBadGateway, unknown, TicketHeader,
+		"the ticket's host is gone", "only that host knew whether the ticket was redeemed",
+	},
+	IssuerSilent: {
+		"issuerSilent", http.StatusGatewayTimeout, unknown, TicketHeader,
+		"the ticket's host did not answer in time", "that host may have run the request; send it again with the same ticket",
+	},
+	AttemptFailed: {
+		"attemptFailed", http.StatusBadGateway, unknown, "",
+		"the target did not give a whole answer", "the connection broke after the request was written",
+	},
+	DeadlineRunning: {
+		"deadlineRunning", http.StatusGatewayTimeout, unknown, "",
+		"the deadline passed while the request ran", "a target may still run it",
+	},
+	DeadlineRelayed: {
+		"deadlineRelayed", http.StatusGatewayTimeout, unknown, "",
+		"the deadline passed while another host had the request", "that host may have run it",
+	},
+}
+
+// Explain returns what the reason means.
+func (r Reason) Explain() Explanation {
+	if int(r) < len(explanations) {
+		return explanations[r]
+	}
+	return Explanation{Name: "invalid", Status: http.StatusInternalServerError}
+}
+
+// String returns the reason's name as ReasonHeader carries it.
+func (r Reason) String() string { return r.Explain().Name }
+
+// Response returns the response that tells a caller the reason.
+func (r Reason) Response() Response {
+	e := r.Explain()
+	body := e.Name + ": " + e.Text + "\n"
+	if e.Field != "" {
+		body = e.Name + " (" + e.Field + "): " + e.Text + "\n"
+	}
+	h := http.Header{"Content-Type": {"text/plain; charset=utf-8"}, ReasonHeader: {e.Name}}
+	return Response{Status: e.Status, Header: h, Body: []byte(body), Outcome: e.Outcome, Reason: r}
+}
--- a/request/request.go
+++ b/request/request.go
@@ -29,8 +29,28 @@
 	Deadline time.Time
 	// Ticket is the caller's ticket for a non-idempotent request, or "".
 	Ticket string
+	// Tickets asks for that many tickets of the service in place of a run.
+	Tickets int
 }
 
+// The headers of the request path, besides cornelbay.OutcomeHeader.
+const (
+	// TicketHeader carries the ticket of a request that is not idempotent.
+	TicketHeader = "Cornelbay-Ticket"
+	// ReasonHeader carries the name of the Reason of a refusal.
+	ReasonHeader = "Cornelbay-Reason"
+	// AttemptHeader carries the id of an attempt to a target, which may repeat
+	// it in its answer.
+	AttemptHeader = "Cornelbay-Attempt"
+	// DeadlineHeader carries the milliseconds that are left for the answer.
+	DeadlineHeader = "Cornelbay-Deadline-Ms"
+	// RefusedHeader is set on a target's refusal that ran nothing.
+	RefusedHeader = "Cornelbay-Refused"
+)
+
+// MaxBodyBytes is the largest body of a request or an answer.
+const MaxBodyBytes = 1 << 20
+
 // Idempotent reports whether running the request twice does no harm.
 func (r Request) Idempotent() bool {
 	switch r.Method {
@@ -48,6 +68,8 @@
 	Outcome cornelbay.Outcome
 	// RetryAfter tells the caller when to come back; 0 says nothing.
 	RetryAfter time.Duration
+	// Reason tells why there is no answer of a target.
+	Reason Reason
 }
 
 // Attempt asks the shell to send a request to a target.
@@ -97,6 +119,9 @@
 	Whole    bool
 	Response Response
 	Proof    Proof
-	// Silent is true when the connection brought nothing before the deadline.
+	// Silent is true when a connection went silent; the result may be that of a
+	// fresh one.
 	Silent bool
+	// RetryAfter is the target's own word with a refusal, or 0.
+	RetryAfter time.Duration
 }
--- /dev/null
+++ b/target/whole.go
@@ -0,0 +1,83 @@
+package target
+
+import (
+	"crypto/sha256"
+	"crypto/sha512"
+	"encoding/base64"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Whole reports whether a body is the whole body of an answer: its length was
+// given or its chunks were ended, and the SHA-2 digests of Content-Digest
+// (RFC 9530), where given, match. A length of -1 is unknown.
+func Whole(method string, h http.Header, length int64, encoding []string, body []byte) bool {
+	if method == http.MethodHead {
+		return true
+	}
+	// A body that only the end of the connection ends may have been cut.
+	if length < 0 && !slices.Contains(encoding, "chunked") {
+		return false
+	}
+	if length >= 0 && int64(len(body)) != length {
+		return false
+	}
+	return digestMatches(h, body)
+}
+
+func digestMatches(h http.Header, body []byte) bool {
+	for _, line := range h.Values("Content-Digest") {
+		for _, member := range strings.Split(line, ",") {
+			if !memberMatches(strings.TrimSpace(member), body) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// memberMatches checks one member such as sha-256=:BASE64:; other algorithms pass.
+func memberMatches(member string, body []byte) bool {
+	name, value, _ := strings.Cut(member, "=")
+	var sum []byte
+	switch name {
+	case "sha-256":
+		s := sha256.Sum256(body)
+		sum = s[:]
+	case "sha-512":
+		s := sha512.Sum512(body)
+		sum = s[:]
+	default:
+		return true
+	}
+	return value == ":"+base64.StdEncoding.EncodeToString(sum)+":"
+}
+
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// StripHopByHop deletes the headers that concern one connection only.
+func StripHopByHop(h http.Header) {
+	for _, line := range h.Values("Connection") {
+		for _, name := range strings.Split(line, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		h.Del(name)
+	}
+}
+
+// RetryAfter returns the Retry-After header in seconds form, or 0.
+func RetryAfter(h http.Header) time.Duration {
+	s, err := strconv.Atoi(h.Get("Retry-After"))
+	if err != nil || s < 0 {
+		return 0
+	}
+	return time.Duration(s) * time.Second
+}
