Assign buckets within ceilings and agree on them in two steps

Purpose: established flows keep their target while hosts and targets change. Epochs are proposed, prepared and put into force; ambiguous buckets have a steward and a deputy, opening packets pass through both, and a packet without a record is relayed until a host knows its flow.

Ruled out: questions between hosts with held packets, since a question a flow does not fit the control budget at thousands of new flows a second; the relay of the packet itself carries question and answer.

Changes elsewhere: a message kind in message.go, registration in entry, and the daemon's readiness, which now waits for the epochs; the process test waits for it too.

--- a/daemon/process_test.go
+++ b/daemon/process_test.go
@@ -105,13 +105,13 @@
 	}
 }
 
-// waitGeneration returns when the daemon has the generation in force.
+// waitGeneration returns when the daemon serves by the generation.
 func (p *processes) waitGeneration(s started, generation uint64) {
 	p.t.Helper()
 	for {
 		var st daemon.Status
 		p.getJSON("http://"+s.Fields.Admin.String()+"/status", &st)
-		if st.Head.Generation >= generation {
+		if st.Ready && st.Head.Generation >= generation {
 			return
 		}
 		time.Sleep(50 * time.Millisecond)
--- a/daemon/traffic.go
+++ b/daemon/traffic.go
@@ -102,7 +102,9 @@
 
 // Status is what a host tells operators of itself.
 type Status struct {
-	Host    cornelbay.Host          `json:"host"`
+	Host cornelbay.Host `json:"host"`
+	// Ready is true once the host knows enough to serve.
+	Ready   bool                    `json:"ready"`
 	Head    config.Head             `json:"head"`
 	Live    []cornelbay.Host        `json:"live"`
 	Targets []cornelbay.TargetState `json:"targets"`
@@ -120,7 +122,7 @@
 func (d *Daemon) snapshot(ctx context.Context) Status {
 	ch := make(chan Status, 1)
 	d.input(ctx, func(now time.Time) []cornelbay.Effect {
-		ch <- Status{d.Self(), d.host.Head(), d.host.Members(now).Live, d.host.States(now)}
+		ch <- Status{d.Self(), d.host.Ready(), d.host.Head(), d.host.Members(now).Live, d.host.States(now)}
 		return nil
 	})
 	select {
@@ -132,8 +134,8 @@
 }
 
 func (d *Daemon) readyz(w http.ResponseWriter, r *http.Request) {
-	if d.snapshot(r.Context()).Head.Generation == 0 {
-		http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
+	if !d.snapshot(r.Context()).Ready {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
 	}
 }
 
--- a/entry/config.go
+++ b/entry/config.go
@@ -40,6 +40,7 @@
 		}
 	}
 	h.judge.SetTargets(now, targets, out)
+	h.flows.Generation = h.keeper.Generation()
 	effects := h.flows.SetServices(now, services, out)
 	return append(effects, h.Requests.SetServices(now, services, out)...)
 }
--- a/entry/host.go
+++ b/entry/host.go
@@ -58,7 +58,7 @@
 }
 
 // Ready reports whether the host knows enough to serve.
-func (h *Host) Ready() bool { return h.keeper.Document() != nil }
+func (h *Host) Ready() bool { return h.keeper.Document() != nil && h.flows.Ready() }
 
 // Tick advances the control state to now.
 func (h *Host) Tick(now time.Time) []cornelbay.Effect {
@@ -85,4 +85,4 @@
 }
 
 // Stopped reports whether a planned stop has nothing left to do.
-func (h *Host) Stopped(now time.Time) bool { return h.Requests.Idle() }
+func (h *Host) Stopped(now time.Time) bool { return h.Requests.Idle() && h.flows.Stopped(now) }
--- a/flow/control.go
+++ b/flow/control.go
@@ -1,69 +1,335 @@
 package flow
 
 import (
-	"net/netip"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/assign"
+)
+
+// The times of the flow path's control.
+const (
+	// CloseAfter is when a host stops placing flows on a target that the
+	// configuration excludes, and sending packets to one that is out, even if
+	// the other hosts have not agreed on its successor.
+	CloseAfter = 1800 * time.Millisecond
+	// CutOffAfter is when a host that had no confirmation of the configuration
+	// and heard no host of another data centre sends nothing there any more.
+	CutOffAfter = 10 * time.Second
+	// MissingGrace is when a missing host no longer holds up a change.
+	MissingGrace = 3 * time.Second
 )
 
 // Control is the control state of the flow path; one goroutine uses it. It
 // publishes snapshots to its Plane.
+//
+// A host that had no confirmation of the configuration and heard no host of
+// another data centre for CutOffAfter cannot know whether that one is out: it
+// sends no packet to the targets there until it hears of either again. Their
+// flows at this host stall meanwhile, and other hosts may serve them.
 type Control struct {
 	Self  cornelbay.HostName
 	Plane *Plane
+	// Generation is that of the services in force.
+	Generation uint64
 
-	services []cornelbay.Service
+	services map[cornelbay.ServiceName]*serviceState
 	out      map[cornelbay.DataCentreName]bool
+	// cut names the targets that are out and have lost their flows.
+	cut      map[cornelbay.TargetName]bool
+	registry []registered
+	byName   map[cornelbay.TargetName]int32
 	members  cornelbay.Members
+	missing  map[cornelbay.HostName]time.Time
+	// heard is when a host of a data centre was last alive.
+	heard  map[cornelbay.DataCentreName]time.Time
+	states map[cornelbay.TargetName]cornelbay.TargetState
+
+	dirty bool
+	// history is true when epochs were learnt whose flows the host may have missed.
+	history bool
+	sweep   int
+	join    join
+	handoff handoff
+	digest  digestState
 }
 
 // SetServices takes the services in force and the data centres that are out.
 func (c *Control) SetServices(now time.Time, services []cornelbay.Service, out map[cornelbay.DataCentreName]bool) []cornelbay.Effect {
-	c.services, c.out = services, out
-	c.publish()
-	return nil
+	c.init()
+	c.out = maps.Clone(out)
+	for i := range c.registry {
+		c.registry[i].listed = false
+	}
+	named := make(map[cornelbay.ServiceName]bool)
+	for _, svc := range services {
+		named[svc.Name] = true
+		c.setService(now, svc)
+	}
+	maps.DeleteFunc(c.services, func(n cornelbay.ServiceName, _ *serviceState) bool { return !named[n] })
+	c.dirty = true
+	return c.Tick(now)
+}
+
+func (c *Control) init() {
+	if c.services == nil {
+		c.services = make(map[cornelbay.ServiceName]*serviceState)
+		c.cut = make(map[cornelbay.TargetName]bool)
+		c.byName = make(map[cornelbay.TargetName]int32)
+		c.missing = make(map[cornelbay.HostName]time.Time)
+		c.heard = make(map[cornelbay.DataCentreName]time.Time)
+		c.states = make(map[cornelbay.TargetName]cornelbay.TargetState)
+	}
+}
+
+func (c *Control) setService(now time.Time, svc cornelbay.Service) {
+	s := c.services[svc.Name]
+	if s == nil {
+		s = &serviceState{}
+		c.services[svc.Name] = s
+	}
+	s.Service = svc
+	for _, t := range svc.Targets {
+		if !c.out[t.DataCentre] {
+			delete(c.cut, t.Name)
+		}
+		if c.cut[t.Name] {
+			continue
+		}
+		r := &c.registry[c.register(svc.Name, t)]
+		r.Target, r.listed = t, true
+	}
+	if c.Ready() && len(s.epochs) == 0 {
+		c.bootstrap(now, s)
+	}
+}
+
+// bootstrap gives a service the epoch that follows from the document alone.
+func (c *Control) bootstrap(now time.Time, s *serviceState) {
+	e := &epoch{
+		id: EpochID{Sequence: c.Generation}, generation: c.Generation,
+		buckets: bucketCount(len(s.Targets)), shares: c.documentShares(s), active: true, heard: now,
+	}
+	c.fill(s, e)
+	s.insert(e)
+	c.dirty = true
+}
+
+// documentShares gives every target that may get flows its full weight.
+func (c *Control) documentShares(s *serviceState) []assign.Share {
+	return c.shares(s, func(t cornelbay.Target) int { return t.FullWeight() * cornelbay.FullPermille })
+}
+
+// shares returns the targets with weight that may get flows, by name.
+func (c *Control) shares(s *serviceState, weight func(cornelbay.Target) int) []assign.Share {
+	var out []assign.Share
+	for _, t := range s.Targets {
+		if t.Drain || c.out[t.DataCentre] {
+			continue
+		}
+		if w := weight(t); w > 0 {
+			out = append(out, assign.Share{Target: t.Name, Weight: w})
+		}
+	}
+	slices.SortFunc(out, func(a, b assign.Share) int { return compareNames(a.Target, b.Target) })
+	return out
 }
 
 // SetMembers takes what is known of the hosts of the group.
 func (c *Control) SetMembers(now time.Time, m cornelbay.Members) []cornelbay.Effect {
+	c.init()
+	same := slices.EqualFunc(m.Live, c.members.Live, sameName) && slices.EqualFunc(m.Missing, c.members.Missing, sameName)
 	c.members = m
+	for _, h := range m.Live {
+		c.heard[h.DataCentre] = now
+		delete(c.missing, h.Name)
+	}
+	names := make(map[cornelbay.HostName]bool)
+	for _, h := range m.Missing {
+		names[h.Name] = true
+		if _, ok := c.missing[h.Name]; !ok {
+			c.missing[h.Name] = now
+		}
+	}
+	maps.DeleteFunc(c.missing, func(n cornelbay.HostName, _ time.Time) bool { return !names[n] })
+	if same {
+		return nil
+	}
+	c.dirty = true
+	if c.split() {
+		for _, s := range c.services {
+			s.incomplete()
+		}
+	}
+	c.publish(now)
 	return nil
 }
 
+func sameName(a, b cornelbay.Host) bool { return a.Name == b.Name && a.Incarnation == b.Incarnation }
+
+// split reports whether hosts that are not heard may place flows among themselves.
+func (c *Control) split() bool { return len(c.members.Missing) > 1 || c.isolated() }
+
+func (c *Control) isolated() bool {
+	return len(c.members.Live) <= 1 && len(c.members.Missing) > 0
+}
+
 // SetStates takes what this host itself observes of the targets.
 func (c *Control) SetStates(now time.Time, states []cornelbay.TargetState) []cornelbay.Effect {
+	c.init()
+	for _, s := range states {
+		c.states[s.Target] = s
+	}
 	return nil
 }
 
 // Receive takes a control message of the flow path from another host.
 func (c *Control) Receive(now time.Time, from cornelbay.HostName, m cornelbay.Message) []cornelbay.Effect {
-	return nil
+	c.init()
+	var out []cornelbay.Effect
+	switch m := m.(type) {
+	case Proposal:
+		out = c.proposed(now, from, m)
+	case Prepared:
+		c.prepared(from, m)
+		out = c.propose(now)
+	case Activate:
+		out = c.activated(from, m)
+	case Join:
+		out = c.joining(from)
+	case JoinAnswer:
+		c.joinAnswered(now, from, m)
+		out = c.tickJoin(now)
+	case Digest:
+		out = c.compareDigest(now, from, m)
+	case Records:
+		c.takeRecords(now, m)
+	}
+	c.publish(now)
+	return out
 }
 
-// Held takes the key of a packet whose verdict was Hold.
-func (c *Control) Held(now time.Time, key cornelbay.FlowKey) []cornelbay.Effect {
-	return nil
-}
+// Held takes the key of a packet whose verdict was Hold. No verdict of this
+// package is Hold: a packet whose flow is not known is relayed or dropped.
+func (c *Control) Held(now time.Time, key cornelbay.FlowKey) []cornelbay.Effect { return nil }
 
 // Tick returns the effects that are due at now.
-func (c *Control) Tick(now time.Time) []cornelbay.Effect { return nil }
-
-// Stop returns the effects that hand on what this host alone knows.
-func (c *Control) Stop(now time.Time) []cornelbay.Effect { return nil }
+func (c *Control) Tick(now time.Time) []cornelbay.Effect {
+	c.init()
+	c.Plane.Table.sweep(c.sweep, ticks(now))
+	c.sweep++
+	out := c.tickJoin(now)
+	if !c.Ready() {
+		return out
+	}
+	c.closeTargets(now)
+	out = append(out, c.propose(now)...)
+	c.publish(now)
+	out = append(out, c.tickDigest(now)...)
+	return append(out, c.tickHandoff(now)...)
+}
 
-func (c *Control) publish() {
-	snap := &Snapshot{services: make(map[serviceKey]*service)}
+// closeTargets notes which targets may get no new flows or no packets at all.
+func (c *Control) closeTargets(now time.Time) {
+	for i := range c.registry {
+		r := &c.registry[i]
+		if r.retired {
+			continue
+		}
+		c.closeTarget(now, r)
+		if unreachable := c.cutOff(now, r.DataCentre); unreachable != r.unreachable {
+			r.unreachable, c.dirty = unreachable, true
+		}
+	}
 	for _, s := range c.services {
-		key := serviceKey{netip.AddrPortFrom(s.Address, s.Port), s.Protocol.Number()}
-		snap.services[key] = newService(s, c.weight)
+		c.cutTargets(now, s)
+	}
+}
+
+func (c *Control) closeTarget(now time.Time, r *registered) {
+	closed := !r.listed || r.Drain || c.out[r.DataCentre] || r.unreachable
+	switch {
+	case !closed:
+		r.closedSince = time.Time{}
+	case r.closedSince.IsZero():
+		r.closedSince = now
+	case now.Sub(r.closedSince) >= CloseAfter && now.Sub(r.closedSince) < CloseAfter+time.Second:
+		c.dirty = true
+	}
+}
+
+func (r *registered) closed(now time.Time) bool {
+	return !r.closedSince.IsZero() && now.Sub(r.closedSince) >= CloseAfter
+}
+
+// cutTargets takes away the flows of targets that are out: when the epoch in
+// force is without them, or at the latest after CloseAfter.
+func (c *Control) cutTargets(now time.Time, s *serviceState) {
+	current := s.current()
+	if current == nil {
+		return
+	}
+	for _, t := range s.Targets {
+		i, ok := c.byName[t.Name]
+		if !ok || !c.out[t.DataCentre] || (current.has(t.Name) && !c.registry[i].closed(now)) {
+			continue
+		}
+		c.registry[i].retired = true
+		c.cut[t.Name], c.dirty = true, true
+		delete(c.byName, t.Name)
+		for _, e := range s.epochs {
+			e.purge(t.Name, i)
+		}
+	}
+}
+
+// cutOff reports whether the host must not send to a data centre because it
+// cannot know whether that one is out.
+func (c *Control) cutOff(now time.Time, dc cornelbay.DataCentreName) bool {
+	confirmed, heard := c.members.ConfirmedAt, c.heard[dc]
+	if confirmed.IsZero() || heard.IsZero() || now.Sub(confirmed) < CutOffAfter {
+		return false
+	}
+	for _, h := range c.members.Live {
+		if h.DataCentre == dc {
+			c.heard[dc] = now
+			return false
+		}
+	}
+	return now.Sub(heard) >= CutOffAfter
+}
+
+// States returns the agreed states of a service's targets that are in force.
+func (c *Control) States(service cornelbay.ServiceName) []cornelbay.TargetState {
+	s := c.services[service]
+	if s == nil || s.current() == nil {
+		return nil
+	}
+	weights := make(map[cornelbay.TargetName]int)
+	for _, sh := range s.current().shares {
+		weights[sh.Target] = sh.Weight
+	}
+	out := make([]cornelbay.TargetState, 0, len(s.Targets))
+	for _, t := range s.Targets {
+		st := cornelbay.TargetState{Target: t.Name, Permille: uint16(weights[t.Name] / t.FullWeight())}
+		st.Phase = c.phase(t, st.Permille)
+		out = append(out, st)
 	}
-	c.Plane.snapshot.Store(snap)
+	return out
 }
 
-func (c *Control) weight(t cornelbay.Target) int {
-	if t.Drain || c.out[t.DataCentre] {
-		return 0
+func (c *Control) phase(t cornelbay.Target, permille uint16) cornelbay.TargetPhase {
+	switch {
+	case c.out[t.DataCentre]:
+		return cornelbay.Gone
+	case t.Drain:
+		return cornelbay.Draining
+	case permille >= cornelbay.FullPermille:
+		return cornelbay.Warm
+	case permille > 0:
+		return cornelbay.Warming
 	}
-	return t.FullWeight()
+	return cornelbay.Cold
 }
--- /dev/null
+++ b/flow/status.go
@@ -0,0 +1,50 @@
+package flow
+
+import "github.com/cornelbay/cornelbay"
+
+// Status is what operators see of the flow path of a host.
+type Status struct {
+	Ready    bool            `json:"ready"`
+	Flows    int             `json:"flows"`
+	Bytes    int             `json:"bytes"`
+	Queued   int             `json:"queued"`
+	Services []ServiceStatus `json:"services"`
+}
+
+// ServiceStatus is what operators see of one service's flows.
+type ServiceStatus struct {
+	Service   cornelbay.ServiceName `json:"service"`
+	Epochs    int                   `json:"epochs"`
+	Term      uint64                `json:"term"`
+	Sequence  uint64                `json:"sequence"`
+	Active    bool                  `json:"active"`
+	Buckets   int                   `json:"buckets"`
+	Ambiguous int                   `json:"ambiguous"`
+	// Complete counts the ambiguous buckets of which the host has all records.
+	Complete int `json:"complete"`
+}
+
+// Status returns what operators see of the flow path.
+func (c *Control) Status() Status {
+	out := Status{
+		Ready: c.Ready(), Flows: c.Plane.Table.Len(), Bytes: c.Plane.Table.Bytes(),
+		Queued: len(c.handoff.queue),
+	}
+	for _, name := range c.serviceNames() {
+		s := c.services[name]
+		st := ServiceStatus{Service: name, Epochs: len(s.epochs), Buckets: len(s.ambiguous)}
+		if e := s.newest(); e != nil {
+			st.Term, st.Sequence, st.Active = e.id.Term, e.id.Sequence, e.active
+		}
+		for i, ambiguous := range s.ambiguous {
+			if ambiguous {
+				st.Ambiguous++
+			}
+			if ambiguous && s.complete[i] {
+				st.Complete++
+			}
+		}
+		out.Services = append(out.Services, st)
+	}
+	return out
+}
--- a/message.go
+++ b/message.go
@@ -19,6 +19,7 @@
 	KindJoin
 	KindJoinAnswer
 	KindNotice
+	KindDigest
 )
 
 // Message is a control message from one host to another, small enough for a
