Dispatch requests through one host a service with tickets and budgets

Purpose: hosts with local knowledge add up at targets of two slots, and a request that may run once must not run twice whatever is lost between hosts.

Change: the steward of a service, by rendezvous among the live hosts that answer, dispatches its requests; others relay to it, and it issues the tickets, so that a ticket is redeemed where the choice is made. A relay that is not taken in 100 ms moves an idempotent request to the next steward. balance.Pool limits each target, believes a refusal at once and a report of idleness never, and keeps a slow target to one request a second. The queue is ordered by caller's round and deadline and refuses early. Retries and hedges share a budget of 8%. A refusal of a ticketed request makes its ticket void, since a delayed copy may be under way. A planned stop closes the ledger and hands its final state on; heirs refuse what was never redeemed as not run.

Ruled out: redeeming handed-over tickets at an heir, since two heirs of a resent handover could both run one; refusals of moved or late requests without making the ticket void, which the generated test showed to be untrue.

The test first failed on a relay moved without an answer and a local refusal after it; an ambiguous request now never ends as not run.

entry/host.go, config.go and targets.go get one call each.

--- /dev/null
+++ b/balance/target.go
@@ -0,0 +1,197 @@
+// Package balance picks the target of an attempt and limits what each target
+// is given, from what this host knows of it.
+package balance
+
+import (
+	"time"
+
+	"github.com/cornelbay/cornelbay"
+)
+
+// The times of a Target's limit.
+const (
+	// MinHoldOff and MaxHoldOff bound the pause after a refusal.
+	MinHoldOff = 10 * time.Millisecond
+	MaxHoldOff = time.Second
+	// ProbationInterval is the time between two requests to a slow target.
+	ProbationInterval = time.Second
+	// NewsLifetime is how long the news of another host counts.
+	NewsLifetime = 1500 * time.Millisecond
+	// ReportLifetime is how long a target's own report counts.
+	ReportLifetime = 200 * time.Millisecond
+	// ExtraLifetime is how long a refusal above the slots forbids extra requests.
+	ExtraLifetime = 10 * time.Second
+)
+
+const (
+	// latencyGain is the weight of a new latency in the smoothed one.
+	latencyGain = 0.2
+	// slowFactor times the pool's usual latency marks a target as slow.
+	slowFactor = 3
+	// minSamples is the number of latencies before a target can be slow.
+	minSamples = 4
+	// limitStep is added to the limit, divided by it, for each answer.
+	limitStep = 0.25
+)
+
+// Result is what an attempt showed of its target.
+type Result uint8
+
+// The results.
+const (
+	// Served attempts brought a whole answer.
+	Served Result = iota
+	// Shed attempts were refused by the target before running.
+	Shed
+	// Failed attempts brought no whole answer.
+	Failed
+	// Cancelled attempts tell nothing of their target.
+	Cancelled
+)
+
+// Target is what a host knows of one target.
+type Target struct {
+	cornelbay.Target
+	// Feeder is true on the one host that may use all slots of the target, and
+	// that alone feeds it while it is cold; others send one attempt at a time.
+	Feeder bool
+	// InFlight counts the attempts of this host.
+	InFlight int
+
+	out      bool
+	phase    cornelbay.TargetPhase
+	permille uint16
+	limit    float64
+	latency  float64
+	samples  int
+	holdOff  time.Duration
+	held     time.Time
+	noExtra  time.Time
+	picked   time.Time
+	news     map[cornelbay.HostName]news
+	others   int
+	report   int
+	reported time.Time
+}
+
+type news struct {
+	count int
+	at    time.Time
+}
+
+// Open reports whether the target may get new work at all.
+func (t *Target) Open() bool {
+	return !t.out && !t.Drain && t.phase != cornelbay.Draining && t.phase != cornelbay.Gone
+}
+
+// room returns how many more attempts the target takes from this host now.
+func (t *Target) room(now time.Time, extra int) int {
+	return t.capacity(now, extra) - t.load(now)
+}
+
+func (t *Target) capacity(now time.Time, extra int) int {
+	switch {
+	case !t.Open() || now.Before(t.held):
+		return 0
+	case t.phase == cornelbay.Cold:
+		return t.coldCapacity(1)
+	case t.phase == cornelbay.Warming:
+		return t.coldCapacity(max(1, t.SlotCount()*int(t.permille)/cornelbay.FullPermille))
+	case extra > 0 && now.After(t.noExtra) && int(t.limit) >= t.SlotCount():
+		return t.SlotCount() + extra
+	}
+	return t.share()
+}
+
+// share is the limit of this host for a warm target.
+func (t *Target) share() int {
+	if t.Feeder {
+		return int(t.limit)
+	}
+	return 1
+}
+
+func (t *Target) coldCapacity(n int) int {
+	if !t.Feeder {
+		return 0
+	}
+	return min(n, int(t.limit))
+}
+
+// load counts the attempts of all hosts. A report of more than is known is
+// believed for a short time; a report of less never is, since it may lag or lie.
+func (t *Target) load(now time.Time) int {
+	n := t.InFlight + t.others
+	if t.report > n && now.Sub(t.reported) < ReportLifetime {
+		// One request at a time shows whether the report is true.
+		return max(n, min(t.report, t.SlotCount()-1))
+	}
+	return n
+}
+
+// Begin counts an attempt that starts.
+func (t *Target) Begin(now time.Time) {
+	t.InFlight++
+	t.picked = now
+}
+
+// End takes the result of an attempt.
+func (t *Target) End(now time.Time, r Result, latency, retryAfter time.Duration) {
+	switch r {
+	case Served:
+		t.Sample(latency)
+		t.holdOff = 0
+		t.limit = min(float64(t.SlotCount()), t.limit+limitStep/t.limit)
+	case Shed:
+		t.shed(now, retryAfter)
+	case Failed:
+		t.Sample(latency)
+		t.limit = max(1, t.limit/2)
+	}
+	t.InFlight--
+}
+
+// shed believes a refusal at once.
+func (t *Target) shed(now time.Time, retryAfter time.Duration) {
+	if t.InFlight > t.SlotCount() {
+		t.noExtra = now.Add(ExtraLifetime)
+		return
+	}
+	t.limit = max(1, min(t.limit, float64(t.InFlight-1)))
+	t.holdOff = min(MaxHoldOff, max(MinHoldOff, 2*t.holdOff))
+	if until := now.Add(max(t.holdOff, min(retryAfter, MaxHoldOff))); until.After(t.held) {
+		t.held = until
+	}
+}
+
+// Sample takes a latency, or the age of an attempt that still runs.
+func (t *Target) Sample(latency time.Duration) {
+	s := latency.Seconds()
+	if t.samples == 0 {
+		t.latency = s
+	}
+	t.samples++
+	t.latency += latencyGain * (s - t.latency)
+}
+
+// Report takes the target's own word of its running requests.
+func (t *Target) Report(now time.Time, n int) { t.report, t.reported = n, now }
+
+func (t *Target) hear(now time.Time, from cornelbay.HostName, n int) {
+	if t.news == nil {
+		t.news = make(map[cornelbay.HostName]news)
+	}
+	t.news[from] = news{n, now}
+	t.sum(now)
+}
+
+func (t *Target) sum(now time.Time) {
+	t.others = 0
+	for from, n := range t.news {
+		if now.Sub(n.at) >= NewsLifetime {
+			delete(t.news, from)
+			continue
+		}
+		t.others += n.count
+	}
+}
--- a/caller/server.go
+++ b/caller/server.go
@@ -30,11 +30,6 @@
 // TicketsPath is where callers fetch tickets: ?service=NAME&count=N.
 const TicketsPath = "/tickets"
 
-// Tickets is the answer to a request for tickets.
-type Tickets struct {
-	Tickets []string `json:"tickets"`
-}
-
 // NewServer returns the handler of callers' requests under /services/NAME/ and
 // of requests for tickets; do takes a request.Request and returns a
 // request.Response.
--- a/entry/config.go
+++ b/entry/config.go
@@ -45,9 +45,14 @@
 }
 
 // PeerAnswer takes another host's answer to a call over net/rpc.
-func (h *Host) PeerAnswer(now time.Time, a peer.Answer) []cornelbay.Effect { return nil }
+func (h *Host) PeerAnswer(now time.Time, a peer.Answer) []cornelbay.Effect {
+	return h.Requests.PeerAnswer(now, a)
+}
 
 // ServePeer answers another host's call over net/rpc.
 func (h *Host) ServePeer(now time.Time, from cornelbay.HostName, args peer.Args) (any, []cornelbay.Effect, error) {
+	if reply, effects, ok := h.serveRequests(now, from, args); ok {
+		return reply, effects, nil
+	}
 	return nil, nil, peer.ErrMalformed
 }
--- a/entry/host.go
+++ b/entry/host.go
@@ -53,7 +53,7 @@
 	h.members = member.View{Self: s.Self, Fill: h.fill}
 	h.members.Introduce(s.Introduce...)
 	h.flows = flow.Control{Self: s.Self.Name, Plane: &h.Plane}
-	h.Requests.Self = s.Self.Name
+	h.startRequests()
 	return h
 }
 
--- a/entry/targets.go
+++ b/entry/targets.go
@@ -11,7 +11,10 @@
 func (h *Host) States(now time.Time) []cornelbay.TargetState { return h.judge.States(now) }
 
 // Observe takes a signal about a target.
-func (h *Host) Observe(now time.Time, s warmth.Signal) { h.judge.Observe(now, s) }
+func (h *Host) Observe(now time.Time, s warmth.Signal) {
+	h.judge.Observe(now, s)
+	h.reportLoad(now, s)
+}
 
 func (h *Host) tickTargets(now time.Time) []cornelbay.Effect {
 	out := h.judge.Tick(now)
--- a/request/dispatcher.go
+++ b/request/dispatcher.go
@@ -1,114 +1,231 @@
 package request
 
 import (
-	"net/http"
-	"slices"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/balance"
+	"github.com/cornelbay/cornelbay/peer"
+	"github.com/cornelbay/cornelbay/ticket"
 )
 
 // Dispatcher takes the decisions on requests; it may be used by many goroutines.
+// Self, Incarnation, Keys and Rand are set before its first use.
 type Dispatcher struct {
-	Self cornelbay.HostName
+	Self        cornelbay.HostName
+	Incarnation cornelbay.Incarnation
+	// Keys authenticate tickets.
+	Keys ticket.Keys
+	// Rand is the seeded source of jitter and ties; nil stands for a fixed seed.
+	Rand *rand.Rand
 
 	mu       sync.Mutex
-	services map[cornelbay.ServiceName]cornelbay.Service
-	running  map[AttemptID]Attempt
-	inFlight map[cornelbay.TargetName]int
+	out      []cornelbay.Effect
+	services map[cornelbay.ServiceName]*service
+	live     []cornelbay.Host
+	hosts    map[cornelbay.HostName]cornelbay.Host
+	avoided  map[cornelbay.HostName]time.Time
+	stopping bool
+	handover handover
+
+	attempts map[AttemptID]*attempt
 	last     AttemptID
+	queued   int
+	running  int
+
+	relays    map[uint64]*job
+	lastRelay uint64
+	serving   map[relayKey]*job
+
+	ledger  ticket.Ledger[Response]
+	waiters map[uint64][]*job
+	archive ticket.Archive[Response]
+
+	timers   timers
+	nextNews time.Time
+	told     bool
+	counters Counters
 }
 
-// SetServices takes the services in force and the data centres that are out.
-func (d *Dispatcher) SetServices(now time.Time, services []cornelbay.Service, out map[cornelbay.DataCentreName]bool) []cornelbay.Effect {
+// Counters count what a dispatcher did since it started.
+type Counters struct {
+	Requests, Attempts, Retries, Hedges, Relays, Moves uint64
+	// Late counts whole answers that came when their request had ended.
+	Late uint64
+	// Silent counts connections to targets that went silent.
+	Silent uint64
+	// Reasons counts the requests that ended with each reason.
+	Reasons [DeadlineRelayed + 1]uint64
+}
+
+// Counters returns what the dispatcher did so far.
+func (d *Dispatcher) Counters() Counters {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.services = make(map[cornelbay.ServiceName]cornelbay.Service)
-	for _, s := range services {
-		s.Targets = slices.DeleteFunc(slices.Clone(s.Targets), func(t cornelbay.Target) bool {
-			return t.Drain || out[t.DataCentre]
-		})
-		d.services[s.Name] = s
-	}
-	return nil
+	return d.counters
 }
 
-// SetMembers takes what is known of the hosts of the group.
-func (d *Dispatcher) SetMembers(now time.Time, m cornelbay.Members) []cornelbay.Effect { return nil }
+// lock prepares for a decision at now; unlock returns its effects.
+func (d *Dispatcher) lock(now time.Time) {
+	d.mu.Lock()
+	d.init()
+	d.runTimers(now)
+}
 
-// SetStates takes the agreed states of the targets.
-func (d *Dispatcher) SetStates(now time.Time, states []cornelbay.TargetState) []cornelbay.Effect {
-	return nil
+func (d *Dispatcher) unlock() []cornelbay.Effect {
+	out := d.out
+	d.out = nil
+	d.mu.Unlock()
+	return out
 }
 
-// Receive takes a control message of the request path from another host.
-func (d *Dispatcher) Receive(now time.Time, from cornelbay.HostName, m cornelbay.Message) []cornelbay.Effect {
-	return nil
+func (d *Dispatcher) init() {
+	if d.attempts != nil {
+		return
+	}
+	if d.Rand == nil {
+		d.Rand = rand.New(rand.NewPCG(1, 1))
+	}
+	d.attempts = make(map[AttemptID]*attempt)
+	d.relays = make(map[uint64]*job)
+	d.serving = make(map[relayKey]*job)
+	d.waiters = make(map[uint64][]*job)
+	d.avoided = make(map[cornelbay.HostName]time.Time)
+	d.ledger = ticket.Ledger[Response]{Host: d.Self, Incarnation: d.Incarnation, Size: Response.size}
 }
 
-// Tick returns the effects that are due at now.
-func (d *Dispatcher) Tick(now time.Time) []cornelbay.Effect { return nil }
+func (r Response) size() int { return len(r.Body) + responseOverheadBytes }
 
-// Stop starts the planned stop: no new request is taken.
-func (d *Dispatcher) Stop(now time.Time) []cornelbay.Effect { return nil }
+// responseOverheadBytes stands for the headers of a remembered answer.
+const responseOverheadBytes = 512
 
-// Idle reports whether nothing runs and nothing waits.
-func (d *Dispatcher) Idle() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return len(d.running) == 0
+func (d *Dispatcher) emit(e cornelbay.Effect) { d.out = append(d.out, e) }
+
+// SetServices takes the services in force and the data centres that are out.
+func (d *Dispatcher) SetServices(now time.Time, services []cornelbay.Service, out map[cornelbay.DataCentreName]bool) []cornelbay.Effect {
+	d.lock(now)
+	old := d.services
+	d.services = make(map[cornelbay.ServiceName]*service, len(services))
+	for _, conf := range services {
+		s, ok := old[conf.Name]
+		if !ok {
+			s = &service{pool: balance.Pool{Rand: d.Rand}}
+		}
+		s.Service = conf
+		s.pool.SetTargets(conf.Targets, out)
+		d.services[conf.Name] = s
+		d.chooseSteward(now, s)
+	}
+	for name, s := range old {
+		if d.services[name] == nil {
+			d.endQueue(s, NoService)
+		}
+	}
+	d.pumpAll(now)
+	return d.unlock()
 }
 
-// Submit takes a caller's request; exactly one Finish follows for it.
-func (d *Dispatcher) Submit(now time.Time, r Request) []cornelbay.Effect {
+// SetStates takes the agreed states of the targets.
+func (d *Dispatcher) SetStates(now time.Time, states []cornelbay.TargetState) []cornelbay.Effect {
+	d.lock(now)
+	for _, s := range d.services {
+		for _, st := range states {
+			s.pool.SetState(st)
+		}
+	}
+	d.pumpAll(now)
+	return d.unlock()
+}
+
+// Report takes a target's own word of its running requests.
+func (d *Dispatcher) Report(now time.Time, t cornelbay.TargetName, n int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	s, ok := d.services[r.Service]
-	if !ok || len(s.Targets) == 0 {
-		return refuse(r.ID, http.StatusServiceUnavailable)
+	for _, s := range d.services {
+		if t, ok := s.pool.Lookup(t); ok {
+			t.Report(now, n)
+		}
+	}
+}
+
+// Tick returns the effects that are due at now.
+func (d *Dispatcher) Tick(now time.Time) []cornelbay.Effect {
+	d.lock(now)
+	for name, until := range d.avoided {
+		if !now.Before(until) {
+			delete(d.avoided, name)
+			d.chooseStewards(now)
+		}
 	}
-	t := slices.MinFunc(s.Targets, func(a, b cornelbay.Target) int {
-		return d.inFlight[a.Name] - d.inFlight[b.Name]
-	})
-	d.last++
-	a := Attempt{ID: d.last, Request: r, Target: t.Name, Address: t.HTTP, Deadline: r.Deadline}
-	d.start(a)
-	return []cornelbay.Effect{a}
-}
-
-func (d *Dispatcher) start(a Attempt) {
-	if d.running == nil {
-		d.running = make(map[AttemptID]Attempt)
-		d.inFlight = make(map[cornelbay.TargetName]int)
+	for _, s := range d.services {
+		s.pool.Tick(now)
 	}
-	d.running[a.ID] = a
-	d.inFlight[a.Target]++
+	d.pumpAll(now)
+	d.tickNews(now)
+	d.tickHandover(now)
+	return d.unlock()
+}
+
+// Submit takes a caller's request; exactly one Finish follows for it.
+func (d *Dispatcher) Submit(now time.Time, r Request) []cornelbay.Effect {
+	d.lock(now)
+	d.counters.Requests++
+	d.admit(now, &job{Request: r})
+	return d.unlock()
 }
 
 // Ended takes the result of an attempt.
 func (d *Dispatcher) Ended(now time.Time, res AttemptResult) []cornelbay.Effect {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	a, ok := d.running[res.ID]
+	d.lock(now)
+	d.ended(now, res)
+	return d.unlock()
+}
+
+// Receive takes a control message of the request path from another host.
+func (d *Dispatcher) Receive(now time.Time, from cornelbay.HostName, m cornelbay.Message) []cornelbay.Effect {
+	n, ok := m.(LoadNews)
 	if !ok {
 		return nil
 	}
-	delete(d.running, res.ID)
-	d.inFlight[a.Target]--
-	f := Finish{Request: a.Request.ID, Response: res.Response}
-	switch {
-	case res.Whole:
-		f.Response.Outcome = cornelbay.Answered
-	case res.Proof != NoProof:
-		f.Response = Response{Status: http.StatusServiceUnavailable, Outcome: cornelbay.NotRun, RetryAfter: time.Second}
-	default:
-		f.Response = Response{Status: http.StatusBadGateway, Outcome: cornelbay.Unknown}
-	}
-	return []cornelbay.Effect{f}
+	d.lock(now)
+	d.hear(now, from, n)
+	return d.unlock()
+}
+
+// ServePeer answers another host's call; ok is false when args are of no type
+// of this package.
+func (d *Dispatcher) ServePeer(now time.Time, from cornelbay.HostName, args peer.Args) (reply any, effects []cornelbay.Effect, ok bool) {
+	d.lock(now)
+	reply, ok = d.serve(now, from, args)
+	return reply, d.unlock(), ok
+}
+
+// PeerAnswer takes another host's answer to a call of this package.
+func (d *Dispatcher) PeerAnswer(now time.Time, a peer.Answer) []cornelbay.Effect {
+	d.lock(now)
+	d.peerAnswer(now, a)
+	return d.unlock()
+}
+
+// Stop starts the planned stop: no new request is taken.
+func (d *Dispatcher) Stop(now time.Time) []cornelbay.Effect {
+	d.lock(now)
+	d.stopping = true
+	d.ledger.Close()
+	d.tickHandover(now)
+	return d.unlock()
+}
+
+// Idle reports whether nothing runs and nothing waits and, after Stop, whether
+// the tickets were handed over.
+func (d *Dispatcher) Idle() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.quiet() && (!d.stopping || d.handover.done)
 }
 
-func refuse(id ID, status int) []cornelbay.Effect {
-	r := Response{Status: status, Outcome: cornelbay.NotRun, RetryAfter: time.Second}
-	return []cornelbay.Effect{Finish{Request: id, Response: r}}
+func (d *Dispatcher) quiet() bool {
+	return len(d.attempts) == 0 && d.queued == 0 && len(d.relays) == 0 && len(d.serving) == 0
 }
--- /dev/null
+++ b/request/job.go
@@ -0,0 +1,330 @@
+package request
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/balance"
+	"github.com/cornelbay/cornelbay/peer"
+	"github.com/cornelbay/cornelbay/ticket"
+)
+
+// The limits of attempts.
+const (
+	// MaxTries is the most attempts of a request, besides hedges.
+	MaxTries = 4
+	// MaxRunning is the most attempts of a host at once; bulk services may use
+	// bulkShare of it in percent.
+	MaxRunning = 4096
+	bulkShare  = 75
+	// MaxJitter bounds the wait before a retry after a failure.
+	MaxJitter = 10 * time.Millisecond
+	// MinHedgeDelay is the least age of an attempt that is hedged.
+	MinHedgeDelay = 20 * time.Millisecond
+	// hedgeDeviations is the distance from the usual latency that is hedged.
+	hedgeDeviations = 6
+)
+
+// job is a request on its way through this host.
+type job struct {
+	Request
+	// from is the host that relayed it, "" for one of a caller; key is its relay.
+	from cornelbay.HostName
+	key  relayKey
+	// ticket is set on the run of a redeemed ticket, which no caller waits for
+	// directly: jobs in waiters do.
+	ticket *ticket.Ticket
+
+	service *service
+	done    bool
+	// waiting is true while it is in the service's queue.
+	waiting bool
+	round   int
+	order   uint64
+
+	tries, running int
+	// ambiguous is true when a target may have run an attempt that failed, here
+	// or at another host.
+	ambiguous bool
+	avoid     *balance.Target
+	hedged    bool
+
+	// run is the run of the ticket that the job waits for.
+	run *job
+
+	relay   uint64
+	relayTo cornelbay.HostName
+	acked   bool
+	moves   int
+}
+
+// attempt is an attempt that the shell was asked for and has not ended.
+type attempt struct {
+	job     *job
+	target  *balance.Target
+	began   time.Time
+	sampled bool
+}
+
+// admit takes a job that nothing is known of yet.
+func (d *Dispatcher) admit(now time.Time, j *job) {
+	s, ok := d.services[j.Service]
+	j.service = s
+	if j.ticketed() {
+		d.admitTicketed(now, j, ok)
+		return
+	}
+	switch {
+	case !ok:
+		d.refuse(now, j, NoService)
+	case len(j.Body) > MaxBodyBytes:
+		d.refuse(now, j, BodyTooLarge)
+	case !j.Deadline.After(now):
+		d.refuse(now, j, DeadlineQueued)
+	case d.stopping:
+		d.refuse(now, j, Stopping)
+	default:
+		d.addTimer(timer{at: j.Deadline, kind: deadlineTimer, job: j})
+		d.route(now, j)
+	}
+}
+
+// route relays a job to the steward of its service or dispatches it here.
+func (d *Dispatcher) route(now time.Time, j *job) {
+	s := j.service
+	if j.from == "" && !s.Bulk && s.steward != d.Self && j.moves < maxMoves {
+		if h, ok := d.hosts[s.steward]; ok {
+			d.relay(now, j, h)
+			return
+		}
+	}
+	if j.Tickets > 0 {
+		d.finish(now, j, d.issue(now, j))
+		return
+	}
+	d.dispatch(now, j)
+}
+
+// dispatch starts a job here or queues it.
+func (d *Dispatcher) dispatch(now time.Time, j *job) {
+	s := j.service
+	if s.queue.len() == 0 && d.mayRun(s) {
+		if t := s.pool.Pick(now, j.avoid, 0); t != nil {
+			d.start(now, j, t)
+			return
+		}
+	}
+	d.enqueue(now, j)
+}
+
+func (d *Dispatcher) mayRun(s *service) bool {
+	if s.Bulk {
+		return d.running < MaxRunning*bulkShare/100
+	}
+	return d.running < MaxRunning
+}
+
+func (d *Dispatcher) start(now time.Time, j *job, t *balance.Target) {
+	if j.ticket != nil && now.After(j.ticket.Expiry()) {
+		d.refuse(now, j, TicketExpired)
+		return
+	}
+	s := j.service
+	if j.tries == 0 {
+		s.budget.deposit()
+	}
+	j.tries++
+	d.launch(now, j, t)
+	if j.Idempotent() {
+		delay := max(MinHedgeDelay, s.pool.Latency()+hedgeDeviations*s.pool.Deviation())
+		d.addTimer(timer{at: now.Add(delay), kind: hedgeTimer, job: j, attempt: d.last})
+	}
+}
+
+func (d *Dispatcher) launch(now time.Time, j *job, t *balance.Target) {
+	d.last++
+	d.counters.Attempts++
+	d.running++
+	j.running++
+	t.Begin(now)
+	d.attempts[d.last] = &attempt{job: j, target: t, began: now}
+	d.emit(Attempt{ID: d.last, Request: j.Request, Target: t.Name, Address: t.HTTP, Deadline: j.Deadline})
+}
+
+// hedge starts a second attempt of a job whose first one takes unusually long.
+func (d *Dispatcher) hedge(now time.Time, j *job, id AttemptID) {
+	a, ok := d.attempts[id]
+	if !ok || j.done {
+		return
+	}
+	a.target.Sample(now.Sub(a.began))
+	a.sampled = true
+	s := j.service
+	if j.hedged || j.running != 1 || s.queue.len() > 0 || !s.budget.has() {
+		return
+	}
+	t := s.pool.Pick(now, a.target, 0)
+	if t == nil || t == a.target {
+		return
+	}
+	s.budget.take()
+	j.hedged = true
+	d.counters.Hedges++
+	d.launch(now, j, t)
+}
+
+func (d *Dispatcher) ended(now time.Time, res AttemptResult) {
+	a, ok := d.attempts[res.ID]
+	if !ok {
+		return
+	}
+	delete(d.attempts, res.ID)
+	d.running--
+	j := a.job
+	j.running--
+	if res.Silent {
+		d.counters.Silent++
+	}
+	d.observe(now, a, res)
+	switch {
+	case j.done:
+		if res.Whole {
+			d.counters.Late++
+		}
+	case res.Whole:
+		res.Response.Outcome = cornelbay.Answered
+		d.finish(now, j, res.Response)
+	default:
+		d.failed(now, a, res)
+	}
+	d.pump(now, j.service)
+}
+
+// observe tells the pool what an attempt showed of its target.
+func (d *Dispatcher) observe(now time.Time, a *attempt, res AttemptResult) {
+	r := balance.Failed
+	switch {
+	case res.Whole:
+		r = balance.Served
+	case res.Proof == Refused:
+		r = balance.Shed
+	case a.job.done || res.Silent || a.sampled:
+		// A cancelled attempt or a silent connection does not blame the target.
+		r = balance.Cancelled
+	}
+	a.job.service.pool.End(now, a.target, r, now.Sub(a.began), res.RetryAfter)
+}
+
+// failed retries a job or ends it.
+func (d *Dispatcher) failed(now time.Time, a *attempt, res AttemptResult) {
+	j := a.job
+	if res.Proof == NoProof {
+		j.ambiguous = true
+	}
+	if j.running > 0 {
+		return
+	}
+	s := j.service
+	mayRepeat := j.Idempotent() || !j.ambiguous
+	if !mayRepeat || j.tries >= MaxTries || !now.Before(j.Deadline) || !s.budget.has() {
+		d.refuse(now, j, j.failure(TargetsRefused, AttemptFailed))
+		return
+	}
+	s.budget.take()
+	d.counters.Retries++
+	j.avoid = a.target
+	if res.Proof == Refused {
+		d.enqueueRetry(now, j)
+		return
+	}
+	wait := time.Duration(d.Rand.Int64N(int64(MaxJitter)))
+	d.addTimer(timer{at: now.Add(wait), kind: retryTimer, job: j})
+}
+
+// failure returns the reason that is true of a job that ends unanswered now.
+func (j *job) failure(proved, notProved Reason) Reason {
+	switch {
+	case j.running > 0:
+		return DeadlineRunning
+	case j.ambiguous:
+		return notProved
+	}
+	return proved
+}
+
+// deadline ends a job whose deadline has passed.
+func (d *Dispatcher) deadline(now time.Time, j *job) {
+	switch {
+	case j.done:
+	case j.ticket != nil && j.running > 0:
+		// The attempt ends by the same deadline and tells what became of it.
+	case j.relay != 0 && j.ticketed():
+		d.refuse(now, j, IssuerSilent)
+	case j.relay != 0:
+		d.withdraw(j)
+		d.refuse(now, j, DeadlineRelayed)
+	case j.run != nil:
+		// What waited until the same deadline and never started has its proof.
+		if !j.run.done && !now.Before(j.run.Deadline) {
+			d.deadline(now, j.run)
+		}
+		if !j.done {
+			d.refuse(now, j, DeadlineRunning)
+		}
+	default:
+		d.refuse(now, j, j.failure(DeadlineQueued, AttemptFailed))
+	}
+}
+
+func (d *Dispatcher) refuse(now time.Time, j *job, r Reason) {
+	res := r.Response()
+	if res.Outcome == cornelbay.NotRun && j.service != nil && res.Status == http.StatusServiceUnavailable {
+		res.RetryAfter = d.retryAfter(now, j.service)
+	}
+	d.finish(now, j, res)
+}
+
+// finish gives a job its one final response.
+func (d *Dispatcher) finish(now time.Time, j *job, res Response) {
+	if j.done {
+		return
+	}
+	if res.Outcome == cornelbay.NotRun && (j.ambiguous || j.running > 0) {
+		res = j.failure(AttemptFailed, AttemptFailed).Response()
+	}
+	j.done = true
+	d.counters.Reasons[res.Reason]++
+	d.leaveQueue(j)
+	d.endRelay(j)
+	if j.running > 0 {
+		d.cancelAttempts(j)
+	}
+	switch {
+	case j.ticket != nil:
+		d.settle(now, j, res)
+	case j.from == "":
+		d.emit(Finish{Request: j.ID, Response: res})
+	default:
+		d.answerRelay(j, res)
+	}
+}
+
+func (d *Dispatcher) cancelAttempts(j *job) {
+	left := j.running
+	for id, a := range d.attempts {
+		if a.job == j {
+			d.emit(Cancel{ID: id})
+			if left--; left == 0 {
+				return
+			}
+		}
+	}
+}
+
+// callPeer asks another host.
+func (d *Dispatcher) callPeer(to cornelbay.HostName, args peer.Args) uint64 {
+	d.lastRelay++
+	d.emit(peer.Call{ID: d.lastRelay, To: to, Address: d.hosts[to].RPC, Args: args})
+	return d.lastRelay
+}
--- a/request/reason.go
+++ b/request/reason.go
@@ -22,7 +22,7 @@
 	TicketService
 	TicketCaller
 	TicketUsed
-	TicketsFull
+	TicketsOut
 	TicketHandedOver
 	Stopping
 	QueueFull
@@ -31,6 +31,7 @@
 	TargetsRefused
 	TicketMAC
 	TicketMoved
+	TicketUnproven
 	TicketForgotten
 	AnswerForgotten
 	IssuerGone
@@ -88,19 +89,19 @@
 	},
 	TicketService: {
 		"ticketService", http.StatusForbidden, notRun, "service",
-		"the ticket is for another service", "the issuer remembers no redemption of this ticket",
+		"the ticket is for another service; it is void now", "the issuer had no redemption of this ticket and made it void",
 	},
 	TicketCaller: {
 		"ticketCaller", http.StatusForbidden, notRun, "caller",
-		"the ticket is for another caller", "the issuer remembers no redemption of this ticket",
+		"the ticket is for another caller; it is void now", "the issuer had no redemption of this ticket and made it void",
 	},
 	TicketUsed: {
 		"ticketUsed", http.StatusUnprocessableEntity, notRun, TicketHeader,
 		"the ticket was redeemed for another request; fetch another", "the ticket's one run had other content",
 	},
-	TicketsFull: {
-		"ticketsFull", http.StatusServiceUnavailable, notRun, "",
-		"too many tickets are in use; try again", "the ticket was not redeemed and the request was refused before any attempt",
+	TicketsOut: {
+		"ticketsOut", http.StatusServiceUnavailable, notRun, "",
+		"too many tickets are out; try again", "no ticket was issued",
 	},
 	TicketHandedOver: {
 		"ticketHandedOver", http.StatusConflict, notRun, TicketHeader,
@@ -134,6 +135,11 @@
 		"ticketMoved", http.StatusForbidden, unknown, TicketHeader,
 		"the ticket is for another caller or service", "its own caller may have redeemed it",
 	},
+	TicketUnproven: {
+		"ticketUnproven", http.StatusServiceUnavailable, unknown, TicketHeader,
+		"the request was refused now; an earlier one with the same ticket may have run",
+		"only the ticket's issuer can tell",
+	},
 	TicketForgotten: {
 		"ticketForgotten", http.StatusGone, unknown, "expiry",
 		"the ticket has expired long ago", "redemptions are no longer remembered",
--- a/ticket/ledger.go
+++ b/ticket/ledger.go
@@ -10,13 +10,14 @@
 // The limits of a Ledger.
 const (
 	// Lifetime is the time from issue to expiry of a ticket.
-	Lifetime = 2 * time.Minute
+	Lifetime = time.Minute
 	// Grace is the time after expiry for which redemptions are remembered.
-	Grace = time.Minute
+	Grace = 30 * time.Second
 	// MaxBatch is the most tickets that are issued at once.
 	MaxBatch = 64
-	// MaxRecords is the most redeemed tickets that are remembered.
-	MaxRecords = 1 << 16
+	// MaxOutstanding is the most issued tickets that are not past their grace,
+	// so that every redemption can be remembered.
+	MaxOutstanding = 1 << 16
 	// MaxAnswerBytes bounds the remembered answers of a ledger.
 	MaxAnswerBytes = 8 << 20
 )
@@ -44,6 +45,8 @@
 	Size func(A) int
 
 	issued  uint64
+	batches []batch
+	out     int
 	latest  time.Time
 	records map[uint64]*Record[A]
 	// order holds the numbers of the records by redemption.
@@ -53,15 +56,25 @@
 	closed bool
 }
 
-// Issue returns n new tickets, at most MaxBatch; none after Close.
+// batch is a number of tickets that were issued with one expiry.
+type batch struct {
+	expiry time.Time
+	n      int
+}
+
+// Issue returns n new tickets, at most MaxBatch; none after Close, and fewer
+// while MaxOutstanding are out.
 func (l *Ledger[A]) Issue(now time.Time, service cornelbay.ServiceName, caller string, n int) []Ticket {
 	l.advance(now)
 	if l.closed {
 		return nil
 	}
-	out := make([]Ticket, 0, max(0, min(n, MaxBatch)))
-	expiry := l.latest.Add(Lifetime).UnixMilli()
-	for range cap(out) {
+	n = max(0, min(n, MaxBatch, MaxOutstanding-l.out))
+	at := l.latest.Add(Lifetime)
+	l.batches = append(l.batches, batch{at, n})
+	l.out += n
+	out, expiry := make([]Ticket, 0, n), at.UnixMilli()
+	for range n {
 		l.issued++
 		out = append(out, Ticket{
 			Host: l.Host, Incarnation: l.Incarnation, Number: l.issued,
@@ -114,9 +127,6 @@
 	if l.closed {
 		return Record[A]{}, false, ErrClosed
 	}
-	if len(l.records) >= MaxRecords {
-		return Record[A]{}, false, ErrFull
-	}
 	r := &Record[A]{Number: t.Number, Digest: d, ExpiryMs: t.ExpiryMs}
 	if l.records == nil {
 		l.records = make(map[uint64]*Record[A])
@@ -163,6 +173,10 @@
 	if now.After(l.latest) {
 		l.latest = now
 	}
+	for len(l.batches) > 0 && l.latest.After(l.batches[0].expiry.Add(Grace)) {
+		l.out -= l.batches[0].n
+		l.batches = l.batches[1:]
+	}
 	// A ticket redeemed early may expire after one redeemed late, so that the
 	// records of a ledger are dropped in order of redemption, a little late.
 	for len(l.order) > 0 {
--- a/ticket/ticket.go
+++ b/ticket/ticket.go
@@ -29,7 +29,6 @@
 	ErrExpired   = merry.New("ticket's expiry has passed")
 	ErrIssuer    = merry.New("ticket is of another host or start")
 	ErrDigest    = merry.New("ticket was redeemed for another request")
-	ErrFull      = merry.New("too many redeemed tickets are remembered")
 	ErrClosed    = merry.New("host stops and redeems no more tickets")
 )
 
