--- a/entry/requests.go
+++ b/entry/requests.go
@@ -12,6 +12,10 @@
 
 func init() {
 	peer.Register(request.LoadNews{})
+	peer.RegisterCall[request.RelayArgs, request.RelayReply]()
+	peer.RegisterCall[request.ResultArgs, request.ResultReply]()
+	peer.RegisterCall[request.WithdrawArgs, request.WithdrawReply]()
+	peer.RegisterCall[request.HandOverArgs, request.HandOverReply]()
 }
 
 // requestStream separates the dispatcher's randomness from other uses of the seed.
