--- a/entry/config.go
+++ b/entry/config.go
@@ -50,7 +50,7 @@
 		out, changed := h.keeper.PeerAnswer(now, a)
 		return append(out, h.adopted(now, changed)...)
 	}
-	return nil
+	return h.Requests.PeerAnswer(now, a)
 }
 
 // ServePeer answers another host's call over net/rpc.
@@ -60,6 +60,9 @@
 		r, err := h.keeper.Serve(now, args)
 		return r, nil, err
 	}
+	if reply, effects, ok := h.serveRequests(now, from, args); ok {
+		return reply, effects, nil
+	}
 	return nil, nil, peer.ErrMalformed
 }
 
