member: gossip with suspicion, incarnations and bounded fan-out

Purpose: bytes a second stay flat as a group grows, a killed host leaves Live within 2.5 s at six hosts, and Missing lists only hosts that may still handle packets.

Up to six hosts all send to all. In a larger group each host sends to three successors on a ring of hashed names, which watch it, and to two others in turn, which spread the news; a suspect refutes by a counter that only itself raises, and direct heartbeats with the old counter do not revive it, so that all views agree. Lists are compared by a hash in each heartbeat and read page by page when they differ for 3 s. The platform's list only introduces; a seed known by its address is asked by JoinRequest and is no member. After a pause nobody is live, itself included, until a heartbeat comes that cannot have waited out the pause, or 2 s have passed.

Ruled out: probes with acknowledgements as in SWIM, which send twice the datagrams for the same time of detection; revival by a direct heartbeat, which makes views differ in a partial cut.

entry.Host gets smallest edits: Receive asks the membership first, Stop marks the heartbeats, Stopped waits for the Leave message. daemon.send uses Send.Address for a host that it does not know.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -184,7 +184,11 @@
 func (d *Daemon) send(s cornelbay.Send) {
 	h, ok := d.host.Lookup(s.To)
 	if !ok {
-		return
+		at, err := netip.ParseAddrPort(s.Address)
+		if err != nil {
+			return
+		}
+		h.Datagram = at
 	}
 	b, err := d.codec.Seal(s.Message)
 	if err != nil {
--- a/entry/host.go
+++ b/entry/host.go
@@ -44,13 +44,14 @@
 	flows   flow.Control
 	judge   warmth.Judge
 	known   cornelbay.Members
+	version uint64
 }
 
 // New returns a host that has heard of nothing yet.
 func New(s Settings) *Host {
 	h := &Host{Settings: s}
 	h.Plane.HashKey = s.HashKey
-	h.members = member.View{Self: s.Self, Fill: h.fill}
+	h.members = member.View{Self: s.Self, Seed: s.Seed, Fill: h.fill}
 	h.members.Introduce(s.Introduce...)
 	h.flows = flow.Control{Self: s.Self.Name, Plane: &h.Plane}
 	h.Requests.Self = s.Self.Name
@@ -71,18 +72,21 @@
 
 // Receive takes a control message from another host.
 func (h *Host) Receive(now time.Time, from cornelbay.HostName, m cornelbay.Message) []cornelbay.Effect {
-	if b, ok := m.(member.Heartbeat); ok {
-		return h.heartbeat(now, b)
+	out, done := h.receiveMember(now, from, m)
+	if done {
+		return out
 	}
 	h.judge.Receive(now, from, m)
-	out := h.flows.Receive(now, from, m)
+	out = append(out, h.flows.Receive(now, from, m)...)
 	return append(out, h.Requests.Receive(now, from, m)...)
 }
 
 // Stop starts the planned stop; the host is done when Stopped reports true.
 func (h *Host) Stop(now time.Time) []cornelbay.Effect {
+	h.members.Leaving = true
 	return append(h.flows.Stop(now), h.Requests.Stop(now)...)
 }
 
-// Stopped reports whether a planned stop has nothing left to do.
-func (h *Host) Stopped(now time.Time) bool { return h.Requests.Idle() }
+// Stopped reports whether a planned stop has nothing left to do and the other
+// hosts have been told of it.
+func (h *Host) Stopped(now time.Time) bool { return h.members.Left() && h.Requests.Idle() }
--- a/entry/members.go
+++ b/entry/members.go
@@ -1,16 +1,18 @@
 package entry
 
 import (
-	"slices"
 	"time"
 
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/member"
 )
 
+// confirmedStep is the least advance of the last confirmation that is handed on.
+const confirmedStep = 200 * time.Millisecond
+
 func (h *Host) fill(b *member.Heartbeat) {
 	b.Generation = h.keeper.Generation()
-	b.Digest = h.keeper.Head().Digest
+	b.Digest = member.ShortDigest(h.keeper.Head().Digest)
 }
 
 // Members returns what is known of the group at now.
@@ -21,21 +23,47 @@
 	return h.members.Lookup(name)
 }
 
+// Introduce takes hosts that a list from elsewhere names; it ends none.
+func (h *Host) Introduce(hosts ...cornelbay.Host) { h.members.Introduce(hosts...) }
+
 func (h *Host) tickMembers(now time.Time) []cornelbay.Effect {
-	return append(h.members.Tick(now), h.membersChanged(now)...)
+	out := h.members.Tick(now)
+	if h.members.Leaving && h.Requests.Idle() {
+		out = append(out, h.members.Leave(now)...)
+	}
+	return append(out, h.membersChanged(now)...)
+}
+
+// receiveMember takes a message of the membership protocol and reports whether
+// m is one.
+func (h *Host) receiveMember(now time.Time, from cornelbay.HostName, m cornelbay.Message) ([]cornelbay.Effect, bool) {
+	switch m := m.(type) {
+	case member.Heartbeat:
+		return h.heartbeat(now, m), true
+	case member.Leave:
+		h.members.ReceiveLeave(now, m)
+		return h.membersChanged(now), true
+	case member.JoinRequest:
+		return h.members.ReceiveJoin(now, m), true
+	case member.JoinAnswer:
+		h.members.ReceiveJoinAnswer(now, from, m)
+		return nil, true
+	}
+	h.members.Check(now)
+	return h.membersChanged(now), false
 }
 
 func (h *Host) heartbeat(now time.Time, b member.Heartbeat) []cornelbay.Effect {
 	h.members.Receive(now, b)
-	return h.membersChanged(now)
+	return nil
 }
 
+// membersChanged hands on what is known of the group when it has changed.
 func (h *Host) membersChanged(now time.Time) []cornelbay.Effect {
 	m := h.members.Members(now)
-	if slices.Equal(m.Live, h.known.Live) && slices.Equal(m.Missing, h.known.Missing) &&
-		m.ConfirmedAt.Equal(h.known.ConfirmedAt) {
+	if m.ConfirmedAt.Sub(h.known.ConfirmedAt) < confirmedStep && h.version == h.members.Version() {
 		return nil
 	}
-	h.known = m
+	h.known, h.version = m, h.members.Version()
 	return append(h.flows.SetMembers(now, m), h.Requests.SetMembers(now, m)...)
 }
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -7,4 +7,7 @@
 
 func init() {
 	peer.Register(member.Heartbeat{})
+	peer.Register(member.Leave{})
+	peer.Register(member.JoinRequest{})
+	peer.Register(member.JoinAnswer{})
 }
