--- a/entry/messages.go
+++ b/entry/messages.go
@@ -11,8 +11,8 @@
 	peer.Register(flow.Proposal{})
 	peer.Register(flow.Prepared{})
 	peer.Register(flow.Activate{})
-	peer.Register(flow.Join{})
-	peer.Register(flow.JoinAnswer{})
+	peer.Register(flow.Epochs{})
+	peer.Register(flow.EpochsAnswer{})
 	peer.Register(flow.Digest{})
 	peer.Register(flow.Records{})
 }
--- a/flow/control.go
+++ b/flow/control.go
@@ -197,9 +197,9 @@
 		out = c.propose(now)
 	case Activate:
 		out = c.activated(from, m)
-	case Join:
+	case Epochs:
 		out = c.joining(from)
-	case JoinAnswer:
+	case EpochsAnswer:
 		c.joinAnswered(now, from, m)
 		out = c.tickJoin(now)
 	case Digest:
--- a/flow/join.go
+++ b/flow/join.go
@@ -32,7 +32,7 @@
 }
 
 type joinAnswer struct {
-	JoinAnswer
+	EpochsAnswer
 	at time.Time
 }
 
@@ -60,7 +60,7 @@
 	var out []cornelbay.Effect
 	for _, h := range c.members.Live {
 		if a, ok := j.answered[h.Name]; h.Name != c.Self && (!ok || !a.Ready) {
-			out = append(out, cornelbay.Send{To: h.Name, Message: Join{}})
+			out = append(out, cornelbay.Send{To: h.Name, Message: Epochs{}})
 		}
 	}
 	return out
@@ -107,10 +107,10 @@
 // joining answers a host that asks for epochs.
 func (c *Control) joining(from cornelbay.HostName) []cornelbay.Effect {
 	if !c.Ready() {
-		return []cornelbay.Effect{cornelbay.Send{To: from, Message: JoinAnswer{}}}
+		return []cornelbay.Effect{cornelbay.Send{To: from, Message: EpochsAnswer{}}}
 	}
 	out, n := c.sendEpochs(from)
-	return append(out, cornelbay.Send{To: from, Message: JoinAnswer{Ready: true, Epochs: n}})
+	return append(out, cornelbay.Send{To: from, Message: EpochsAnswer{Ready: true, Count: n}})
 }
 
 func (c *Control) sendEpochs(to cornelbay.HostName) ([]cornelbay.Effect, int) {
@@ -129,12 +129,12 @@
 }
 
 // joinAnswered notes an answer once all the epochs that it announces are there.
-func (c *Control) joinAnswered(now time.Time, from cornelbay.HostName, m JoinAnswer) {
+func (c *Control) joinAnswered(now time.Time, from cornelbay.HostName, m EpochsAnswer) {
 	n := 0
 	for _, s := range c.services {
 		n += len(s.epochs)
 	}
-	if !c.Ready() && c.join.answered != nil && n >= m.Epochs {
+	if !c.Ready() && c.join.answered != nil && n >= m.Count {
 		c.join.answered[from] = joinAnswer{m, now}
 	}
 }
--- a/flow/messages.go
+++ b/flow/messages.go
@@ -64,22 +64,22 @@
 // Kind returns KindActivate.
 func (Activate) Kind() cornelbay.MessageKind { return cornelbay.KindActivate }
 
-// Join asks another host for its epochs.
-type Join struct{}
+// Epochs asks another host for its epochs.
+type Epochs struct{}
 
-// Kind returns KindJoin.
-func (Join) Kind() cornelbay.MessageKind { return cornelbay.KindJoin }
+// Kind returns KindEpochs.
+func (Epochs) Kind() cornelbay.MessageKind { return cornelbay.KindEpochs }
 
-// JoinAnswer ends the epochs that answer a Join.
-type JoinAnswer struct {
+// EpochsAnswer ends the epochs that answer a request for Epochs.
+type EpochsAnswer struct {
 	// Ready is false when the sender has no epochs of its own yet.
 	Ready bool `cbor:"1,keyasint"`
-	// Epochs is the number of epochs that were sent.
-	Epochs int `cbor:"2,keyasint"`
+	// Count is the number of epochs that were sent.
+	Count int `cbor:"2,keyasint"`
 }
 
-// Kind returns KindJoinAnswer.
-func (JoinAnswer) Kind() cornelbay.MessageKind { return cornelbay.KindJoinAnswer }
+// Kind returns KindEpochsAnswer.
+func (EpochsAnswer) Kind() cornelbay.MessageKind { return cornelbay.KindEpochsAnswer }
 
 // Digest lets two hosts notice that their epochs differ.
 type Digest struct {
--- a/message.go
+++ b/message.go
@@ -20,6 +20,8 @@
 	KindJoinAnswer
 	KindNotice
 	KindDigest
+	KindEpochs
+	KindEpochsAnswer
 )
 
 // Message is a control message from one host to another, small enough for a
