Serve hosts' calls and check every setting at the start

Purpose: net/rpc between hosts reaches the decisions, and a wrong setting is refused with the flag, the value and what is allowed, without showing a secret.

--- a/cmd/cornelbayd/settings.go
+++ b/cmd/cornelbayd/settings.go
@@ -16,6 +16,7 @@
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/daemon"
 	"github.com/cornelbay/cornelbay/entry"
+	"github.com/cornelbay/cornelbay/peer"
 )
 
 // cli holds the flags; each can also be set in the environment.
@@ -33,6 +34,7 @@
 	Key            []string      `help:"One or two keys shared by the hosts, in hexadecimal; the first seals." env:"CORNELBAY_KEY"`
 	KeyFile        []string      `help:"Files with such keys, a key a line; read again on SIGHUP." env:"CORNELBAY_KEY_FILE"`
 	HashKey        string        `help:"Key of the hash of flows, 16 bytes in hexadecimal, the same on all hosts for good." required:"" env:"CORNELBAY_HASH_KEY"`
+	KeysDir        string        `help:"Directory with NAME.pem, NAME.key and ca.pem for TLS between hosts and with operators; empty is plain TCP, for trials on loopback. Read again on SIGHUP." env:"CORNELBAY_KEYS_DIR"`
 	TrafficWorkers int           `help:"Number of traffic goroutines, from 1 to 64." default:"2" env:"CORNELBAY_TRAFFIC_WORKERS"`
 	StopNotice     time.Duration `help:"Time that the fabric has to notice a planned stop." default:"2s" env:"CORNELBAY_STOP_NOTICE"`
 	StopTimeout    time.Duration `help:"Bound of a planned stop." default:"30s" env:"CORNELBAY_STOP_TIMEOUT"`
@@ -70,7 +72,7 @@
 		},
 	}
 	for _, check := range []func(*daemon.Settings) error{
-		c.checkNames, c.checkAddresses, c.checkPeers, c.checkLimits, c.readKeys, c.readHashKey,
+		c.checkNames, c.checkAddresses, c.checkPeers, c.checkLimits, c.readKeys, c.readHashKey, c.readKeyPair,
 	} {
 		if err := check(&s); err != nil {
 			return s, err
@@ -193,3 +195,15 @@
 	s.HashKey = [2]uint64{binary.BigEndian.Uint64(b), binary.BigEndian.Uint64(b[8:])}
 	return nil
 }
+
+func (c *cli) readKeyPair(s *daemon.Settings) error {
+	if c.KeysDir == "" {
+		return nil
+	}
+	p, err := peer.LoadKeyPair(c.KeysDir, c.Name)
+	if err != nil {
+		return merry.Prependf(err, "--keys-dir %q", c.KeysDir)
+	}
+	s.KeyPair = &p
+	return nil
+}
--- a/daemon/admin.go
+++ b/daemon/admin.go
@@ -40,6 +40,9 @@
 	return m
 }
 
+// Generation returns the generation of the configuration in force, or 0.
+func (d *Daemon) Generation() uint64 { return d.view.Load().generation }
+
 func (d *Daemon) snapshot(ctx context.Context) (Status, bool) {
 	ch := make(chan Status, 1)
 	d.input(ctx, func(now time.Time) []cornelbay.Effect {
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -7,6 +7,7 @@
 
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/entry"
+	"github.com/cornelbay/cornelbay/peer"
 	"github.com/cornelbay/cornelbay/platform"
 	"github.com/cornelbay/cornelbay/request"
 	"github.com/cornelbay/cornelbay/warmth"
@@ -136,6 +137,8 @@
 			d.queueRelease(e.Key)
 		case platform.Call:
 			d.goes(func() { d.call(ctx, e) })
+		case peer.Call:
+			d.callPeer(ctx, e)
 		case warmth.Probe:
 			d.goes(func() { d.probe(ctx, e) })
 		default:
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -43,6 +44,9 @@
 	Platform string
 	// Keys authenticate datagrams and relayed packets: the first seals, any opens.
 	Keys [][]byte
+	// KeyPair authenticates the host towards other hosts and operators; nil is
+	// plain TCP.
+	KeyPair *peer.KeyPair
 	// TrafficWorkers is the number of traffic goroutines; 0 stands for 1.
 	TrafficWorkers int
 	// StopNotice is the time that the fabric has to notice that a stopping host
@@ -69,6 +73,7 @@
 	holds    holds
 	metrics  metrics
 	burn     burn.Ring
+	peers    peers
 
 	relayKeys atomic.Pointer[fabric.RelayKeys]
 	view      atomic.Pointer[view]
@@ -77,10 +82,10 @@
 	stopOnce  sync.Once
 	stopErr   error
 
-	fabric      []*net.UDPConn
-	datagram    *net.UDPConn
-	http, admin net.Listener
-	httpServer  *http.Server
+	fabric           []*net.UDPConn
+	datagram         *net.UDPConn
+	rpc, http, admin net.Listener
+	httpServer       *http.Server
 
 	// ctx ends with the daemon.
 	ctx    context.Context
@@ -115,6 +120,7 @@
 	d.relayKeys.Store(fabric.NewRelayKeys(s.Keys...))
 	d.view.Store(&view{})
 	d.metrics.init(d)
+	d.initPeers()
 	d.ctx, d.cancel = context.WithCancel(ctx)
 	d.run(d.ctx)
 	return d, nil
@@ -128,8 +134,12 @@
 		d.goes(newWorker(d, c).run)
 	}
 	d.goes(func() { d.release(ctx) })
+	d.goes(func() { d.servePeers(ctx) })
 	d.httpServer = d.serve(ctx, d.http, caller.NewServer(d.do))
-	d.serve(ctx, d.admin, d.adminHandler())
+	if c := d.peers.credentials; c != nil {
+		d.admin = tls.NewListener(d.admin, c.ServerConfig())
+	}
+	d.serve(ctx, d.admin, d.authorised(d.adminHandler()))
 	context.AfterFunc(ctx, d.close)
 	go func() {
 		<-ctx.Done()
@@ -181,6 +191,9 @@
 	if d.datagram, err = listenUDP("datagram", &self.Datagram); err != nil {
 		return err
 	}
+	if d.rpc, err = listenTCP("rpc", &self.RPC); err != nil {
+		return err
+	}
 	if d.http, err = listenTCP("http", &self.HTTP); err != nil {
 		return err
 	}
@@ -212,12 +225,13 @@
 			_ = c.Close() // nothing is buffered
 		}
 	}
-	for _, l := range []net.Listener{d.http, d.admin} {
+	for _, l := range []net.Listener{d.rpc, d.http, d.admin} {
 		if l != nil {
 			_ = l.Close() // nothing is buffered
 		}
 	}
 	d.targets.HTTP.CloseIdleConnections()
+	d.peers.close()
 }
 
 func (d *Daemon) serve(ctx context.Context, l net.Listener, h http.Handler) *http.Server {
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -22,6 +23,7 @@
 	"github.com/cornelbay/cornelbay/daemon"
 	"github.com/cornelbay/cornelbay/entry"
 	"github.com/cornelbay/cornelbay/operator"
+	"github.com/cornelbay/cornelbay/peer"
 	"github.com/cornelbay/cornelbay/platform"
 	"github.com/cornelbay/cornelbay/standin"
 )
@@ -84,6 +86,11 @@
 }
 
 func (tr *trial) start(ctx context.Context) *daemon.Daemon {
+	tr.t.Helper()
+	return tr.startWith(ctx, nil)
+}
+
+func (tr *trial) startWith(ctx context.Context, pair *peer.KeyPair) *daemon.Daemon {
 	tr.t.Helper()
 	at := netip.MustParseAddrPort("127.0.0.1:0")
 	d, err := daemon.Start(ctx, daemon.Settings{
@@ -91,7 +98,7 @@
 			Name: "imlil-1", DataCentre: "imlil", Incarnation: 1,
 			Fabric: at, Datagram: at, RPC: at, HTTP: at, Admin: at,
 		}},
-		Platform: tr.base, Keys: [][]byte{[]byte(trialKey)}, TrafficWorkers: 2,
+		Platform: tr.base, Keys: [][]byte{[]byte(trialKey)}, TrafficWorkers: 2, KeyPair: pair,
 	})
 	if err != nil {
 		tr.t.Fatal(err)
@@ -225,3 +232,48 @@
 	_, err := http.Get("http://" + d.Self().HTTP.String() + "/services/statut/routes/7")
 	is.True(err != nil) // the address is free
 }
+
+func TestAdminRolesOverTLS(t *testing.T) {
+	is := is.New(t)
+	tr := newTrial(t)
+	a, err := peer.NewAuthority(time.Now())
+	is.NoErr(err)
+	pair := func(name string, role peer.Role) *peer.KeyPair {
+		p, err := a.Issue(time.Now(), name, role)
+		is.NoErr(err)
+		return &p
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	d := tr.startWith(ctx, pair("imlil-1", peer.RoleHost))
+	tr.apply()
+	for d.Generation() == 0 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	for _, c := range []struct {
+		role   peer.Role
+		method string
+		want   int
+	}{
+		{peer.RoleReader, http.MethodGet, http.StatusOK},
+		{peer.RoleReader, http.MethodPost, http.StatusForbidden},
+		{peer.RoleHost, http.MethodPost, http.StatusForbidden},
+		{"stranger", http.MethodGet, http.StatusForbidden},
+		{peer.RoleChanger, http.MethodPost, http.StatusOK},
+	} {
+		p := pair("someone", c.role)
+		hc := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, TLSClientConfig: &tls.Config{
+			Certificates: []tls.Certificate{p.Certificate}, RootCAs: p.Roots, ServerName: "imlil-1",
+		}}}
+		path := map[string]string{http.MethodGet: "/healthz", http.MethodPost: "/loglevel?level=info"}[c.method]
+		r, err := http.NewRequest(c.method, "https://"+d.Self().Admin.String()+path, nil)
+		is.NoErr(err)
+		res, err := hc.Do(r)
+		is.NoErr(err)
+		is.NoErr(res.Body.Close())
+		is.Equal(res.StatusCode, c.want)
+	}
+	_, err = http.Get("https://" + d.Self().Admin.String() + "/healthz")
+	is.True(err != nil) // no certificate
+	cancel()
+	<-d.Done()
+}
--- a/daemon/datagram.go
+++ b/daemon/datagram.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/netip"
 	"time"
 
 	"github.com/cornelbay/cornelbay"
@@ -18,7 +19,11 @@
 func (d *Daemon) send(s cornelbay.Send) {
 	h, ok := d.host.Lookup(s.To)
 	if !ok {
-		return
+		at, err := netip.ParseAddrPort(s.Address)
+		if err != nil {
+			return
+		}
+		h.Datagram = at
 	}
 	b, err := d.codec.Seal(s.Message)
 	if err != nil {
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -19,7 +19,7 @@
 	drops   [cornelbay.DropReasons]prometheus.Counter
 
 	sendErrors, sentDatagrams, sentBytes, receivedDatagrams, receivedBytes,
-	refusedDatagrams, controlSeconds prometheus.Counter
+	refusedDatagrams, refusedConnections, controlSeconds prometheus.Counter
 	droppedReports, storeCalls, peerCalls, probes, requests, levelGood, levelTotal *prometheus.CounterVec
 
 	requestSeconds            *prometheus.HistogramVec
@@ -66,6 +66,7 @@
 	m.receivedDatagrams = m.counter("received_datagrams_total", "Control datagrams received.")
 	m.receivedBytes = m.counter("received_datagram_bytes_total", "Bytes of control datagrams received, IP and UDP headers included.")
 	m.refusedDatagrams = m.counter("refused_datagrams_total", "Datagrams without a valid MAC, replayed or malformed.")
+	m.refusedConnections = m.counter("refused_connections_total", "Connections of hosts refused for their certificates.")
 	m.controlSeconds = m.counter("control_seconds_total", "Time spent by the control goroutine on decisions.")
 	m.droppedReports = m.counters("dropped_reports_total", "Reports to the control goroutine dropped because a queue was full.", "queue")
 	m.storeCalls = m.counters("store_calls_total", "Calls to the platform's service.", "op", "result")
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -87,4 +87,7 @@
 func (d *Daemon) Reload(s Settings) {
 	d.relayKeys.Store(fabric.NewRelayKeys(s.Keys...))
 	d.codec.SetKeys(s.Keys)
+	if s.KeyPair != nil && d.peers.credentials != nil {
+		d.peers.credentials.Set(*s.KeyPair)
+	}
 }
