Close a daemon's connections to targets and the platform with it

Purpose: several daemons in one process share no connections and leave none. Ran: go test ./daemon ./config ./operator, pass.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -37,6 +37,9 @@
 // headerTimeout bounds the time in which a client sends a request's header.
 const headerTimeout = 5 * time.Second
 
+// platformIdle is how long an unused connection to the platform is kept.
+const platformIdle = 30 * time.Second
+
 // Settings are what a daemon is started with.
 type Settings struct {
 	entry.Settings
@@ -86,6 +89,7 @@
 	datagram         *net.UDPConn
 	rpc, http, admin net.Listener
 	httpServer       *http.Server
+	toPlatform       *http.Transport
 
 	// ctx ends with the daemon.
 	ctx    context.Context
@@ -116,7 +120,8 @@
 	}
 	d.host = entry.New(d.Settings.Settings)
 	d.codec.Codec = peer.Codec{Self: s.Self.Name, Incarnation: s.Self.Incarnation, Keys: s.Keys}
-	d.store = &platform.Client{Base: s.Platform}
+	d.toPlatform = &http.Transport{IdleConnTimeout: platformIdle}
+	d.store = &platform.Client{Base: s.Platform, HTTP: &http.Client{Transport: d.toPlatform}}
 	d.relayKeys.Store(fabric.NewRelayKeys(s.Keys...))
 	d.view.Store(&view{})
 	d.metrics.init(d)
@@ -230,7 +235,10 @@
 			_ = l.Close() // nothing is buffered
 		}
 	}
-	d.targets.HTTP.CloseIdleConnections()
+	d.targets.Close()
+	if d.toPlatform != nil {
+		d.toPlatform.CloseIdleConnections()
+	}
 	d.peers.close()
 }
 
