--- a/standin/fabric.go
+++ b/standin/fabric.go
@@ -1,11 +1,14 @@
 package standin
 
 import (
+	"context"
 	"encoding/json"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 
@@ -20,9 +23,11 @@
 	_, _ = t.tunnel.WriteToUDPAddrPort(b, t.Return) // a lost answer is a lost packet
 }
 
+const replyBacklog = 1024
+
 // Fabric sprays callers' packets over hosts and takes the targets' answers.
 type Fabric struct {
-	// Replies receives the targets' answers.
+	// Replies receives the targets' answers; those that nobody takes are dropped.
 	Replies chan Reply
 
 	mu    sync.Mutex
@@ -37,7 +42,7 @@
 		return merry.Prepend(err, "fabric")
 	}
 	f.conn = c
-	f.Replies = make(chan Reply, 1024)
+	f.Replies = make(chan Reply, replyBacklog)
 	go f.receive()
 	return nil
 }
@@ -75,8 +80,31 @@
 			return
 		}
 		var r Reply
-		if json.Unmarshal(b[:n], &r) == nil {
-			f.Replies <- r
+		if json.Unmarshal(b[:n], &r) != nil {
+			continue
+		}
+		select {
+		case f.Replies <- r:
+		default:
 		}
 	}
 }
+
+// Ready asks a host as the fabric does whether it takes packets.
+func Ready(ctx context.Context, c *http.Client, admin netip.AddrPort) bool {
+	ctx, cancel := context.WithTimeout(ctx, ReadyTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+admin.String()+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	res, err := c.Do(r)
+	if err != nil {
+		return false
+	}
+	_ = res.Body.Close() // the status has come
+	return res.StatusCode == http.StatusOK
+}
+
+// ReadyTimeout is the time after which a host that does not tell is not ready.
+const ReadyTimeout = 500 * time.Millisecond
