Say notRun of a refused submission only without a ticket

Cause: the server's error encoder said notRun of every error, also when the caller left while its request ran, and of a second copy of a ticketed request.

--- a/caller/server.go
+++ b/caller/server.go
@@ -34,7 +34,8 @@
 // of requests for tickets; do takes a request.Request and returns a
 // request.Response.
 func NewServer(do endpoint.Endpoint) http.Handler {
-	return kithttp.NewServer(do, decode, encode, kithttp.ServerErrorEncoder(encodeError))
+	return kithttp.NewServer(do, decode, encode,
+		kithttp.ServerBefore(noteTicket), kithttp.ServerErrorEncoder(encodeError))
 }
 
 func decode(_ context.Context, r *http.Request) (any, error) {
@@ -88,10 +89,23 @@
 	return body, nil
 }
 
-// encodeError answers a request that was refused before it was submitted.
-func encodeError(_ context.Context, err error, w http.ResponseWriter) {
-	w.Header().Set(cornelbay.OutcomeHeader, cornelbay.NotRun.String())
-	http.Error(w, err.Error(), merry.HTTPCode(err))
+// encodeError answers a request that was not submitted, or whose caller left.
+// It tells notRun only where no earlier copy with a ticket can have run.
+func encodeError(ctx context.Context, err error, w http.ResponseWriter) {
+	outcome := cornelbay.Unknown
+	code := merry.HTTPCode(err)
+	if ticketed, _ := ctx.Value(ticketedKey{}).(bool); code < http.StatusInternalServerError && !ticketed {
+		outcome = cornelbay.NotRun
+	}
+	w.Header().Set(cornelbay.OutcomeHeader, outcome.String())
+	http.Error(w, err.Error(), code)
+}
+
+type ticketedKey struct{}
+
+// noteTicket keeps for encodeError whether the request carries a ticket.
+func noteTicket(ctx context.Context, r *http.Request) context.Context {
+	return context.WithValue(ctx, ticketedKey{}, r.Header.Get(request.TicketHeader) != "")
 }
 
 func deadline(h http.Header) time.Time {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -217,7 +217,7 @@
 			_ = l.Close() // nothing is buffered
 		}
 	}
-	d.targets.HTTP.CloseIdleConnections()
+	d.targets.Close()
 }
 
 func (d *Daemon) serve(ctx context.Context, l net.Listener, h http.Handler) *http.Server {
