--- a/measure/group.go
+++ b/measure/group.go
@@ -26,8 +26,9 @@
 	Cut func(from, to cornelbay.HostName) bool
 	// Store is the platform's service.
 	Store Store
-	// OnEffect sees each effect of a host before it is carried out.
-	OnEffect func(n *Node, e cornelbay.Effect)
+	// OnEffect sees each effect of a host before it is carried out; the effect is
+	// lost when it returns false.
+	OnEffect func(n *Node, e cornelbay.Effect) bool
 	// OnProbe answers a probe; nil answers that the target is well.
 	OnProbe func(n *Node, p warmth.Probe)
 	// OnAttempt, OnCancel and OnFinish carry out the effects of requests.
@@ -104,8 +105,8 @@
 // CarryOut does what a shell does with the effects of a decision.
 func (g *Group) CarryOut(n *Node, effects []cornelbay.Effect) {
 	for _, e := range effects {
-		if g.OnEffect != nil {
-			g.OnEffect(n, e)
+		if g.OnEffect != nil && !g.OnEffect(n, e) {
+			continue
 		}
 		switch e := e.(type) {
 		case cornelbay.Send:
