--- a/entry/config.go
+++ b/entry/config.go
@@ -38,6 +38,7 @@
 		}
 	}
 	h.judge.SetTargets(now, targets, out)
+	h.flows.Generation = h.keeper.Generation()
 	effects := h.flows.SetServices(now, services, out)
 	return append(effects, h.Requests.SetServices(now, services, out)...)
 }
@@ -49,7 +50,7 @@
 		out, changed := h.keeper.PeerAnswer(now, a)
 		return append(out, h.adopted(now, changed)...)
 	}
-	return nil
+	return h.Requests.PeerAnswer(now, a)
 }
 
 // ServePeer answers another host's call over net/rpc.
@@ -59,6 +60,9 @@
 		r, err := h.keeper.Serve(now, args)
 		return r, nil, err
 	}
+	if reply, effects, ok := h.serveRequests(now, from, args); ok {
+		return reply, effects, nil
+	}
 	return nil, nil, peer.ErrMalformed
 }
 
@@ -67,7 +71,16 @@
 
 // heardConfig takes what a heartbeat tells of the configuration.
 func (h *Host) heardConfig(now time.Time, b member.Heartbeat) []cornelbay.Effect {
-	return h.keeper.Heard(now, b.Host.Name, b.Generation, b.ConfirmedAgeMs)
+	return h.keeper.Heard(now, b.Name, b.Generation, confirmedAgeMs(b))
+}
+
+// confirmedAgeMs returns how long ago the platform confirmed the sender's
+// generation, with what the heartbeat may have taken; 0 is never.
+func confirmedAgeMs(b member.Heartbeat) int64 {
+	if b.ConfirmedAgeMs == 0 {
+		return 0
+	}
+	return int64(b.ConfirmedAgeMs) + member.TransitAllowance.Milliseconds()
 }
 
 // adopted passes a generation that came into force on to the other concerns.
--- a/message.go
+++ b/message.go
@@ -19,6 +19,9 @@
 	KindJoin
 	KindJoinAnswer
 	KindNotice
+	KindDigest
+	KindEpochs
+	KindEpochsAnswer
 )
 
 // Message is a control message from one host to another, small enough for a
--- a/standin/fabric.go
+++ b/standin/fabric.go
@@ -1,17 +1,17 @@
 package standin
 
 import (
+	"context"
 	"encoding/json"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/ansel1/merry/v2"
-	"github.com/gopacket/gopacket"
-	"github.com/gopacket/gopacket/layers"
 
-	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/fabric"
 )
 
@@ -23,9 +23,11 @@
 	_, _ = t.tunnel.WriteToUDPAddrPort(b, t.Return) // a lost answer is a lost packet
 }
 
+const replyBacklog = 1024
+
 // Fabric sprays callers' packets over hosts and takes the targets' answers.
 type Fabric struct {
-	// Replies receives the targets' answers.
+	// Replies receives the targets' answers; those that nobody takes are dropped.
 	Replies chan Reply
 
 	mu    sync.Mutex
@@ -40,7 +42,7 @@
 		return merry.Prepend(err, "fabric")
 	}
 	f.conn = c
-	f.Replies = make(chan Reply, 1024)
+	f.Replies = make(chan Reply, replyBacklog)
 	go f.receive()
 	return nil
 }
@@ -78,30 +80,31 @@
 			return
 		}
 		var r Reply
-		if json.Unmarshal(b[:n], &r) == nil {
-			f.Replies <- r
+		if json.Unmarshal(b[:n], &r) != nil {
+			continue
+		}
+		select {
+		case f.Replies <- r:
+		default:
 		}
 	}
 }
 
-// Segment returns the IPv4 packet with a TCP segment of the flow.
-func Segment(key cornelbay.FlowKey, fl cornelbay.PacketFlags, payload []byte) ([]byte, error) {
-	ip := &layers.IPv4{
-		Version: 4, TTL: 64, Protocol: layers.IPProtocolTCP,
-		SrcIP: key.Source.Addr().AsSlice(), DstIP: key.Destination.Addr().AsSlice(),
-	}
-	tcp := &layers.TCP{
-		SrcPort: layers.TCPPort(key.Source.Port()), DstPort: layers.TCPPort(key.Destination.Port()),
-		SYN: fl&cornelbay.Opening != 0, ACK: fl&cornelbay.Opening == 0,
-		FIN: fl&cornelbay.Finishing != 0, RST: fl&cornelbay.Resetting != 0, Window: 65535,
-	}
-	if err := tcp.SetNetworkLayerForChecksum(ip); err != nil {
-		return nil, merry.Prepend(err, "segment")
+// Ready asks a host as the fabric does whether it takes packets.
+func Ready(ctx context.Context, c *http.Client, admin netip.AddrPort) bool {
+	ctx, cancel := context.WithTimeout(ctx, ReadyTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+admin.String()+"/readyz", nil)
+	if err != nil {
+		return false
 	}
-	buf := gopacket.NewSerializeBuffer()
-	opts := gopacket.SerializeOptions{FixLengths: true, ComputeChecksums: true}
-	if err := gopacket.SerializeLayers(buf, opts, ip, tcp, gopacket.Payload(payload)); err != nil {
-		return nil, merry.Prepend(err, "segment")
+	res, err := c.Do(r)
+	if err != nil {
+		return false
 	}
-	return buf.Bytes(), nil
+	_ = res.Body.Close() // the status has come
+	return res.StatusCode == http.StatusOK
 }
+
+// ReadyTimeout is the time after which a host that does not tell is not ready.
+const ReadyTimeout = 500 * time.Millisecond
--- a/standin/target.go
+++ b/standin/target.go
@@ -3,24 +3,44 @@
 package standin
 
 import (
+	"crypto/sha256"
+	"encoding/base64"
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
+	"sync/atomic"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/fabric"
+	"github.com/cornelbay/cornelbay/request"
 )
 
 // Target is a back end that answers requests and echoes flows' packets.
 type Target struct {
 	Name cornelbay.TargetName
-	// Return receives the answers to flows' packets, as the callers would.
+	// Return receives the answers to flows' packets, as the callers would; the
+	// zero value sends none.
 	Return netip.AddrPort
+	// Slots is the number of requests that run at once; more are refused. 0 is
+	// no limit.
+	Slots int
+	// OnRequest is called with each request before it is answered; it may wait.
+	OnRequest func(*http.Request)
+	// OnPacket is called with each packet of a flow; it is valid during the call.
+	OnPacket func(*cornelbay.Packet)
+	// CutEvery cuts the answer to each n-th request short; 0 cuts none.
+	CutEvery int
 
-	tunnel *net.UDPConn
-	http   net.Listener
+	running atomic.Int64
+	served  atomic.Int64
+	cold    cold
+	tunnel  *net.UDPConn
+	http    netip.AddrPort
+	stop    func()
 }
 
 // Start binds the target's addresses; port 0 picks a free one.
@@ -29,14 +49,13 @@
 	if err != nil {
 		return merry.Prependf(err, "target %s tunnel", t.Name)
 	}
-	l, err := net.Listen("tcp", web.String())
+	t.http, t.stop, err = Serve(web, t)
 	if err != nil {
 		_ = c.Close() // the listen error is the one to report
 		return merry.Prependf(err, "target %s http", t.Name)
 	}
-	t.tunnel, t.http = c, l
+	t.tunnel = c
 	go t.echo()
-	go func() { _ = http.Serve(l, t) }() // ends when Close closes the listener
 	return nil
 }
 
@@ -44,18 +63,62 @@
 func (t *Target) Tunnel() netip.AddrPort { return t.tunnel.LocalAddr().(*net.UDPAddr).AddrPort() }
 
 // HTTP returns the bound address of the HTTP server.
-func (t *Target) HTTP() netip.AddrPort { return t.http.Addr().(*net.TCPAddr).AddrPort() }
+func (t *Target) HTTP() netip.AddrPort { return t.http }
 
 // Close frees the target's addresses.
 func (t *Target) Close() {
 	_ = t.tunnel.Close() // nothing is buffered
-	_ = t.http.Close()   // nothing is buffered
+	t.stop()
 }
 
+// HealthPath is where probes ask for a target's health.
+const HealthPath = "/health"
+
 // ServeHTTP answers a request or a health probe with the target's name.
 func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set("Standin-Target", string(t.Name))
-	_, _ = w.Write([]byte("answer of " + string(t.Name) + " to " + r.URL.Path + "\n")) // the reader sees a cut answer
+	if t.cold.fallen(time.Now()) {
+		http.Error(w, "fallen over", http.StatusInternalServerError)
+		return
+	}
+	if r.URL.Path == HealthPath {
+		t.answer(w, r, false)
+		return
+	}
+	running := t.running.Add(1)
+	defer t.running.Add(-1)
+	if t.Slots > 0 && running > int64(t.Slots) {
+		w.Header().Set(request.RefusedHeader, "busy")
+		http.Error(w, "busy", http.StatusServiceUnavailable)
+		return
+	}
+	t.cold.requested(time.Now(), running)
+	if t.OnRequest != nil {
+		t.OnRequest(r)
+	}
+	n := t.served.Add(1)
+	t.answer(w, r, t.CutEvery > 0 && n%int64(t.CutEvery) == 0)
+}
+
+// answer writes the answer, or one that lacks its end.
+func (t *Target) answer(w http.ResponseWriter, r *http.Request, cut bool) {
+	body := []byte(AnswerTo(t.Name, r.URL.Path))
+	sum := sha256.Sum256(body)
+	h := w.Header()
+	h.Set("Standin-Target", string(t.Name))
+	h.Set("Content-Digest", "sha-256=:"+base64.StdEncoding.EncodeToString(sum[:])+":")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	if id := r.Header.Get(request.AttemptHeader); id != "" {
+		h.Set(request.AttemptHeader, id)
+	}
+	if cut {
+		body = body[:len(body)/2]
+	}
+	_, _ = w.Write(body) // the reader sees a cut answer
+}
+
+// AnswerTo returns the body of a target's answer to a request for path.
+func AnswerTo(name cornelbay.TargetName, path string) string {
+	return "answer of " + string(name) + " to " + path + "\n"
 }
 
 // Reply is what a target answers to a packet of a flow.
@@ -65,7 +128,7 @@
 }
 
 func (t *Target) echo() {
-	b := make([]byte, fabric.MaxPacketBytes)
+	b := make([]byte, fabric.MaxDatagramBytes)
 	var d fabric.Decoder
 	var pk cornelbay.Packet
 	for {
@@ -73,9 +136,17 @@
 		if err != nil {
 			return
 		}
-		if d.Decode(b[:n], &pk) != cornelbay.NotDropped {
+		if d.Decode(b[:n], &pk) != cornelbay.NotDropped || t.cold.fallen(time.Now()) {
 			continue
 		}
-		t.reply(pk.Inner)
+		if pk.Flags&cornelbay.Opening != 0 {
+			t.cold.opened(time.Now())
+		}
+		if t.OnPacket != nil {
+			t.OnPacket(&pk)
+		}
+		if t.Return.IsValid() {
+			t.reply(pk.Inner)
+		}
 	}
 }
