--- a/matrix/strike.go
+++ b/matrix/strike.go
@@ -98,6 +98,7 @@
 		for _, b := range struck {
 			b.cut, b.since = false, w.Now
 		}
+		w.healed[dc] = w.Now
 	})
 }
 
@@ -197,8 +198,8 @@
 
 // Do does the call at once.
 func (r recorder) Do(ctx context.Context, c platform.Call) platform.Answer {
-	before := r.w.headVersion()
 	r.w.hooked(stepBefore, c)
+	before := r.w.headVersion()
 	a := r.w.Store.Do(ctx, c)
 	if v := r.w.headVersion(); v != before {
 		r.w.committed()
--- a/matrix/traffic.go
+++ b/matrix/traffic.go
@@ -129,8 +129,8 @@
 	if t == "" || w.Now.Sub(f.tryingSince) < unservedAfter || w.Ledger.Excused(f.key) {
 		return
 	}
-	if w.cutCentre(w.targets[t].DataCentre) || len(w.sprayed) == 0 {
-		f.tryingSince = w.Now
+	dc := w.targets[t].DataCentre
+	if w.cutCentre(dc) || len(w.sprayed) == 0 || w.Now.Sub(w.healed[dc]) < unservedAfter {
 		return
 	}
 	w.Ledger.Excuse(t)
@@ -195,6 +195,9 @@
 		w.newFlow(t)
 	}
 	w.Ledger.Delivered(p.flow.key, t.Name, t.service)
+	if _, out := w.outSince(t.DataCentre); out {
+		w.Ledger.Excuse(t.Name)
+	}
 	p.flow.tryingSince = time.Time{}
 }
 
--- a/matrix/world.go
+++ b/matrix/world.go
@@ -38,6 +38,7 @@
 	hooks    []hook
 	changes  int
 	blocked  map[cornelbay.HostName]*blocked
+	healed   map[cornelbay.DataCentreName]time.Time
 	commits  []commit
 	flows    []*liveFlow
 	opened   int
@@ -67,7 +68,8 @@
 	w := &World{
 		Group: measure.NewGroup(seed), settings: make(map[cornelbay.HostName]entry.Settings),
 		targets: make(map[cornelbay.TargetName]*target), blocked: make(map[cornelbay.HostName]*blocked),
-		calls: make(map[callKey]*call), attempts: make(map[attemptKey]*attempt),
+		healed: make(map[cornelbay.DataCentreName]time.Time),
+		calls:  make(map[callKey]*call), attempts: make(map[attemptKey]*attempt),
 	}
 	w.Ledger = Ledger{Now: func() time.Time { return w.Now }, Start: w.Now}
 	w.OnEffect = w.see
