--- a/entry/members.go
+++ b/entry/members.go
@@ -63,7 +63,8 @@
 	if !h.members.Receive(now, b) {
 		return nil
 	}
-	return append(h.heardConfig(now, b), h.membersChanged(now)...)
+	out := h.membersChanged(now)
+	return append(out, h.heardConfig(now, b)...)
 }
 
 // membersChanged hands on what is known of the group when it has changed.
