config: keep the last confirmation through a pause

A zero ConfirmedAt reads as not known, which the flow path takes as no reason to hold back. The time of the last confirmation grows old by itself in a pause; only words that may have waited in a queue are refused until a call is answered. Ran go test ./config.

--- a/config/keeper.go
+++ b/config/keeper.go
@@ -117,8 +117,8 @@
 func (k *Keeper) Document() *Document { return k.doc }
 
 // ConfirmedAt returns the last time at which the platform is known to have
-// confirmed the head in force, by an own call or another host's word; it is zero
-// after a pause until a call made since then confirms the head.
+// confirmed the head in force, by an own call or another host's word. After a
+// pause it stays where it was until the answer to a call made since then.
 func (k *Keeper) ConfirmedAt() time.Time { return k.confirmedAt }
 
 // Stale reports whether the host was paused and has not confirmed since then
@@ -182,7 +182,7 @@
 	}
 	if now.Sub(k.lastInput) > PauseGap {
 		k.Stats.Pauses++
-		k.pausedAt, k.confirmedAt = now, time.Time{}
+		k.pausedAt = now
 		k.quietUntil = now.Add(pauseQuiet)
 		k.calls, k.fetch = nil, nil
 		k.nextHead, k.failures = now, 0
