--- a/flow/control.go
+++ b/flow/control.go
@@ -169,8 +169,11 @@
 
 func sameName(a, b cornelbay.Host) bool { return a.Name == b.Name && a.Incarnation == b.Incarnation }
 
-// split reports whether hosts that are not heard may place flows among themselves.
-func (c *Control) split() bool { return len(c.members.Missing) > 1 || c.isolated() }
+// split reports whether as many hosts as are heard may place flows among
+// themselves, so that a flow without a record here may well be new there.
+func (c *Control) split() bool {
+	return len(c.members.Missing) > 0 && len(c.members.Missing) >= len(c.members.Live)
+}
 
 func (c *Control) isolated() bool {
 	return len(c.members.Live) <= 1 && len(c.members.Missing) > 0
