--- a/entry/config.go
+++ b/entry/config.go
@@ -50,7 +50,7 @@
 		out, changed := h.keeper.PeerAnswer(now, a)
 		return append(out, h.adopted(now, changed)...)
 	}
-	return nil
+	return h.Requests.PeerAnswer(now, a)
 }
 
 // ServePeer answers another host's call over net/rpc.
@@ -60,6 +60,9 @@
 		r, err := h.keeper.Serve(now, args)
 		return r, nil, err
 	}
+	if reply, effects, ok := h.serveRequests(now, from, args); ok {
+		return reply, effects, nil
+	}
 	return nil, nil, peer.ErrMalformed
 }
 
@@ -68,8 +71,16 @@
 
 // heardConfig takes what a heartbeat tells of the configuration.
 func (h *Host) heardConfig(now time.Time, b member.Heartbeat) []cornelbay.Effect {
-	h.keeper.SetMembers(h.members.Live(now))
-	return h.keeper.Heard(now, b.Host.Name, b.Generation, b.ConfirmedAgeMs)
+	return h.keeper.Heard(now, b.Name, b.Generation, confirmedAgeMs(b))
+}
+
+// confirmedAgeMs returns how long ago the platform confirmed the sender's
+// generation, with what the heartbeat may have taken; 0 is never.
+func confirmedAgeMs(b member.Heartbeat) int64 {
+	if b.ConfirmedAgeMs == 0 {
+		return 0
+	}
+	return int64(b.ConfirmedAgeMs) + member.TransitAllowance.Milliseconds()
 }
 
 // adopted passes a generation that came into force on to the other concerns.
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -15,4 +15,7 @@
 	peer.Register(flow.EpochsAnswer{})
 	peer.Register(flow.Digest{})
 	peer.Register(flow.Records{})
+	peer.Register(member.Leave{})
+	peer.Register(member.JoinRequest{})
+	peer.Register(member.JoinAnswer{})
 }
