Let hosts guess only when every live host was asked

A joining host served before it knew all live hosts, or they it, so that two hosts held different stewards; a deputy that did not know yet that it was one no more answered for flows it had not seen; and a search that ended at a host with another order of hosts took the end for a proof. Change: a host serves once each live host has sent its epochs, knows the same live hosts and has acknowledged that it serves; only serving hosts are stewards and proposers. A deputy asks the steward first. The last host of a search guesses only when the count of relays shows that all were asked. Finishing packets pass the keepers too, so that records of ended flows are not handed on. A host that hears no more than half of the hosts, without a confirmed configuration, relies on no bucket for flows that it does not know. The experiment no longer counts flows that a data centre's absence gave up as broken once it is back.

--- a/flow/control.go
+++ b/flow/control.go
@@ -18,6 +18,10 @@
 	// CutOffAfter is when a host that had no confirmation of the configuration
 	// and heard no host of another data centre sends nothing there any more.
 	CutOffAfter = 10 * time.Second
+	// DoubtAfter is the age of the last confirmation of the configuration from
+	// which a host that hears no more than half of the hosts no longer relies on
+	// its buckets for flows that it does not know.
+	DoubtAfter = 2 * time.Second
 	// MissingGrace is when a missing host no longer holds up a change.
 	MissingGrace = 3 * time.Second
 )
@@ -43,11 +47,14 @@
 	byName   map[cornelbay.TargetName]int32
 	members  cornelbay.Members
 	missing  map[cornelbay.HostName]time.Time
+	// serving has the other hosts that decide packets.
+	serving map[cornelbay.HostName]bool
 	// heard is when a host of a data centre was last alive.
 	heard  map[cornelbay.DataCentreName]time.Time
 	states map[cornelbay.TargetName]cornelbay.TargetState
 
 	dirty bool
+	doubt bool
 	// history is true when epochs were learnt whose flows the host may have missed.
 	history bool
 	sweep   int
@@ -78,6 +85,7 @@
 		c.services = make(map[cornelbay.ServiceName]*serviceState)
 		c.cut = make(map[cornelbay.TargetName]bool)
 		c.byName = make(map[cornelbay.TargetName]int32)
+		c.serving = make(map[cornelbay.HostName]bool)
 		c.missing = make(map[cornelbay.HostName]time.Time)
 		c.heard = make(map[cornelbay.DataCentreName]time.Time)
 		c.states = make(map[cornelbay.TargetName]cornelbay.TargetState)
@@ -101,7 +109,7 @@
 		r := &c.registry[c.register(svc.Name, t)]
 		r.Target, r.listed = t, true
 	}
-	if c.Ready() && len(s.epochs) == 0 {
+	if c.deciding() && len(s.epochs) == 0 {
 		c.bootstrap(now, s)
 	}
 }
@@ -141,6 +149,12 @@
 func (c *Control) SetMembers(now time.Time, m cornelbay.Members) []cornelbay.Effect {
 	c.init()
 	same := slices.EqualFunc(m.Live, c.members.Live, sameName) && slices.EqualFunc(m.Missing, c.members.Missing, sameName)
+	for _, h := range c.members.Live {
+		if !slices.ContainsFunc(m.Live, func(o cornelbay.Host) bool { return sameName(o, h) }) &&
+			slices.ContainsFunc(m.Live, func(o cornelbay.Host) bool { return o.Name == h.Name }) {
+			delete(c.serving, h.Name) // it has started again
+		}
+	}
 	c.members = m
 	for _, h := range m.Live {
 		c.heard[h.DataCentre] = now
@@ -158,6 +172,7 @@
 		return nil
 	}
 	c.dirty = true
+	c.updateDoubt(now)
 	if c.split() {
 		for _, s := range c.services {
 			s.incomplete()
@@ -175,6 +190,17 @@
 	return len(c.members.Missing) > 0 && len(c.members.Missing) >= len(c.members.Live)
 }
 
+// updateDoubt notes whether the hosts that are not heard may have changed any
+// bucket: they are as many as those that are, and nobody has confirmed lately
+// that the configuration is the newest.
+func (c *Control) updateDoubt(now time.Time) {
+	doubt := c.split() && now.Sub(c.members.ConfirmedAt) > DoubtAfter
+	if doubt != c.doubt {
+		c.doubt, c.dirty = doubt, true
+	}
+}
+
+// isolated reports whether none of the other hosts is heard.
 func (c *Control) isolated() bool {
 	return len(c.members.Live) <= 1 && len(c.members.Missing) > 0
 }
@@ -205,6 +231,8 @@
 	case EpochsAnswer:
 		c.joinAnswered(now, from, m)
 		out = c.tickJoin(now)
+	case Serving:
+		out = c.announced(from, m)
 	case Digest:
 		out = c.compareDigest(now, from, m)
 	case Records:
@@ -224,9 +252,10 @@
 	c.Plane.Table.sweep(c.sweep, ticks(now))
 	c.sweep++
 	out := c.tickJoin(now)
-	if !c.Ready() {
+	if !c.deciding() {
 		return out
 	}
+	c.updateDoubt(now)
 	c.closeTargets(now)
 	out = append(out, c.propose(now)...)
 	c.publish(now)
@@ -252,7 +281,7 @@
 }
 
 func (c *Control) closeTarget(now time.Time, r *registered) {
-	closed := !r.listed || r.Drain || c.out[r.DataCentre] || r.unreachable
+	closed := !r.listed || r.Drain || c.out[r.DataCentre] || r.unreachable && !c.split()
 	switch {
 	case !closed:
 		r.closedSince = time.Time{}
--- a/flow/handoff.go
+++ b/flow/handoff.go
@@ -132,7 +132,6 @@
 	if snap == nil {
 		return nil
 	}
-	c.handoff.queue = nil
 	c.queue(snap, func(svc *service, bucket int) (cornelbay.HostName, bool) {
 		r := &svc.routes[svc.buckets[bucket].route]
 		if r.position >= keepers || len(r.order) <= keepers {
--- a/flow/join.go
+++ b/flow/join.go
@@ -10,25 +10,27 @@
 )
 
 const (
-	// joinTimeout is how long a host waits for every live host's epochs before
-	// it takes those that came.
-	joinTimeout = 1500 * time.Millisecond
+	// joinLimit is when a host serves by what it has, whatever it waits for.
+	joinLimit = 10 * time.Second
 	// joinFresh is how long the answer of a host without epochs counts.
 	joinFresh = time.Second
-	// startTimeout is when a host that heard of no epochs starts with its own.
-	startTimeout = 3 * time.Second
+	// startTimeout is when a host that hears no other one starts by itself.
+	startTimeout = 1500 * time.Millisecond
 	// digestInterval is the time between two comparisons of epochs.
 	digestInterval = time.Second
 	// digestQuiet is the age that the newest epoch must have to be compared.
 	digestQuiet = 2 * time.Second
 )
 
-// join is the state of a host that asks the others for their epochs.
+// join is the state of a host that asks the others for their epochs, and then
+// tells them that it serves.
 type join struct {
-	done     bool
-	began    time.Time
-	asked    time.Time
-	answered map[cornelbay.HostName]joinAnswer
+	// announcing is true once the host decides packets that others relay, and
+	// done once every live host relays to it.
+	announcing, done bool
+	began, asked     time.Time
+	answered         map[cornelbay.HostName]joinAnswer
+	acked            map[cornelbay.HostName]bool
 }
 
 type joinAnswer struct {
@@ -36,10 +38,15 @@
 	at time.Time
 }
 
-// Ready reports whether the host knows the epochs and may decide packets.
+// Ready reports whether the host may get packets from the fabric: it knows the
+// epochs, and the other hosts know that it serves.
 func (c *Control) Ready() bool { return c.join.done }
 
-// tickJoin asks live hosts for their epochs until the host has them.
+// deciding reports whether the host knows the epochs.
+func (c *Control) deciding() bool { return c.join.announcing }
+
+// tickJoin asks live hosts for their epochs until the host has them, and tells
+// them that it serves until they know.
 func (c *Control) tickJoin(now time.Time) []cornelbay.Effect {
 	j := &c.join
 	if j.done {
@@ -48,32 +55,61 @@
 	if j.began.IsZero() {
 		j.began = now
 		j.answered = make(map[cornelbay.HostName]joinAnswer)
+		j.acked = make(map[cornelbay.HostName]bool)
+	}
+	if len(c.services) > 0 && !j.announcing && c.joined(now) {
+		c.decide(now)
+		j.asked = time.Time{}
 	}
-	if len(c.services) > 0 && c.joined(now) {
-		c.ready(now)
+	if j.announcing && (len(c.unannounced()) == 0 || now.Sub(j.began) >= joinLimit) {
+		j.done = true
 		return nil
 	}
 	if now.Sub(j.asked) < retransmitInterval {
 		return nil
 	}
 	j.asked = now
-	var out []cornelbay.Effect
+	if j.announcing {
+		return sendAll(c.unannounced(), Serving{Sum: c.epochSum()})
+	}
+	return sendAll(c.unasked(), Epochs{})
+}
+
+// unasked returns the live hosts whose epochs have not come.
+func (c *Control) unasked() []cornelbay.HostName {
+	var out []cornelbay.HostName
 	for _, h := range c.members.Live {
-		if a, ok := j.answered[h.Name]; h.Name != c.Self && (!ok || !a.Ready) {
-			out = append(out, cornelbay.Send{To: h.Name, Message: Epochs{}})
+		if a, ok := c.join.answered[h.Name]; h.Name != c.Self && (!ok || !a.Ready || a.Live != c.liveSum()) {
+			out = append(out, h.Name)
 		}
 	}
 	return out
 }
 
+// unannounced returns the live hosts that do not know that this one serves.
+func (c *Control) unannounced() []cornelbay.HostName {
+	var out []cornelbay.HostName
+	for _, h := range c.members.Live {
+		if h.Name != c.Self && !c.join.acked[h.Name] {
+			out = append(out, h.Name)
+		}
+	}
+	return out
+}
+
+// joined reports whether the host has all epochs that it can get: each live host
+// has answered and knows the same live hosts.
 func (c *Control) joined(now time.Time) bool {
 	j := &c.join
-	waiting, ready := 0, 0
+	waiting, ready, alone := 0, 0, true
 	for _, h := range c.members.Live {
+		if h.Name == c.Self {
+			continue
+		}
+		alone = false
 		a, ok := j.answered[h.Name]
 		switch {
-		case h.Name == c.Self:
-		case !ok || !a.Ready && now.Sub(a.at) > joinFresh:
+		case !ok || !a.Ready && now.Sub(a.at) > joinFresh || a.Live != c.liveSum():
 			waiting++
 		case a.Ready:
 			ready++
@@ -81,20 +117,18 @@
 	}
 	age := now.Sub(j.began)
 	switch {
-	case age >= startTimeout:
-		return true
-	case waiting > 0:
-		return ready > 0 && age >= joinTimeout
-	case ready > 0 || len(c.members.Missing) == 0 && len(j.answered) > 0:
+	case age >= joinLimit:
 		return true
+	case alone:
+		return age >= startTimeout
 	}
-	return age >= joinTimeout
+	return waiting == 0 && (ready > 0 || len(c.members.Missing) == 0 || age >= startTimeout)
 }
 
-func (c *Control) ready(now time.Time) {
-	c.join.done = true
-	c.history = true
-	c.dirty = true
+// decide makes the host decide packets by the epochs that it has.
+func (c *Control) decide(now time.Time) {
+	c.join.announcing = true
+	c.history, c.dirty = true, true
 	for _, s := range c.services {
 		if len(s.epochs) == 0 {
 			c.bootstrap(now, s)
@@ -104,13 +138,43 @@
 	c.publish(now)
 }
 
+// announced takes the word of a host that it serves, and acknowledges it when
+// the host has the same epochs.
+func (c *Control) announced(from cornelbay.HostName, m Serving) []cornelbay.Effect {
+	if m.Ack {
+		c.join.acked[from] = true
+		return nil
+	}
+	if c.deciding() && m.Sum != c.epochSum() {
+		out, _ := c.sendEpochs(from)
+		return out
+	}
+	c.setServing(from)
+	return []cornelbay.Effect{cornelbay.Send{To: from, Message: Serving{Ack: true}}}
+}
+
+func (c *Control) setServing(h cornelbay.HostName) {
+	if !c.serving[h] {
+		c.serving[h], c.dirty = true, true
+	}
+}
+
+// liveSum is a hash of the names of the live hosts.
+func (c *Control) liveSum() uint64 {
+	var b []byte
+	for _, h := range c.members.Live {
+		b = append(append(b, h.Name...), 0)
+	}
+	return xxhash.Sum64(b)
+}
+
 // joining answers a host that asks for epochs.
 func (c *Control) joining(from cornelbay.HostName) []cornelbay.Effect {
-	if !c.Ready() {
-		return []cornelbay.Effect{cornelbay.Send{To: from, Message: EpochsAnswer{}}}
+	if !c.deciding() {
+		return []cornelbay.Effect{cornelbay.Send{To: from, Message: EpochsAnswer{Live: c.liveSum()}}}
 	}
 	out, n := c.sendEpochs(from)
-	return append(out, cornelbay.Send{To: from, Message: EpochsAnswer{Ready: true, Count: n}})
+	return append(out, cornelbay.Send{To: from, Message: EpochsAnswer{Ready: true, Count: n, Live: c.liveSum()}})
 }
 
 func (c *Control) sendEpochs(to cornelbay.HostName) ([]cornelbay.Effect, int) {
@@ -134,8 +198,12 @@
 	for _, s := range c.services {
 		n += len(s.epochs)
 	}
-	if !c.Ready() && c.join.answered != nil && n >= m.Count {
-		c.join.answered[from] = joinAnswer{m, now}
+	if c.deciding() || c.join.answered == nil || n < m.Count {
+		return
+	}
+	c.join.answered[from] = joinAnswer{m, now}
+	if m.Ready {
+		c.setServing(from)
 	}
 }
 
@@ -146,11 +214,12 @@
 	sentAt map[cornelbay.HostName]time.Time
 }
 
+// epochSum is a hash of the newest epochs of the services.
 func (c *Control) epochSum() uint64 {
 	var b []byte
 	for _, name := range c.serviceNames() {
 		b = append(b, name...)
-		for _, e := range c.services[name].epochs {
+		if e := c.services[name].newest(); e != nil {
 			b = binary.BigEndian.AppendUint64(b, e.id.Term)
 			b = binary.BigEndian.AppendUint64(b, e.id.Sequence)
 			b = append(b, e.id.Proposer...)
@@ -174,7 +243,7 @@
 // tickDigest compares epochs with one other host in turn.
 func (c *Control) tickDigest(now time.Time) []cornelbay.Effect {
 	d := &c.digest
-	if now.Before(d.next) || len(c.members.Live) < 2 || !c.quiet(now) {
+	if !c.Ready() || now.Before(d.next) || len(c.members.Live) < 2 || !c.quiet(now) {
 		return nil
 	}
 	d.next = now.Add(digestInterval)
@@ -188,7 +257,8 @@
 
 // compareDigest sends the own epochs to a host whose epochs differ.
 func (c *Control) compareDigest(now time.Time, from cornelbay.HostName, m Digest) []cornelbay.Effect {
-	if !c.Ready() || m.Sum == c.epochSum() || !c.quiet(now) {
+	c.setServing(from)
+	if !c.deciding() || m.Sum == c.epochSum() || !c.quiet(now) {
 		return nil
 	}
 	d := &c.digest
--- a/flow/messages.go
+++ b/flow/messages.go
@@ -76,11 +76,24 @@
 	Ready bool `cbor:"1,keyasint"`
 	// Count is the number of epochs that were sent.
 	Count int `cbor:"2,keyasint"`
+	// Live is a hash of the hosts that the sender knows as alive.
+	Live uint64 `cbor:"3,keyasint"`
 }
 
 // Kind returns KindEpochsAnswer.
 func (EpochsAnswer) Kind() cornelbay.MessageKind { return cornelbay.KindEpochsAnswer }
 
+// Serving tells another host that the sender decides packets, by epochs with the
+// given hash.
+type Serving struct {
+	Sum uint64 `cbor:"1,keyasint"`
+	// Ack is true in the acknowledgement.
+	Ack bool `cbor:"2,keyasint,omitempty"`
+}
+
+// Kind returns KindServing.
+func (Serving) Kind() cornelbay.MessageKind { return cornelbay.KindServing }
+
 // Digest lets two hosts notice that their epochs differ.
 type Digest struct {
 	Sum uint64 `cbor:"1,keyasint"`
--- a/flow/plane.go
+++ b/flow/plane.go
@@ -74,7 +74,7 @@
 	}
 	r, ok := p.Table.touch(hash, now, m)
 	ok = ok && snap.usable(r.target()) && snap.targets[r.target()].service == svc
-	if ok && in.Relay.Hops == 0 && in.Flags&cornelbay.Opening == 0 {
+	if ok && in.Relay.Hops == 0 && in.Flags == 0 {
 		t := &snap.targets[r.target()]
 		v.Action, v.Target, v.Tunnel = cornelbay.Forward, t.name, t.tunnel
 		return
@@ -90,6 +90,10 @@
 // unrecorded decides a packet of a flow that this host has not on record.
 func (p *Plane) unrecorded(pk *packet, svc *service) cornelbay.Verdict {
 	b := svc.bucket(pk.hash)
+	if chosen, ok := pk.snap.byName[pk.Relay.Choice]; ok && pk.Relay.Hops > 0 && pk.mark&(markFinished|markReset) != 0 &&
+		pk.snap.usable(chosen) && pk.snap.targets[chosen].service == svc {
+		return pk.forward(chosen)
+	}
 	switch {
 	case pk.Flags&cornelbay.Opening != 0:
 		return p.open(pk, svc, b)
@@ -97,9 +101,6 @@
 		return drop(cornelbay.NoTarget)
 	case b.route >= 0:
 		return p.search(pk, svc, b)
-	case pk.snap.isolated:
-		// The other hosts may have changed the bucket since they were heard.
-		return drop(cornelbay.Unanswered)
 	}
 	return p.decided(pk, b.first)
 }
@@ -174,7 +175,7 @@
 // recorded decides a packet of a flow that this host has on record.
 func (p *Plane) recorded(pk *packet, svc *service, at int32) cornelbay.Verdict {
 	if pk.Flags&cornelbay.Opening == 0 {
-		return p.answer(pk, at)
+		return p.finishing(pk, svc, at)
 	}
 	chosen, ok := pk.snap.byName[pk.Relay.Choice]
 	switch {
@@ -189,6 +190,22 @@
 	return p.answer(pk, at)
 }
 
+// finishing takes the last packet of a recorded flow past the bucket's keepers,
+// which need not hand on its record then; other packets are answered at once.
+func (p *Plane) finishing(pk *packet, svc *service, at int32) cornelbay.Verdict {
+	b := svc.bucket(pk.hash)
+	last := pk.mark&(markFinished|markReset) != 0
+	if !last || b.route < 0 || pk.snap.isolated || pk.Relay.Hops > 0 && pk.Relay.Choice == "" {
+		return p.answer(pk, at)
+	}
+	if next := svc.routes[b.route].keeper(pk.Relay.Hops); next >= 0 {
+		if host := pk.snap.hosts[svc.routes[b.route].order[next]]; host != pk.Relay.From {
+			return pk.relay(host, at)
+		}
+	}
+	return pk.forward(at)
+}
+
 // open places a new flow.
 func (p *Plane) open(pk *packet, svc *service, b *bucket) cornelbay.Verdict {
 	at := b.place
@@ -207,17 +224,11 @@
 	if b.route < 0 {
 		return p.decided(pk, at)
 	}
-	if pk.snap.isolated && pk.Relay.Hops == 0 {
+	if pk.snap.isolated && b.ambiguous && pk.Relay.Hops == 0 {
 		return drop(cornelbay.Unanswered)
 	}
 	r := &svc.routes[b.route]
-	next := -1
-	switch {
-	case pk.Relay.Hops == 0 && r.position != steward:
-		next = steward
-	case pk.Relay.Hops <= 1 && r.position == steward && len(r.order) > deputy:
-		next = deputy
-	}
+	next := r.keeper(pk.Relay.Hops)
 	p.record(pk, at)
 	if next < 0 {
 		return pk.forward(at)
@@ -232,7 +243,9 @@
 func (p *Plane) search(pk *packet, svc *service, b *bucket) cornelbay.Verdict {
 	r := &svc.routes[b.route]
 	udp := pk.mark&markUDP != 0
-	if r.complete && !udp {
+	// Another host may not have heard yet that the own one is a deputy no more, so
+	// a deputy answers only after the steward was asked.
+	if r.complete && !udp && (r.position == steward || pk.Relay.Hops > 0) {
 		return p.settle(pk, b.first)
 	}
 	if pk.snap.isolated {
@@ -248,7 +261,7 @@
 		}
 	}
 	switch {
-	case pk.snap.split:
+	case pk.snap.split || !pk.askedAll(r):
 		return drop(cornelbay.Unanswered)
 	case udp:
 		return p.settle(pk, b.place)
@@ -256,6 +269,16 @@
 	return p.settle(pk, b.first)
 }
 
+// askedAll reports whether the packet was at every live host; it was not when
+// the hosts on its way do not agree on who is alive.
+func (pk *packet) askedAll(r *route) bool {
+	hosts := len(r.order)
+	if pk.Relay.Hops == 0 || pk.snap.live(pk.Relay.From) {
+		hosts--
+	}
+	return int(pk.Relay.Hops) >= hosts
+}
+
 // settle records the target of a flow of which no host has a record.
 func (p *Plane) settle(pk *packet, at int32) cornelbay.Verdict {
 	if !pk.snap.usable(at) {
--- a/flow/propose.go
+++ b/flow/propose.go
@@ -24,7 +24,7 @@
 // propose makes new epochs of the services that this host proposes for, and
 // moves its own on.
 func (c *Control) propose(now time.Time) []cornelbay.Effect {
-	if !c.Ready() {
+	if !c.deciding() {
 		return nil
 	}
 	var out []cornelbay.Effect
@@ -56,7 +56,7 @@
 	} else if s.urgentSince.IsZero() {
 		s.urgentSince = now
 	}
-	_, rank := proposer(s.Name, c.liveNames(), c.Self)
+	_, rank := proposer(s.Name, c.servingNames(), c.Self)
 	if c.Generation < newest.generation {
 		return
 	}
@@ -99,7 +99,7 @@
 // them; when none is thought to bear anything, all get their full weight.
 func (c *Control) desired(s *serviceState) []assign.Share {
 	shares := c.shares(s, func(t cornelbay.Target) int {
-		if i, ok := c.byName[t.Name]; ok && c.registry[i].unreachable {
+		if i, ok := c.byName[t.Name]; ok && c.registry[i].unreachable && !c.split() {
 			return 0
 		}
 		st, ok := c.states[t.Name]
@@ -170,9 +170,9 @@
 
 func (c *Control) unacked(e *epoch) []cornelbay.HostName {
 	var out []cornelbay.HostName
-	for _, h := range c.members.Live {
-		if h.Name != c.Self && !e.acked[h.Name] {
-			out = append(out, h.Name)
+	for _, h := range c.servingNames() {
+		if h != c.Self && !e.acked[h] {
+			out = append(out, h)
 		}
 	}
 	return out
--- a/flow/publish.go
+++ b/flow/publish.go
@@ -14,7 +14,7 @@
 
 // publish gives the plane a new snapshot when something has changed.
 func (c *Control) publish(now time.Time) {
-	if !c.dirty || !c.Ready() {
+	if !c.dirty || !c.deciding() {
 		return
 	}
 	c.dirty = false
@@ -22,7 +22,7 @@
 	snap := &Snapshot{
 		services: make(map[serviceKey]*service), services4: make(map[uint64]*service),
 		byName: make(map[cornelbay.TargetName]int32),
-		self:   c.Self, hosts: c.liveNames(), isolated: c.isolated(), split: c.split(),
+		self:   c.Self, hosts: c.servingNames(), isolated: c.isolated(), split: c.split(),
 	}
 	services := make(map[cornelbay.ServiceName]*service)
 	for _, s := range c.services {
@@ -48,14 +48,15 @@
 
 func (r *registered) usable() bool { return !r.retired && !r.unreachable && r.Tunnel.IsValid() }
 
-func (c *Control) liveNames() []cornelbay.HostName {
-	var out []cornelbay.HostName
+// servingNames returns the live hosts that decide packets, with the own one.
+func (c *Control) servingNames() []cornelbay.HostName {
+	out := []cornelbay.HostName{c.Self}
 	for _, h := range c.members.Live {
-		out = append(out, h.Name)
-	}
-	if len(out) == 0 {
-		out = append(out, c.Self)
+		if c.serving[h.Name] && h.Name != c.Self {
+			out = append(out, h.Name)
+		}
 	}
+	slices.Sort(out)
 	return out
 }
 
@@ -96,12 +97,12 @@
 		if current != nil {
 			b.place = c.place(now, s, current, uint64(i))
 		}
-		ambiguous := c.candidates(s, uint64(i), b)
-		if ambiguous {
+		b.ambiguous = c.candidates(s, uint64(i), b)
+		if b.ambiguous || c.doubt && b.first >= 0 {
 			b.route = int32(len(out.routes))
 			out.routes = append(out.routes, c.route(s, i, hosts))
 		}
-		s.ambiguous[i] = ambiguous
+		s.ambiguous[i] = b.ambiguous
 	}
 	return out
 }
--- a/flow/snapshot.go
+++ b/flow/snapshot.go
@@ -75,9 +75,11 @@
 	place int32
 	// first is the earliest target that may have flows.
 	first int32
-	// route is the index of the bucket's route when flows may have more than
-	// one target, and -1 when the bucket alone decides.
+	// route is the index of the bucket's route when flows may have another
+	// target, and -1 when the bucket alone decides.
 	route int32
+	// ambiguous is true when flows are known to have more than one target.
+	ambiguous bool
 }
 
 // route tells which hosts know the flows of an ambiguous bucket.
@@ -91,6 +93,18 @@
 	complete bool
 }
 
+// keeper returns the place of the keeper that a packet for the keepers goes to
+// next after the given relays, or -1 when it has seen them.
+func (r *route) keeper(hops uint8) int {
+	switch {
+	case hops == 0 && r.position != steward:
+		return steward
+	case hops <= 1 && r.position == steward && len(r.order) > deputy:
+		return deputy
+	}
+	return -1
+}
+
 const (
 	steward = 0
 	deputy  = 1
--- a/measure/flows.go
+++ b/measure/flows.go
@@ -149,6 +149,8 @@
 	dead    bool
 	// coldSince is when the target last started; 0 when it has long been warm.
 	coldSince time.Time
+	// lastOut is the last time at which the target's data centre was out.
+	lastOut time.Time
 	// removed is true while the target is draining, out or not listed.
 	removed bool
 }
@@ -382,6 +384,7 @@
 		r.row.WrongService++
 	}
 	if since, ok := r.out[t.name]; ok {
+		t.lastOut = r.Now
 		r.row.LastToOut = max(r.row.LastToOut, r.Now.Sub(since).Seconds())
 	}
 	if t.dead {
@@ -430,7 +433,7 @@
 	}
 	t := &r.targets[fl.target]
 	t.open--
-	_, out := r.out[t.name]
+	out := int64(fl.began)*int64(flowSlot) < int64(t.lastOut.Sub(Start))
 	if broken && fl.established && !out && !t.dead {
 		r.row.Broken++
 		if r.scenario.Trace != nil {
@@ -496,6 +499,11 @@
 }
 
 func (r *flowRun) sampleBalance() {
+	for i := range r.targets {
+		if _, ok := r.out[r.targets[i].name]; ok {
+			r.targets[i].lastOut = r.Now
+		}
+	}
 	since := r.Now.Sub(r.change)
 	counts := r.change.IsZero() && r.scenario.Change == nil && r.Now.Sub(Start) > firstFlow+spreadTime
 	if !r.change.IsZero() {
--- a/message.go
+++ b/message.go
@@ -22,6 +22,7 @@
 	KindDigest
 	KindEpochs
 	KindEpochsAnswer
+	KindServing
 )
 
 // Message is a control message from one host to another, small enough for a
