--- a/measure/config_scenarios.go
+++ b/measure/config_scenarios.go
@@ -27,7 +27,7 @@
 	{"lostAnswers", lostAnswers},
 	{"racingOperators", racingOperators},
 	{"hostsReplaced", hostsReplaced},
-	{"dataCentreCutOff", dataCentreCutOff},
+	{"dataCentreCutOff", configCutOff},
 }
 
 // uneven loses a fifth of what passes between hosts and delays the rest by 1 to
@@ -123,9 +123,9 @@
 	return nil
 }
 
-// dataCentreCutOff cuts one data centre from the platform and all others for
+// configCutOff cuts one data centre from the platform and all others for
 // some changes, twice.
-func dataCentreCutOff(c *configRun) error {
+func configCutOff(c *configRun) error {
 	cut := false
 	gone := c.hosts[0].DataCentre
 	inside := make(map[cornelbay.HostName]bool)
