Measure requests on the same arrivals under four policies

Change: measure imitates targets with slots, a short backlog and switchable faults; random and leastInFlight retry blindly, central is one ideal queue, cornelbay runs six real hosts through measure.Group with callers that fetch tickets in batches. A ticket that never reached its dead issuer has a reason of its own, so that a caller which sent it once may take another.

--- a/cmd/cornelbay/main.go
+++ b/cmd/cornelbay/main.go
@@ -19,6 +19,7 @@
 	Apply    applyCmd    `cmd:"" help:"Commit a document as the next generation."`
 	Keys     keysCmd     `cmd:"" help:"Write certificates and a datagram key for a trial."`
 	Standin  standinCmd  `cmd:"" help:"Run stand-ins for the platform and the targets of a document."`
+	Measure  measureCmd  `cmd:"" help:"Run experiments on a virtual clock."`
 }
 
 func main() {
--- /dev/null
+++ b/measure/requests.go
@@ -0,0 +1,249 @@
+package measure
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/config"
+)
+
+// RequestRow is one line of the experiment on requests.
+type RequestRow struct {
+	Scenario string  `json:"scenario"`
+	Policy   string  `json:"policy"`
+	Load     float64 `json:"load"`
+	Requests int     `json:"requests"`
+	P50Ms    float64 `json:"p50Ms"`
+	P99Ms    float64 `json:"p99Ms"`
+	P999Ms   float64 `json:"p999Ms"`
+	// Goodput counts the whole answers in time a second.
+	Goodput float64 `json:"goodput"`
+	// Late counts the answers after the deadline.
+	Late int `json:"late"`
+	// Lost counts the requests without any end.
+	Lost int `json:"lost"`
+	// Doubled counts the requests that are not idempotent and ran again.
+	Doubled int `json:"doubled"`
+	// FalseNotRun counts the requests that ran and were said not to have run.
+	FalseNotRun        int     `json:"falseNotRun"`
+	Unknown            int     `json:"unknown"`
+	AttemptsPerRequest float64 `json:"attemptsPerRequest"`
+	Overrun            int     `json:"overrun"`
+	// RecoverySeconds is the time from the end of the fault to the last tenth of
+	// a second in which more than a twentieth of the requests went bad.
+	RecoverySeconds float64 `json:"recoverySeconds"`
+}
+
+// RequestOptions select what RunRequests measures.
+type RequestOptions struct {
+	Document *config.Document
+	Service  cornelbay.ServiceName
+	Seed     uint64
+	// Span is the virtual time of arrivals.
+	Span time.Duration
+	// Scenarios and Policies are the names to run; empty runs all.
+	Scenarios, Policies []string
+}
+
+// The sizes of the experiment.
+const (
+	requestHosts    = 6
+	requestCallers  = 60
+	requestMean     = 20 * time.Millisecond
+	requestSigma    = 0.6
+	requestDeadline = 500 * time.Millisecond
+	postShare       = 0.1
+	callerDelay     = time.Millisecond
+	nearDelay       = 250 * time.Microsecond
+	farDelay        = 1500 * time.Microsecond
+	targetBacklog   = 4
+	faultAt         = 3 * time.Second
+	faultFor        = 5 * time.Second
+	drainBound      = 2 * time.Second
+	recoveryWindow  = 100 * time.Millisecond
+	settleSpan      = 6 * time.Second
+	tailSpan        = 3 * time.Second
+)
+
+// arrival is one request of a caller; all policies get the same ones.
+type arrival struct {
+	at     time.Duration
+	host   int
+	caller int
+	post   bool
+	demand time.Duration
+	path   string
+}
+
+// arrivals draws the requests of one run: Poisson arrivals, lognormal demands.
+func arrivals(d *Driver, rate float64, span time.Duration) []*arrival {
+	var out []*arrival
+	mu := math.Log(requestMean.Seconds()) - requestSigma*requestSigma/2
+	for at := 0.0; ; {
+		at += d.Rand.ExpFloat64() / rate
+		if at >= span.Seconds() {
+			return out
+		}
+		demand := math.Exp(mu + requestSigma*d.Rand.NormFloat64())
+		out = append(out, &arrival{
+			at: seconds(at), host: d.Rand.IntN(requestHosts), caller: d.Rand.IntN(requestCallers),
+			post: d.Rand.Float64() < postShare, demand: seconds(demand), path: fmt.Sprint("/", len(out)),
+		})
+	}
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// ending is what a caller was told in the end.
+type ending struct {
+	outcome cornelbay.Outcome
+	// cut is set when a truncated answer was passed on as whole.
+	cut bool
+}
+
+// policy takes requests as callers send them; done is called at most once, at
+// the time at which the caller has the answer.
+type policy interface {
+	submit(a *arrival, done func(ending))
+	attempts() int
+}
+
+// requestRun is one scenario under one policy.
+type requestRun struct {
+	*Driver
+	opts     RequestOptions
+	scenario scenario
+	targets  []*FakeTarget
+	began    time.Time
+	bad      map[time.Duration][2]int
+	hist     *hdrhistogram.Histogram
+	row      RequestRow
+}
+
+// RunRequests runs the experiment and returns its rows.
+func RunRequests(o RequestOptions) ([]RequestRow, error) {
+	var out []RequestRow
+	for _, s := range scenarios {
+		if len(o.Scenarios) > 0 && !slices.Contains(o.Scenarios, s.name) {
+			continue
+		}
+		for _, p := range []string{"random", "leastInFlight", "central", "cornelbay"} {
+			if len(o.Policies) > 0 && !slices.Contains(o.Policies, p) {
+				continue
+			}
+			row, err := runRequests(o, s, p)
+			if err != nil {
+				return nil, err
+			}
+			out = append(out, row)
+		}
+	}
+	return out, nil
+}
+
+func (r *requestRun) startTargets(s *cornelbay.Service) {
+	for _, t := range s.Targets {
+		r.targets = append(r.targets, &FakeTarget{
+			Driver: r.Driver, Name: t.Name, DataCentre: t.DataCentre,
+			Slots: t.SlotCount(), Backlog: targetBacklog, Runs: make(map[string]int),
+		})
+	}
+}
+
+func (r *requestRun) slots() int {
+	n := 0
+	for _, t := range r.targets {
+		n += t.Slots
+	}
+	return n
+}
+
+// arrive submits all arrivals and runs until every deadline is past.
+func (r *requestRun) arrive(p policy, list []*arrival) {
+	r.began = r.Now
+	r.row.Requests, r.row.Lost = len(list), len(list)
+	for _, a := range list {
+		r.After(a.at, func() {
+			p.submit(a, func(e ending) { r.ended(a, e) })
+		})
+	}
+	before := p.attempts()
+	r.Run(r.opts.Span + tailSpan)
+	r.row.AttemptsPerRequest = float64(p.attempts()-before) / float64(len(list))
+}
+
+func (r *requestRun) ended(a *arrival, e ending) {
+	r.row.Lost--
+	latency := r.Now.Sub(r.began) - a.at
+	good := false
+	switch e.outcome {
+	case cornelbay.Answered:
+		good = latency <= requestDeadline && !e.cut
+		if latency > requestDeadline {
+			r.row.Late++
+		}
+		_ = r.hist.RecordValue(latency.Microseconds()) // values over the limit count in Late
+	case cornelbay.Unknown:
+		r.row.Unknown++
+	case cornelbay.NotRun:
+		if r.runs(a) > 0 {
+			r.row.FalseNotRun++
+		}
+	}
+	w := r.bad[a.at/recoveryWindow]
+	w[0]++
+	if !good {
+		w[1]++
+	} else {
+		r.row.Goodput++
+	}
+	r.bad[a.at/recoveryWindow] = w
+}
+
+func (r *requestRun) runs(a *arrival) int {
+	n := 0
+	for _, t := range r.targets {
+		n += t.Runs[a.path]
+	}
+	return n
+}
+
+func (r *requestRun) finishRow(list []*arrival) {
+	for _, a := range list {
+		if a.post && r.runs(a) > 1 {
+			r.row.Doubled++
+		}
+	}
+	for _, t := range r.targets {
+		r.row.Overrun += t.Overrun
+	}
+	r.row.Goodput /= r.opts.Span.Seconds()
+	r.row.P50Ms = float64(r.hist.ValueAtQuantile(50)) / 1000
+	r.row.P99Ms = float64(r.hist.ValueAtQuantile(99)) / 1000
+	r.row.P999Ms = float64(r.hist.ValueAtQuantile(99.9)) / 1000
+	for w, n := range r.bad {
+		after := (w+1)*recoveryWindow - r.scenario.ends
+		if r.scenario.ends > 0 && n[1]*20 > n[0] {
+			r.row.RecoverySeconds = max(r.row.RecoverySeconds, after.Seconds())
+		}
+	}
+}
+
+// WriteRequestTable writes the rows as a text table.
+func WriteRequestTable(w io.Writer, rows []RequestRow) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "scenario\tpolicy\tload\trequests\tp50Ms\tp99Ms\tp999Ms\tgoodput\tlate\tlost\tdoubled\tfalseNotRun\tunknown\tattempts\toverrun\trecovery\t")
+	for _, r := range rows {
+		fmt.Fprintf(t, "%s\t%s\t%.2f\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%d\t%d\t%d\t%d\t%d\t%.3f\t%d\t%.1f\t\n",
+			r.Scenario, r.Policy, r.Load, r.Requests, r.P50Ms, r.P99Ms, r.P999Ms, r.Goodput, r.Late, r.Lost,
+			r.Doubled, r.FalseNotRun, r.Unknown, r.AttemptsPerRequest, r.Overrun, r.RecoverySeconds)
+	}
+	return t.Flush()
+}
--- a/request/job.go
+++ b/request/job.go
@@ -55,6 +55,8 @@
 
 	relay   uint64
 	relayTo cornelbay.HostName
+	// relayed is true once the job was handed to another host.
+	relayed bool
 	acked   bool
 	moves   int
 }
--- a/request/reason.go
+++ b/request/reason.go
@@ -35,6 +35,7 @@
 	TicketForgotten
 	AnswerForgotten
 	IssuerGone
+	IssuerUnreached
 	IssuerSilent
 	AttemptFailed
 	DeadlineRunning
@@ -152,6 +153,11 @@
 		"issuerGone", http.StatusBadGateway, unknown, TicketHeader,
 		"the ticket's host is gone", "only that host knew whether the ticket was redeemed",
 	},
+	IssuerUnreached: {
+		"issuerUnreached", http.StatusBadGateway, unknown, TicketHeader,
+		"the ticket's host is gone; this request was not handed to it, so that a ticket sent only once is not redeemed",
+		"an earlier request with the ticket may have reached that host",
+	},
 	IssuerSilent: {
 		"issuerSilent", http.StatusGatewayTimeout, unknown, TicketHeader,
 		"the ticket's host did not answer in time", "that host may have run the request; send it again with the same ticket",
--- a/request/relay.go
+++ b/request/relay.go
@@ -84,7 +84,7 @@
 		wait -= RelayMargin
 	}
 	id := d.lastRelay + 1
-	j.relay, j.relayTo, j.acked = id, h.Name, false
+	j.relay, j.relayTo, j.relayed, j.acked = id, h.Name, true, false
 	d.relays[id] = j
 	d.callPeer(h.Name, RelayArgs{ID: id, Incarnation: d.Incarnation, Request: r, Wait: wait})
 	d.addTimer(timer{at: now.Add(AckTimeout), kind: ackTimer, job: j, relay: id})
--- a/request/steward.go
+++ b/request/steward.go
@@ -155,3 +155,14 @@
 }
 
 func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
+
+// Steward returns the host that dispatches the requests of a service, as this
+// host sees it.
+func (d *Dispatcher) Steward(name cornelbay.ServiceName) cornelbay.HostName {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if s, ok := d.services[name]; ok {
+		return s.steward
+	}
+	return ""
+}
--- a/request/tickets.go
+++ b/request/tickets.go
@@ -113,8 +113,10 @@
 		d.voidMoved(now, j, t, err)
 	case p != ticket.NoProof:
 		d.finish(now, j, d.recorded(p, r, j))
-	default:
+	case j.relayed || j.from != "":
 		d.refuse(now, j, IssuerGone)
+	default:
+		d.refuse(now, j, IssuerUnreached)
 	}
 }
 
