Measure the time to any final answer and a central queue without foresight

Cause: percentiles of answered requests alone favoured a policy that gives up slow requests late; central refused by each request's demand, which nobody can know ahead; baselines' callers took a truncated answer for an answer; goodput counted what a long queue finished after the last arrival.

Change: percentiles are over the time until a caller has its final answer of any kind; central reserves the usual 99th percentile in place of the demand itself; callers of the baselines ask again after a truncated answer; goodput counts answers while requests arrive; callers drop a whole batch of tickets once its host has stopped.

Conclusion: the bound is one that a policy could reach.

--- a/measure/requests.go
+++ b/measure/requests.go
@@ -20,10 +20,12 @@
 	Policy   string  `json:"policy"`
 	Load     float64 `json:"load"`
 	Requests int     `json:"requests"`
+	// The percentiles are of the time until a caller has its final answer of any
+	// kind: a policy gains nothing by refusing late.
 	P50Ms    float64 `json:"p50Ms"`
 	P99Ms    float64 `json:"p99Ms"`
 	P999Ms   float64 `json:"p999Ms"`
-	// Goodput counts the whole answers in time a second.
+	// Goodput counts the whole answers in time a second while requests arrive.
 	Goodput float64 `json:"goodput"`
 	// Late counts the answers after the deadline.
 	Late int `json:"late"`
@@ -104,7 +106,7 @@
 // ending is what a caller was told in the end.
 type ending struct {
 	outcome cornelbay.Outcome
-	// cut is set when a truncated answer was passed on as whole.
+	// cut is set when a truncated answer was passed on.
 	cut bool
 }
 
@@ -182,6 +184,7 @@
 func (r *requestRun) ended(a *arrival, e ending) {
 	r.row.Lost--
 	latency := r.Now.Sub(r.began) - a.at
+	_ = r.hist.RecordValue(latency.Microseconds()) // below the limit by the deadline
 	good := false
 	switch e.outcome {
 	case cornelbay.Answered:
@@ -189,7 +192,6 @@
 		if latency > requestDeadline {
 			r.row.Late++
 		}
-		_ = r.hist.RecordValue(latency.Microseconds()) // values over the limit count in Late
 	case cornelbay.Unknown:
 		r.row.Unknown++
 	case cornelbay.NotRun:
@@ -201,7 +203,7 @@
 	w[0]++
 	if !good {
 		w[1]++
-	} else {
+	} else if r.Now.Sub(r.began) <= r.opts.Span {
 		r.row.Goodput++
 	}
 	r.bad[a.at/recoveryWindow] = w
--- a/measure/requests_baselines.go
+++ b/measure/requests_baselines.go
@@ -40,8 +40,8 @@
 
 func (b *baseline) attempts() int { return b.count }
 
-// submit sends a request and, when its host dies or its answer is lost, sends
-// it again.
+// submit sends a request and, when its host dies or its answer is lost or cut,
+// sends it again.
 func (b *baseline) submit(a *arrival, done func(ending)) {
 	ended := false
 	end := func(e ending) {
@@ -53,7 +53,7 @@
 	b.After(requestDeadline, func() { end(ending{outcome: cornelbay.Unknown}) })
 	lose := b.lossy && a.post && b.Rand.IntN(2) == 0
 	b.send(a, a.host, func(e ending) {
-		if lose {
+		if lose || e.cut {
 			b.send(a, (a.host+1)%requestHosts, end)
 			return
 		}
@@ -183,7 +183,8 @@
 }
 
 // central is one ideal queue in order of deadline that knows the state of every
-// target and the demand of every request, and loses no time between them.
+// target and loses no time between them. Like everybody else it does not know
+// how long a request will take, only how long requests usually take.
 type central struct {
 	*requestRun
 	queue   centralQueue
@@ -193,6 +194,10 @@
 
 func (c *central) attempts() int { return c.count }
 
+// centralReserve is the time to the deadline that central wants for a request:
+// about the 99th percentile of demands.
+const centralReserve = 7 * requestMean / 2
+
 type centralJob struct {
 	*arrival
 	deadline time.Time
@@ -240,7 +245,7 @@
 		if speed == 0 {
 			speed = 1
 		}
-		need := time.Duration(float64(j.demand)/speed) + nearDelay + callerDelay
+		need := time.Duration(float64(centralReserve)/speed) + nearDelay + callerDelay
 		if j.over || c.Now.Add(need).After(j.deadline) {
 			c.end(j, ending{outcome: cornelbay.NotRun})
 			continue
--- a/measure/requests_callers.go
+++ b/measure/requests_callers.go
@@ -113,6 +113,8 @@
 		c.lose = false
 		h.After(resubmitAfter, func() { h.send(c, next) })
 	case again(c, res):
+		// The rest of the batch is of the same host.
+		h.stock[c.caller] = nil
 		c.ticket, c.ticketSends = "", 0
 		h.send(c, next)
 	default:
