Replace attempts that take too long and judge targets by log latency

Cause: with late answers an attempt held its slot here until the deadline while the target was idle, and no hedge was made while requests waited; a quick failure halved a target's limit; two late answers in a row marked a well target as slow.

Change: an attempt that is overdue is hedged where there is room, and otherwise cancelled and tried again under the budget at twice that age; a failure that came quickly does not lower the limit; slowness is judged by the smoothed logarithm of latencies, with a lower bound to be well again.

--- a/balance/pool.go
+++ b/balance/pool.go
@@ -10,6 +10,9 @@
 // scanTargets is how many targets with room are compared for one pick.
 const scanTargets = 16
 
+// latencyWeight is what a target's latency counts beside its load.
+const latencyWeight = 0.05
+
 // Pool is the set of targets of a service; one goroutine uses it.
 type Pool struct {
 	// Rand breaks ties between targets.
@@ -17,7 +20,9 @@
 
 	targets []*Target
 	byName  map[cornelbay.TargetName]*Target
-	latency float64
+	// latency is the smoothed latency of answers in seconds, and logLatency the
+	// smoothed logarithm.
+	latency, logLatency float64
 	// deviation is the smoothed distance of latencies from the usual one.
 	deviation float64
 }
@@ -53,7 +58,7 @@
 	}
 	if t.phase > s.Phase && s.Phase == cornelbay.Cold {
 		// A restarted target has no past.
-		t.samples, t.limit = 0, float64(t.SlotCount())
+		t.samples, t.slow, t.limit = 0, false, float64(t.SlotCount())
 	}
 	t.phase, t.permille = s.Phase, s.Permille
 }
@@ -114,22 +119,19 @@
 
 // admissible keeps a slow target to one request at a time, now and then.
 func (p *Pool) admissible(now time.Time, t *Target) bool {
-	return !p.slow(t) || (t.InFlight == 0 && now.Sub(t.picked) >= ProbationInterval)
-}
-
-func (p *Pool) slow(t *Target) bool {
-	return t.samples >= minSamples && t.latency > slowFactor*p.latency
+	t.judge(p.logLatency)
+	return !t.slow || (t.InFlight == 0 && now.Sub(t.picked) >= ProbationInterval)
 }
 
 // score is low for targets that are little loaded and quick.
 func (p *Pool) score(now time.Time, t *Target) float64 {
 	load := float64(t.load(now)) / float64(t.SlotCount())
-	if p.latency == 0 || t.samples < minSamples {
+	if t.samples < minSamples {
 		return load
 	}
 	// A quick target is preferred among equals, without letting the noise of
 	// latencies outweigh a slot.
-	return load + 0.1*min(slowFactor, t.latency/p.latency)/slowFactor
+	return load + latencyWeight*max(-1, min(1, t.logLatency-p.logLatency))
 }
 
 // End takes the result of an attempt to one of the pool's targets.
@@ -140,11 +142,12 @@
 	}
 	s := latency.Seconds()
 	if p.latency == 0 {
-		p.latency, p.deviation = s, s/2
+		p.latency, p.deviation, p.logLatency = s, s/2, logSeconds(latency)
 	}
 	diff := s - p.latency
 	const gain = 0.02
 	p.latency += gain * diff
+	p.logLatency += gain * (logSeconds(latency) - p.logLatency)
 	p.deviation += gain * (max(diff, -diff) - p.deviation)
 }
 
@@ -158,7 +161,7 @@
 func (p *Pool) Capacity(now time.Time) int {
 	n := 0
 	for _, t := range p.targets {
-		if c := t.capacity(now, 0); c > 0 && !p.slow(t) {
+		if c := t.capacity(now, 0); c > 0 && !t.slow {
 			n += c
 		}
 	}
--- a/balance/target.go
+++ b/balance/target.go
@@ -3,6 +3,7 @@
 package balance
 
 import (
+	"math"
 	"time"
 
 	"github.com/cornelbay/cornelbay"
@@ -26,8 +27,10 @@
 const (
 	// latencyGain is the weight of a new latency in the smoothed one.
 	latencyGain = 0.2
-	// slowFactor times the pool's usual latency marks a target as slow.
+	// slowFactor times the pool's usual latency marks a target as slow, until its
+	// own is below wellFactor times that.
 	slowFactor = 3
+	wellFactor = 1.5
 	// minSamples is the number of latencies before a target can be slow.
 	minSamples = 4
 	// limitStep is added to the limit, divided by it, for each answer.
@@ -62,16 +65,19 @@
 	phase    cornelbay.TargetPhase
 	permille uint16
 	limit    float64
-	latency  float64
-	samples  int
-	holdOff  time.Duration
-	held     time.Time
-	noExtra  time.Time
-	picked   time.Time
-	news     map[cornelbay.HostName]news
-	others   int
-	report   int
-	reported time.Time
+	// logLatency is the smoothed logarithm of latencies in seconds, so that a few
+	// long ones weigh little.
+	logLatency float64
+	samples    int
+	slow       bool
+	holdOff    time.Duration
+	held       time.Time
+	noExtra    time.Time
+	picked     time.Time
+	news       map[cornelbay.HostName]news
+	others     int
+	report     int
+	reported   time.Time
 }
 
 type news struct {
@@ -145,8 +151,10 @@
 	case Shed:
 		t.shed(now, retryAfter)
 	case Failed:
-		t.Sample(latency)
-		t.limit = max(1, t.limit/2)
+		// A failure that came quickly tells nothing of the load.
+		if logSeconds(latency) > t.logLatency {
+			t.Sample(latency)
+		}
 	}
 	t.InFlight--
 }
@@ -166,12 +174,27 @@
 
 // Sample takes a latency, or the age of an attempt that still runs.
 func (t *Target) Sample(latency time.Duration) {
-	s := latency.Seconds()
+	l := logSeconds(latency)
 	if t.samples == 0 {
-		t.latency = s
+		t.logLatency = l
 	}
 	t.samples++
-	t.latency += latencyGain * (s - t.latency)
+	t.logLatency += latencyGain * (l - t.logLatency)
+}
+
+func logSeconds(d time.Duration) float64 {
+	return math.Log(max(d, time.Microsecond).Seconds())
+}
+
+// judge marks the target as slow or well beside the usual latency of its pool.
+func (t *Target) judge(usual float64) {
+	switch above := t.logLatency - usual; {
+	case t.samples < minSamples:
+	case above > math.Log(slowFactor):
+		t.slow = true
+	case above < math.Log(wellFactor):
+		t.slow = false
+	}
 }
 
 // Report takes the target's own word of its running requests.
--- a/measure/requests.go
+++ b/measure/requests.go
@@ -22,9 +22,9 @@
 	Requests int     `json:"requests"`
 	// The percentiles are of the time until a caller has its final answer of any
 	// kind: a policy gains nothing by refusing late.
-	P50Ms    float64 `json:"p50Ms"`
-	P99Ms    float64 `json:"p99Ms"`
-	P999Ms   float64 `json:"p999Ms"`
+	P50Ms  float64 `json:"p50Ms"`
+	P99Ms  float64 `json:"p99Ms"`
+	P999Ms float64 `json:"p999Ms"`
 	// Goodput counts the whole answers in time a second while requests arrive.
 	Goodput float64 `json:"goodput"`
 	// Late counts the answers after the deadline.
--- a/request/job.go
+++ b/request/job.go
@@ -139,8 +139,7 @@
 	j.tries++
 	d.launch(now, j, t)
 	if j.Idempotent() {
-		delay := max(MinHedgeDelay, s.pool.Latency()+hedgeDeviations*s.pool.Deviation())
-		d.addTimer(timer{at: now.Add(delay), kind: hedgeTimer, job: j, attempt: d.last})
+		d.addTimer(timer{at: now.Add(d.hedgeDelay(s)), kind: hedgeTimer, job: j, attempt: d.last})
 	}
 }
 
@@ -154,26 +153,37 @@
 	d.emit(Attempt{ID: d.last, Request: j.Request, Target: t.Name, Address: t.HTTP, Deadline: j.Deadline})
 }
 
-// hedge starts a second attempt of a job whose first one takes unusually long.
-func (d *Dispatcher) hedge(now time.Time, j *job, id AttemptID) {
+// overdue handles an attempt that takes unusually long: a second one is started
+// beside it where there is room, or else, later on, in its place.
+func (d *Dispatcher) overdue(now time.Time, j *job, id AttemptID) {
 	a, ok := d.attempts[id]
 	if !ok || j.done {
 		return
 	}
 	a.target.Sample(now.Sub(a.began))
-	a.sampled = true
 	s := j.service
-	if j.hedged || j.running != 1 || s.queue.len() > 0 || !s.budget.has() {
+	if j.hedged || j.running != 1 || !s.budget.has() {
 		return
 	}
-	t := s.pool.Pick(now, a.target, 0)
-	if t == nil || t == a.target {
+	if t := s.pool.Pick(now, a.target, 0); t != nil && t != a.target && s.queue.len() == 0 {
+		s.budget.take()
+		j.hedged = true
+		d.counters.Hedges++
+		d.launch(now, j, t)
 		return
 	}
-	s.budget.take()
-	j.hedged = true
-	d.counters.Hedges++
-	d.launch(now, j, t)
+	if a.sampled {
+		// Its end takes the retry from the budget.
+		d.emit(Cancel{ID: id})
+		return
+	}
+	a.sampled = true
+	d.addTimer(timer{at: now.Add(d.hedgeDelay(s)), kind: hedgeTimer, job: j, attempt: id})
+}
+
+// hedgeDelay is the age at which an attempt takes unusually long.
+func (d *Dispatcher) hedgeDelay(s *service) time.Duration {
+	return max(MinHedgeDelay, s.pool.Latency()+hedgeDeviations*s.pool.Deviation())
 }
 
 func (d *Dispatcher) ended(now time.Time, res AttemptResult) {
--- a/request/timer.go
+++ b/request/timer.go
@@ -50,7 +50,7 @@
 		case deadlineTimer:
 			d.deadline(now, t.job)
 		case hedgeTimer:
-			d.hedge(now, t.job, t.attempt)
+			d.overdue(now, t.job, t.attempt)
 		case retryTimer:
 			d.enqueueRetry(now, t.job)
 		case ackTimer:
