Free one slot of an overdue attempt and shorten the queue

Change: one overdue attempt a warm target does not count; overdue starts at 4 deviations; a request is replaced at most twice, paid when it is cancelled; the queue's wait is bounded by 1.5 usual latencies; only requests without an attempt are pushed out of a full queue.

--- a/balance/target.go
+++ b/balance/target.go
@@ -60,6 +60,8 @@
 	Feeder bool
 	// InFlight counts the attempts of this host.
 	InFlight int
+	// Overdue counts those of them that take unusually long.
+	Overdue int
 
 	out      bool
 	phase    cornelbay.TargetPhase
@@ -128,6 +130,11 @@
 // believed for a short time; a report of less never is, since it may lag or lie.
 func (t *Target) load(now time.Time) int {
 	n := t.InFlight + t.others
+	if t.Overdue > 0 && t.phase == cornelbay.Warm {
+		// An answer may be lost: one overdue attempt does not count, and what
+		// comes of that shows whether it holds a slot.
+		n--
+	}
 	if t.report > n && now.Sub(t.reported) < ReportLifetime {
 		// One request at a time shows whether the report is true.
 		return max(n, min(t.report, t.SlotCount()-1))
--- a/request/job.go
+++ b/request/job.go
@@ -23,7 +23,9 @@
 	// MinHedgeDelay is the least age of an attempt that is hedged.
 	MinHedgeDelay = 20 * time.Millisecond
 	// hedgeDeviations is the distance from the usual latency that is hedged.
-	hedgeDeviations = 6
+	hedgeDeviations = 4
+	// maxReplaced is the most overdue attempts of a request that are cancelled.
+	maxReplaced = 2
 )
 
 // job is a request on its way through this host.
@@ -49,6 +51,10 @@
 	ambiguous bool
 	avoid     *balance.Target
 	hedged    bool
+	// replaced counts the overdue attempts that were cancelled for a retry, and
+	// paid is true while the budget has paid for it.
+	replaced int
+	paid     bool
 
 	// run is the run of the ticket that the job waits for.
 	run *job
@@ -66,7 +72,9 @@
 	job     *job
 	target  *balance.Target
 	began   time.Time
-	sampled bool
+	overdue bool
+	// again is true when the attempt is cancelled when it is looked at again.
+	again bool
 }
 
 // admit takes a job that nothing is known of yet.
@@ -138,9 +146,7 @@
 	}
 	j.tries++
 	d.launch(now, j, t)
-	if j.Idempotent() {
-		d.addTimer(timer{at: now.Add(d.hedgeDelay(s)), kind: hedgeTimer, job: j, attempt: d.last})
-	}
+	d.addTimer(timer{at: now.Add(d.hedgeDelay(s)), kind: hedgeTimer, job: j, attempt: d.last})
 }
 
 func (d *Dispatcher) launch(now time.Time, j *job, t *balance.Target) {
@@ -160,9 +166,14 @@
 	if !ok || j.done {
 		return
 	}
-	a.target.Sample(now.Sub(a.began))
 	s := j.service
-	if j.hedged || j.running != 1 || !s.budget.has() {
+	if !a.overdue {
+		a.overdue = true
+		a.target.Overdue++
+		a.target.Sample(now.Sub(a.began))
+		defer d.pump(now, s)
+	}
+	if !j.Idempotent() || j.hedged || j.replaced == maxReplaced || j.running != 1 || !s.budget.has() {
 		return
 	}
 	if t := s.pool.Pick(now, a.target, 0); t != nil && t != a.target && s.queue.len() == 0 {
@@ -172,12 +183,14 @@
 		d.launch(now, j, t)
 		return
 	}
-	if a.sampled {
-		// Its end takes the retry from the budget.
+	if a.again {
+		s.budget.take()
+		j.replaced++
+		j.paid = true
 		d.emit(Cancel{ID: id})
 		return
 	}
-	a.sampled = true
+	a.again = true
 	d.addTimer(timer{at: now.Add(d.hedgeDelay(s)), kind: hedgeTimer, job: j, attempt: id})
 }
 
@@ -193,6 +206,9 @@
 	}
 	delete(d.attempts, res.ID)
 	d.running--
+	if a.overdue {
+		a.target.Overdue--
+	}
 	j := a.job
 	j.running--
 	if res.Silent {
@@ -221,7 +237,7 @@
 		r = balance.Served
 	case res.Proof == Refused:
 		r = balance.Shed
-	case a.job.done || res.Silent || a.sampled:
+	case a.job.done || res.Silent || a.overdue:
 		// A cancelled attempt or a silent connection does not blame the target.
 		r = balance.Cancelled
 	}
@@ -239,11 +255,14 @@
 	}
 	s := j.service
 	mayRepeat := j.Idempotent() || !j.ambiguous
-	if !mayRepeat || j.tries >= MaxTries || !now.Before(j.Deadline) || !s.budget.has() {
+	if !mayRepeat || j.tries >= MaxTries || !now.Before(j.Deadline) || (!j.paid && !s.budget.has()) {
 		d.refuse(now, j, j.failure(TargetsRefused, AttemptFailed))
 		return
 	}
-	s.budget.take()
+	if !j.paid {
+		s.budget.take()
+	}
+	j.paid = false
 	d.counters.Retries++
 	j.avoid = a.target
 	if res.Proof == Refused {
--- a/request/service.go
+++ b/request/service.go
@@ -12,8 +12,10 @@
 const (
 	// MaxQueue is the most requests that wait for a target of a service.
 	MaxQueue = 1024
-	// MaxQueueWait bounds the estimated wait of a queued request.
-	MaxQueueWait = 100 * time.Millisecond
+	// MaxQueueWait bounds the estimated wait of a queued request, as do
+	// queueLatencies times half the usual latency.
+	MaxQueueWait   = 100 * time.Millisecond
+	queueLatencies = 3
 	// roundSize is how many requests of one caller wait before its next ones
 	// yield to those of other callers.
 	roundSize = 4
@@ -102,11 +104,11 @@
 	return q.jobs[0]
 }
 
-// last returns the job that is served after all others, or nil.
+// last returns the job without an attempt that is served after all others, or nil.
 func (q *queue) last() *job {
 	var out *job
 	for _, j := range q.jobs {
-		if j.waiting && (out == nil || out.before(j)) {
+		if j.waiting && j.tries == 0 && (out == nil || out.before(j)) {
 			out = j
 		}
 	}
@@ -151,9 +153,10 @@
 		return
 	}
 	d.push(s, j)
-	if wait > MaxQueueWait || s.queue.len() > MaxQueue {
-		worst := s.queue.last()
-		d.refuse(now, worst, worst.failure(QueueFull, AttemptFailed))
+	if wait > min(MaxQueueWait, queueLatencies*s.pool.Latency()/2) || s.queue.len() > MaxQueue {
+		if worst := s.queue.last(); worst != nil {
+			d.refuse(now, worst, worst.failure(QueueFull, AttemptFailed))
+		}
 	}
 	d.pump(now, s)
 }
