--- a/request/dispatcher.go
+++ b/request/dispatcher.go
@@ -26,7 +26,7 @@
 	services map[cornelbay.ServiceName]*service
 	live     []cornelbay.Host
 	hosts    map[cornelbay.HostName]cornelbay.Host
-	avoided  map[cornelbay.HostName]time.Time
+	avoided  map[cornelbay.HostName]avoidance
 	stopping bool
 	handover handover
 
@@ -92,7 +92,7 @@
 	d.relays = make(map[uint64]*job)
 	d.serving = make(map[relayKey]*job)
 	d.waiters = make(map[uint64][]*job)
-	d.avoided = make(map[cornelbay.HostName]time.Time)
+	d.avoided = make(map[cornelbay.HostName]avoidance)
 	d.ledger = ticket.Ledger[Response]{Host: d.Self, Incarnation: d.Incarnation, Size: Response.size}
 }
 
@@ -153,11 +153,8 @@
 // Tick returns the effects that are due at now.
 func (d *Dispatcher) Tick(now time.Time) []cornelbay.Effect {
 	d.lock(now)
-	for name, until := range d.avoided {
-		if !now.Before(until) {
-			delete(d.avoided, name)
-			d.chooseStewards(now)
-		}
+	if len(d.avoided) > 0 {
+		d.chooseStewards(now)
 	}
 	for _, s := range d.services {
 		s.pool.Tick(now)
--- a/request/relay.go
+++ b/request/relay.go
@@ -11,8 +11,10 @@
 const (
 	// AckTimeout is when a host that has not taken a relay is avoided.
 	AckTimeout = 100 * time.Millisecond
-	// AvoidTime is how long a host that did not answer is avoided.
-	AvoidTime = time.Second
+	// AvoidTime is how long a host is avoided that did not answer; it doubles
+	// up to MaxAvoidTime while it does not.
+	AvoidTime    = time.Second
+	MaxAvoidTime = 30 * time.Second
 	// RelayMargin is kept of a deadline for the way back.
 	RelayMargin = 5 * time.Millisecond
 )
@@ -119,20 +121,43 @@
 // relayFailed sends a job elsewhere: an idempotent one to another host, a
 // ticketed one again to the only host that may run it.
 func (d *Dispatcher) relayFailed(now time.Time, j *job) {
+	d.avoid(now, j.relayTo)
 	if j.ticketed() {
 		d.rerouteTicketed(now, j)
-		return
 	}
-	d.avoid(now, j.relayTo)
+}
+
+// avoidance is the time for which a host is avoided.
+type avoidance struct {
+	until time.Time
+	span  time.Duration
 }
 
 // avoid takes a host for silent for a while and moves what it has.
 func (d *Dispatcher) avoid(now time.Time, name cornelbay.HostName) {
-	d.avoided[name] = now.Add(AvoidTime)
-	d.chooseStewards(now)
+	d.avoidMore(now, name)
 	d.moveRelays(now, name)
 }
 
+func (d *Dispatcher) avoidMore(now time.Time, name cornelbay.HostName) {
+	a := d.avoided[name]
+	if now.Before(a.until) {
+		return
+	}
+	a.span = min(MaxAvoidTime, max(AvoidTime, 2*a.span))
+	a.until = now.Add(a.span)
+	d.avoided[name] = a
+	d.chooseStewards(now)
+}
+
+// heard ends the avoidance of a host that answers.
+func (d *Dispatcher) heard(now time.Time, name cornelbay.HostName) {
+	if _, ok := d.avoided[name]; ok {
+		delete(d.avoided, name)
+		d.chooseStewards(now)
+	}
+}
+
 // moveRelays routes the idempotent jobs again that a host was given.
 func (d *Dispatcher) moveRelays(now time.Time, name cornelbay.HostName) {
 	for _, id := range sortedKeys(d.relays) {
@@ -249,9 +274,11 @@
 		}
 		// A ticketed relay is sent again by its timer, a little later.
 	case reply.Ended:
+		d.heard(now, a.Call.To)
 		d.finish(now, j, reply.Response)
 	case reply.Taken:
 		j.acked = true
+		d.heard(now, a.Call.To)
 	default:
 		d.notTaken(now, j)
 	}
@@ -260,8 +287,7 @@
 // notTaken sends a job elsewhere whose host stops; what that host has taken
 // before it finishes.
 func (d *Dispatcher) notTaken(now time.Time, j *job) {
-	d.avoided[j.relayTo] = now.Add(AvoidTime)
-	d.chooseStewards(now)
+	d.avoidMore(now, j.relayTo)
 	d.endRelay(j)
 	j.moves++
 	d.counters.Moves++
--- a/request/steward.go
+++ b/request/steward.go
@@ -50,7 +50,7 @@
 func (d *Dispatcher) rendezvous(now time.Time, name string) cornelbay.HostName {
 	best, top := d.Self, uint64(0)
 	for _, h := range d.live {
-		if now.Before(d.avoided[h.Name]) || (h.Name == d.Self && d.stopping) {
+		if now.Before(d.avoided[h.Name].until) || (h.Name == d.Self && d.stopping) {
 			continue
 		}
 		if s := hash(name, string(h.Name)); s > top {
@@ -88,6 +88,11 @@
 	for _, h := range m.Live {
 		d.hosts[h.Name] = h
 	}
+	for name := range d.avoided {
+		if h, ok := d.hosts[name]; !ok || h.Incarnation != old[name].Incarnation {
+			delete(d.avoided, name)
+		}
+	}
 	d.chooseStewards(now)
 	for _, name := range slices.Sorted(maps.Keys(old)) {
 		if h, ok := d.hosts[name]; !ok || h.Incarnation != old[name].Incarnation {
