Wait as long for an acknowledgement as hosts usually take

Cause: each of the hosts waited 100 ms for a steward that had died, tried a stopped one again after a second with a burst of moved requests, and took tickets of a stopping host for unreachable.

Change: the wait is eight times the usual one, from 25 to 100 ms; a silent host is avoided for 3 s at first, longer than until it is declared dead; only a silent host ends requests for its tickets, not one that stops.

--- a/request/dispatcher.go
+++ b/request/dispatcher.go
@@ -38,6 +38,8 @@
 	relays    map[uint64]*job
 	lastRelay uint64
 	serving   map[relayKey]*job
+	// ackTime is the usual time for another host to take a relay.
+	ackTime time.Duration
 
 	ledger  ticket.Ledger[Response]
 	waiters map[uint64][]*job
--- a/request/job.go
+++ b/request/job.go
@@ -62,9 +62,10 @@
 	relay   uint64
 	relayTo cornelbay.HostName
 	// relayed is true once the job was handed to another host.
-	relayed bool
-	acked   bool
-	moves   int
+	relayed   bool
+	relayedAt time.Time
+	acked     bool
+	moves     int
 }
 
 // attempt is an attempt that the shell was asked for and has not ended.
--- a/request/relay.go
+++ b/request/relay.go
@@ -9,16 +9,24 @@
 
 // The times of relays between hosts.
 const (
-	// AckTimeout is when a host that has not taken a relay is avoided.
-	AckTimeout = 100 * time.Millisecond
+	// MinAckTimeout and MaxAckTimeout bound when a host that has not taken a
+	// relay is avoided: after ackFactor times the usual time.
+	MinAckTimeout = 25 * time.Millisecond
+	MaxAckTimeout = 100 * time.Millisecond
 	// AvoidTime is how long a host is avoided that did not answer; it doubles
 	// up to MaxAvoidTime while it does not.
-	AvoidTime    = time.Second
+	AvoidTime    = 3 * time.Second
 	MaxAvoidTime = 30 * time.Second
 	// RelayMargin is kept of a deadline for the way back.
 	RelayMargin = 5 * time.Millisecond
 )
 
+const (
+	ackFactor = 8
+	// ackShare is the share of a new time in the usual one, as a divisor.
+	ackShare = 8
+)
+
 // maxMoves is the most hosts that a request is relayed to.
 const maxMoves = 2
 
@@ -89,7 +97,25 @@
 	j.relay, j.relayTo, j.relayed, j.acked = id, h.Name, true, false
 	d.relays[id] = j
 	d.callPeer(h.Name, RelayArgs{ID: id, Incarnation: d.Incarnation, Request: r, Wait: wait})
-	d.addTimer(timer{at: now.Add(AckTimeout), kind: ackTimer, job: j, relay: id})
+	j.relayedAt = now
+	d.addTimer(timer{at: now.Add(d.ackTimeout()), kind: ackTimer, job: j, relay: id})
+}
+
+func (d *Dispatcher) ackTimeout() time.Duration {
+	if d.ackTime == 0 {
+		return MaxAckTimeout
+	}
+	return min(MaxAckTimeout, max(MinAckTimeout, ackFactor*d.ackTime))
+}
+
+// acked notes the time that a host took to take a relay.
+func (d *Dispatcher) acked(now time.Time, j *job) {
+	took := now.Sub(j.relayedAt)
+	if d.ackTime == 0 {
+		d.ackTime = took
+	}
+	d.ackTime += (took - d.ackTime) / ackShare
+	d.heard(now, j.relayTo)
 }
 
 // endRelay forgets the relay of a job, whose answer comes too late from now on.
@@ -131,19 +157,28 @@
 type avoidance struct {
 	until time.Time
 	span  time.Duration
+	// silent is true when the host did not answer at all.
+	silent bool
+}
+
+// silent reports whether the named host has not answered of late.
+func (d *Dispatcher) silent(now time.Time, name cornelbay.HostName) bool {
+	a := d.avoided[name]
+	return a.silent && now.Before(a.until)
 }
 
 // avoid takes a host for silent for a while and moves what it has.
 func (d *Dispatcher) avoid(now time.Time, name cornelbay.HostName) {
-	d.avoidMore(now, name)
+	d.avoidMore(now, name, true)
 	d.moveRelays(now, name)
 }
 
-func (d *Dispatcher) avoidMore(now time.Time, name cornelbay.HostName) {
+func (d *Dispatcher) avoidMore(now time.Time, name cornelbay.HostName, silent bool) {
 	a := d.avoided[name]
-	if now.Before(a.until) {
+	if now.Before(a.until) && (a.silent || !silent) {
 		return
 	}
+	a.silent = silent
 	a.span = min(MaxAvoidTime, max(AvoidTime, 2*a.span))
 	a.until = now.Add(a.span)
 	d.avoided[name] = a
@@ -274,11 +309,11 @@
 		}
 		// A ticketed relay is sent again by its timer, a little later.
 	case reply.Ended:
-		d.heard(now, a.Call.To)
+		d.acked(now, j)
 		d.finish(now, j, reply.Response)
 	case reply.Taken:
 		j.acked = true
-		d.heard(now, a.Call.To)
+		d.acked(now, j)
 	default:
 		d.notTaken(now, j)
 	}
@@ -287,7 +322,7 @@
 // notTaken sends a job elsewhere whose host stops; what that host has taken
 // before it finishes.
 func (d *Dispatcher) notTaken(now time.Time, j *job) {
-	d.avoidMore(now, j.relayTo)
+	d.avoidMore(now, j.relayTo, false)
 	d.endRelay(j)
 	j.moves++
 	d.counters.Moves++
--- a/request/tickets.go
+++ b/request/tickets.go
@@ -108,7 +108,7 @@
 	case t.Host == d.Self && t.Incarnation == d.Incarnation && err == nil:
 		d.redeem(now, j, t)
 	case live && h.Incarnation == t.Incarnation && h.Name != d.Self && j.from == "" && p == ticket.NoProof &&
-		(j.relayed || !now.Before(d.avoided[h.Name].until)):
+		(j.relayed || !d.silent(now, h.Name)):
 		d.relay(now, j, h)
 	case err != nil:
 		d.voidMoved(now, j, t, err)
