Let measured callers tell a refused connection from a broken one

Cause: callers of the baselines sent a lost request again at once, those of cornelbay after 100 ms; a connection that was never made counted as a send of its ticket. Change: both wait alike; only sends that reached a host count.

--- a/measure/requests_baselines.go
+++ b/measure/requests_baselines.go
@@ -53,11 +53,14 @@
 	b.After(requestDeadline, func() { end(ending{outcome: cornelbay.Unknown}) })
 	lose := b.lossy && a.post && b.Rand.IntN(2) == 0
 	b.send(a, a.host, func(e ending) {
-		if lose || e.cut {
+		switch {
+		case lose:
+			b.After(resubmitAfter, func() { b.send(a, (a.host+1)%requestHosts, end) })
+		case e.cut:
 			b.send(a, (a.host+1)%requestHosts, end)
-			return
+		default:
+			end(e)
 		}
-		end(e)
 	})
 }
 
--- a/measure/requests_callers.go
+++ b/measure/requests_callers.go
@@ -18,6 +18,18 @@
 	resubmitAfter = 100 * time.Millisecond
 )
 
+// connection is what became of a caller's connection to a host.
+type connection uint8
+
+const (
+	// whole connections brought an answer.
+	whole connection = iota
+	// refused connections were never made: the host has got nothing.
+	refused
+	// broken connections ended after the request was sent.
+	broken
+)
+
 // call is a caller's request on its way, with its sends so far.
 type call struct {
 	*arrival
@@ -66,22 +78,28 @@
 	if c.post {
 		r.Method = http.MethodPost
 	}
-	h.ask(c.caller, host, r, func(res request.Response, ok bool) { h.answered(c, host, res, ok) })
+	h.ask(c.caller, host, r, func(res request.Response, conn connection) { h.answered(c, host, res, conn) })
 }
 
-// ask submits one request to a host; ok is false when the connection breaks.
-func (h *hosts) ask(caller, host int, r request.Request, done func(request.Response, bool)) {
+// ask submits one request to a host.
+func (h *hosts) ask(caller, host int, r request.Request, done func(request.Response, connection)) {
 	n := h.group.Nodes[h.names[host]]
 	r.Service, r.Caller = h.opts.Service, fmt.Sprint("caller-", caller)
-	back := func(res request.Response, ok bool) { h.After(callerDelay, func() { done(res, ok) }) }
+	back := func(res request.Response, conn connection) { h.After(callerDelay, func() { done(res, conn) }) }
 	h.After(callerDelay, func() {
 		if !n.Alive() {
-			back(request.Response{}, false)
+			back(request.Response{}, refused)
 			return
 		}
 		h.last++
 		r.ID = h.last
-		h.pending[pendingKey{n.Self.Name, r.ID}] = func(res request.Response) { back(res, res.Status != 0) }
+		h.pending[pendingKey{n.Self.Name, r.ID}] = func(res request.Response) {
+			if res.Status == 0 {
+				back(res, broken)
+				return
+			}
+			back(res, whole)
+		}
 		h.input(n, func() []cornelbay.Effect { return n.Requests.Submit(h.Now, r) })
 	})
 }
@@ -103,11 +121,14 @@
 	}
 }
 
-func (h *hosts) answered(c *call, host int, res request.Response, ok bool) {
+func (h *hosts) answered(c *call, host int, res request.Response, conn connection) {
 	next := (host + 1) % requestHosts
 	switch {
 	case c.over:
-	case !ok:
+	case conn != whole:
+		if conn == refused {
+			c.ticketSends--
+		}
 		h.send(c, next)
 	case c.lose:
 		c.lose = false
@@ -156,9 +177,9 @@
 
 func (h *hosts) fetch(caller, host int, done func(ok bool)) {
 	r := request.Request{Method: http.MethodGet, Tickets: ticketBatch, Deadline: h.Now.Add(requestDeadline)}
-	h.ask(caller, host, r, func(res request.Response, ok bool) {
+	h.ask(caller, host, r, func(res request.Response, conn connection) {
 		var l request.TicketList
-		if !ok || json.Unmarshal(res.Body, &l) != nil || len(l.Tickets) == 0 {
+		if conn != whole || json.Unmarshal(res.Body, &l) != nil || len(l.Tickets) == 0 {
 			done(false)
 			return
 		}
