--- a/cmd/cornelbay/measure.go
+++ b/cmd/cornelbay/measure.go
@@ -1,7 +1,8 @@
 package main
 
 type measureCmd struct {
-	Config  measureConfigCmd  `cmd:"" help:"Measure how changes of configuration come into force."`
-	Flows   measureFlowsCmd   `cmd:"" help:"Measure broken flows while hosts and targets change."`
-	Balance measureBalanceCmd `cmd:"" help:"Measure the balance of flows over targets."`
+	Config   measureConfigCmd   `cmd:"" help:"Measure how changes of configuration come into force."`
+	Flows    measureFlowsCmd    `cmd:"" help:"Measure broken flows while hosts and targets change."`
+	Balance  measureBalanceCmd  `cmd:"" help:"Measure the balance of flows over targets."`
+	Requests measureRequestsCmd `cmd:"" help:"Measure policies for requests on the same arrivals."`
 }
