--- a/entry/config.go
+++ b/entry/config.go
@@ -38,6 +38,7 @@
 		}
 	}
 	h.judge.SetTargets(now, targets, out)
+	h.flows.Generation = h.keeper.Generation()
 	effects := h.flows.SetServices(now, services, out)
 	return append(effects, h.Requests.SetServices(now, services, out)...)
 }
@@ -49,7 +50,7 @@
 		out, changed := h.keeper.PeerAnswer(now, a)
 		return append(out, h.adopted(now, changed)...)
 	}
-	return nil
+	return h.Requests.PeerAnswer(now, a)
 }
 
 // ServePeer answers another host's call over net/rpc.
@@ -59,6 +60,9 @@
 		r, err := h.keeper.Serve(now, args)
 		return r, nil, err
 	}
+	if reply, effects, ok := h.serveRequests(now, from, args); ok {
+		return reply, effects, nil
+	}
 	return nil, nil, peer.ErrMalformed
 }
 
--- a/fabric/isolation_test.go
+++ b/fabric/isolation_test.go
@@ -57,6 +57,11 @@
 			}
 		}
 		c.SetStates(now, warm)
+		c.SetMembers(now, cornelbay.Members{Live: []cornelbay.Host{{Name: "imlil-1", DataCentre: "imlil"}}})
+		for range 50 { // a host without peers starts with its own tables
+			now = now.Add(100 * time.Millisecond)
+			c.Tick(now)
+		}
 
 		var d fabric.Decoder
 		var pk cornelbay.Packet
