--- a/entry/messages.go
+++ b/entry/messages.go
@@ -11,8 +11,11 @@
 	peer.Register(flow.Proposal{})
 	peer.Register(flow.Prepared{})
 	peer.Register(flow.Activate{})
-	peer.Register(flow.Join{})
-	peer.Register(flow.JoinAnswer{})
+	peer.Register(flow.Epochs{})
+	peer.Register(flow.EpochsAnswer{})
 	peer.Register(flow.Digest{})
 	peer.Register(flow.Records{})
+	peer.Register(member.Leave{})
+	peer.Register(member.JoinRequest{})
+	peer.Register(member.JoinAnswer{})
 }
