Add the demo of a deployment under load and faults

Purpose: one command shows the product at work and measures the ten promises.

Six hosts run on loopback in one process with stand-ins for fabric, platform and targets. The script applies a change, drains a target, starts one cold, kills a host, stops one as planned, takes a data centre out and brings it back, with the platform down meanwhile. Each figure is counted in the run: where each packet of a flow arrives, which answer a caller got, how often a target ran each report. A flow whose target's data centre is taken out counts as given up from the commit on; the caller goes on sending for 3 s, so that the end is the hosts'.

--- /dev/null
+++ b/demo/demo.go
@@ -0,0 +1,84 @@
+// Package demo runs a deployment in one process on loopback: real hosts with
+// stand-ins around them, under load and faults, and measures what holds.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/cornelbay/cornelbay/config"
+)
+
+// Settings are what a run is started with.
+type Settings struct {
+	Document *config.Document
+	// Seed seeds the load.
+	Seed uint64
+	// Progress receives a line for each step; nil shows none.
+	Progress io.Writer
+}
+
+// Promise is one promise of the product with what the run measured of it.
+type Promise struct {
+	Name   string  `json:"name"`
+	Holds  bool    `json:"holds"`
+	Figure float64 `json:"figure"`
+	Unit   string  `json:"unit"`
+}
+
+// Report is the result of a run.
+type Report struct {
+	Deployment string    `json:"deployment"`
+	Seed       uint64    `json:"seed"`
+	Promises   []Promise `json:"promises"`
+}
+
+// Holds reports whether every promise held.
+func (r *Report) Holds() bool {
+	for _, p := range r.Promises {
+		if !p.Holds {
+			return false
+		}
+	}
+	return len(r.Promises) > 0
+}
+
+// run is a run in progress.
+type run struct {
+	Settings
+	world    *world
+	flows    *flowLoad
+	requests *requestLoad
+	began    time.Time
+	steps    steps
+}
+
+// Run runs the deployment for about 20 seconds.
+func Run(ctx context.Context, s Settings) (*Report, error) {
+	if s.Progress == nil {
+		s.Progress = io.Discard
+	}
+	r := &run{Settings: s, began: time.Now()}
+	w, err := newWorld(ctx, s.Document)
+	if err != nil {
+		return nil, err
+	}
+	defer w.close()
+	r.world = w
+	r.flows = newFlowLoad(w, s.Seed)
+	r.requests = newRequestLoad(w, s.Seed)
+	w.onPacket, w.onRequest = r.flows.arrived, r.requests.arrived
+	if err := r.script(ctx); err != nil {
+		return nil, merry.Prepend(err, "demo")
+	}
+	return &Report{Deployment: s.Document.Deployment, Seed: s.Seed, Promises: r.promises()}, nil
+}
+
+// say shows a line of progress.
+func (r *run) say(format string, args ...any) {
+	_, _ = fmt.Fprintf(r.Progress, "%5.1f s  %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...)) // only shown
+}
--- /dev/null
+++ b/demo/promises.go
@@ -0,0 +1,69 @@
+package demo
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+)
+
+// promiseBound is the time within which operators' decisions take effect.
+const promiseBound = 4 * time.Second
+
+// promises returns what the run measured of each promise.
+func (r *run) promises() []Promise {
+	f, q := r.flows.figures(), r.requests.figures()
+	doubled, falselyRefused, lost := r.requests.reports()
+	slowest, all := r.world.config.slowest()
+	drained := since(r.steps.drainedAt, latest(f.lastOpening[r.steps.drained.Name], q.lastRequest[r.steps.drained.Name]))
+	out := since(r.steps.outAt, r.steps.lastPacketAtOut)
+	overruns := r.steps.cold.standin.Overruns()
+	return []Promise{
+		none("established flows go on", f.moved+f.stalled, fmt.Sprintf("broken of %d flows", f.opened), f.opened > 0),
+		none("no packet reaches another service", f.misplaced, fmt.Sprintf("misplaced of %d packets", f.received), f.received > 0),
+		none("a fresh target gets what it can bear", overruns, "overruns", f.openings[r.steps.cold.Name] > 0),
+		within("a data centre that is out gets no packet", out, "s until the last packet", r.steps.openingsAtOut > 0),
+		none("callers get the whole answer to their own request", q.foreign, fmt.Sprintf("wrong of %d answers", q.answered), q.answered > 0),
+		none("a refusal as not run is true", falselyRefused, fmt.Sprintf("false of %d refusals", q.notRun), true),
+		none("a report runs at most once and is not lost", doubled+lost, fmt.Sprintf("doubled or lost of %d reports", r.requests.filed()), r.requests.filed() > 0),
+		within("a draining target gets no new work", drained, "s until the last new work", f.openings[r.steps.drained.Name] > 0),
+		none("a planned stop cuts no request", q.cutByStop, "requests cut", true),
+		{
+			Name: "a configuration is in force everywhere and stays", Holds: all && slowest <= promiseBound && r.world.config.reverted == 0,
+			Figure: round(slowest), Unit: "s at most",
+		},
+	}
+}
+
+// none is a promise that n stays 0; seen tells that there was something to see.
+func none(name string, n int, unit string, seen bool) Promise {
+	return Promise{Name: name, Holds: n == 0 && seen, Figure: float64(n), Unit: unit}
+}
+
+// within is a promise that d is at most promiseBound.
+func within(name string, d time.Duration, unit string, seen bool) Promise {
+	return Promise{Name: name, Holds: d <= promiseBound && seen, Figure: round(d), Unit: unit}
+}
+
+func since(from, to time.Time) time.Duration { return max(0, to.Sub(from)) }
+
+// round returns d in seconds with milliseconds.
+func round(d time.Duration) float64 { return float64(d.Milliseconds()) / 1000 }
+
+// WriteTable writes the promises as a table for people.
+func (r *Report) WriteTable(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	if _, err := fmt.Fprintln(t, "PROMISE\tHOLDS\tFIGURE\tUNIT"); err != nil {
+		return err
+	}
+	for _, p := range r.Promises {
+		holds := "yes"
+		if !p.Holds {
+			holds = "NO"
+		}
+		if _, err := fmt.Fprintf(t, "%s\t%s\t%g\t%s\n", p.Name, holds, p.Figure, p.Unit); err != nil {
+			return err
+		}
+	}
+	return t.Flush()
+}
--- /dev/null
+++ b/demo/requests.go
@@ -0,0 +1,251 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/caller"
+	"github.com/cornelbay/cornelbay/request"
+	"github.com/cornelbay/cornelbay/standin"
+)
+
+// The shape of the load of requests.
+const (
+	callerCount   = 16
+	reportShare   = 0.3 // of requests that are not idempotent
+	thinkTime     = 60 * time.Millisecond
+	serviceTime   = 4 * time.Millisecond
+	lateShare     = 0.02 // of requests that a target answers late
+	lateTime      = 150 * time.Millisecond
+	cutEvery      = 97
+	ticketBatch   = 8
+	clientTimeout = 3 * time.Second
+)
+
+// requestFigures is what the load counts.
+type requestFigures struct {
+	answered, notRun, unknown, failed int
+	// foreign counts answers that were not whole or belong to another request.
+	foreign int
+	// cutByStop counts requests that a host in its planned stop left without an
+	// answer.
+	cutByStop int
+	// lastRequest is the time of the last request at each target.
+	lastRequest map[cornelbay.TargetName]time.Time
+}
+
+// requestLoad asks lookups and files reports, and checks what became of them.
+type requestLoad struct {
+	world *world
+	seed  uint64
+	http  http.Client
+
+	mu sync.Mutex
+	// runs counts how often targets ran each report.
+	runs map[string]int
+	// outcomes holds what the callers were told of each report.
+	outcomes map[string]cornelbay.Outcome
+	stopping *host
+	requestFigures
+}
+
+func newRequestLoad(w *world, seed uint64) *requestLoad {
+	l := &requestLoad{
+		world: w, seed: seed, runs: make(map[string]int), outcomes: make(map[string]cornelbay.Outcome),
+		requestFigures: requestFigures{lastRequest: make(map[cornelbay.TargetName]time.Time)},
+	}
+	l.http.Transport = &http.Transport{MaxIdleConnsPerHost: callerCount}
+	l.http.Timeout = clientTimeout
+	return l
+}
+
+// run asks until ctx ends; requests that run then are finished.
+func (l *requestLoad) run(ctx context.Context) {
+	var wg sync.WaitGroup
+	for i := range callerCount {
+		c := &client{load: l, number: i, rand: rand.New(rand.NewPCG(l.seed, uint64(i)+2))}
+		wg.Go(func() { c.run(ctx) })
+	}
+	wg.Wait()
+	l.http.CloseIdleConnections()
+}
+
+// arrived notes a request that a target starts to run, and takes its time.
+func (l *requestLoad) arrived(p *place, r *http.Request) {
+	l.mu.Lock()
+	l.lastRequest[p.Name] = time.Now()
+	if r.Method == http.MethodPost {
+		l.runs[r.URL.Path]++
+	}
+	l.mu.Unlock()
+	if rand.Float64() < lateShare {
+		time.Sleep(lateTime)
+	}
+	time.Sleep(serviceTime)
+}
+
+// client is one caller.
+type client struct {
+	load    *requestLoad
+	number  int
+	count   int
+	rand    *rand.Rand
+	tickets map[cornelbay.ServiceName][]string
+}
+
+func (c *client) run(ctx context.Context) {
+	c.tickets = make(map[cornelbay.ServiceName][]string)
+	for wait(ctx, time.Duration(c.rand.Int64N(int64(2*thinkTime)))) {
+		hosts := c.load.world.readyHosts()
+		if len(hosts) == 0 {
+			continue
+		}
+		c.one(hosts[c.rand.IntN(len(hosts))])
+	}
+}
+
+// one asks or files one thing at a host.
+func (c *client) one(h *host) {
+	services := c.load.world.doc.Services
+	svc := services[c.rand.IntN(len(services))].Name
+	base := "http://" + h.daemon.Load().Self().HTTP.String()
+	c.count++
+	path := fmt.Sprintf("/lookups/%d-%d", c.number, c.count)
+	if c.rand.Float64() >= reportShare {
+		c.send(h, base, svc, http.MethodGet, path, "")
+		return
+	}
+	if ticket, ok := c.ticket(base, svc); ok {
+		path = fmt.Sprintf("/reports/%d-%d", c.number, c.count)
+		c.send(h, base, svc, http.MethodPost, path, ticket)
+	}
+}
+
+// ticket returns a ticket for a service, from a batch fetched before if it can.
+func (c *client) ticket(base string, svc cornelbay.ServiceName) (string, bool) {
+	if len(c.tickets[svc]) == 0 {
+		c.tickets[svc] = c.fetch(base, svc)
+	}
+	t := c.tickets[svc]
+	if len(t) == 0 {
+		return "", false
+	}
+	c.tickets[svc] = t[1:]
+	return t[0], true
+}
+
+func (c *client) fetch(base string, svc cornelbay.ServiceName) []string {
+	res, err := c.load.http.Get(base + caller.TicketsPath + "?service=" + string(svc) + "&count=" + strconv.Itoa(ticketBatch))
+	if err != nil {
+		return nil
+	}
+	defer res.Body.Close()
+	var out request.TicketList
+	if res.StatusCode != http.StatusOK || json.NewDecoder(res.Body).Decode(&out) != nil {
+		return nil
+	}
+	return out.Tickets
+}
+
+// send sends one request and counts what became of it.
+func (c *client) send(h *host, base string, svc cornelbay.ServiceName, method, path, ticket string) {
+	r, err := http.NewRequest(method, base+"/services/"+string(svc)+path, nil)
+	if err != nil {
+		panic(err) // the URL is the load's own
+	}
+	if ticket != "" {
+		r.Header.Set(request.TicketHeader, ticket)
+	}
+	res, err := c.load.http.Do(r)
+	outcome, body := cornelbay.Unknown, []byte(nil)
+	if err == nil {
+		body, err = io.ReadAll(res.Body)
+		_ = res.Body.Close() // read whole
+	}
+	if err == nil {
+		outcome = cornelbay.ParseOutcome(res.Header.Get(cornelbay.OutcomeHeader))
+	}
+	c.load.ended(h, method, path, outcome, string(body), err)
+}
+
+func (l *requestLoad) ended(h *host, method, path string, outcome cornelbay.Outcome, body string, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case err != nil:
+		l.failed++
+	case outcome == cornelbay.Answered:
+		l.answered++
+		if !l.wholeAnswer(path, body) {
+			l.foreign++
+		}
+	case outcome == cornelbay.NotRun:
+		l.notRun++
+	default:
+		l.unknown++
+	}
+	if method == http.MethodPost {
+		l.outcomes[path] = outcome
+	}
+	// A lookup may be cut by its target; a report that ran into a cut answer is
+	// unknown whatever the host does.
+	if h == l.stopping && err != nil {
+		l.cutByStop++
+	}
+}
+
+// wholeAnswer checks that the body is that of a target's answer to path.
+func (l *requestLoad) wholeAnswer(path, body string) bool {
+	name, _, ok := strings.Cut(strings.TrimPrefix(body, "answer of "), " to ")
+	return ok && body == standin.AnswerTo(cornelbay.TargetName(name), path)
+}
+
+// stop tells which host is in its planned stop; nil is none.
+func (l *requestLoad) stop(h *host) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stopping = h
+}
+
+func (l *requestLoad) figures() requestFigures {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.requestFigures
+}
+
+// reports returns how many reports ran twice, ran in spite of the word that
+// they did not, and did not run in spite of an answer.
+func (l *requestLoad) reports() (doubled, falselyRefused, lost int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for path, n := range l.runs {
+		if n > 1 {
+			doubled++
+		}
+		if n > 0 && l.outcomes[path] == cornelbay.NotRun {
+			falselyRefused++
+		}
+	}
+	for path, o := range l.outcomes {
+		if o == cornelbay.Answered && l.runs[path] == 0 {
+			lost++
+		}
+	}
+	return doubled, falselyRefused, lost
+}
+
+// filed returns the number of reports that callers sent.
+func (l *requestLoad) filed() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.outcomes)
+}
--- /dev/null
+++ b/demo/script.go
@@ -0,0 +1,247 @@
+package demo
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/config"
+	"github.com/cornelbay/cornelbay/operator"
+	"github.com/cornelbay/cornelbay/platform"
+	"github.com/cornelbay/cornelbay/standin"
+)
+
+// coldness is what the target bears that is started cold.
+var coldness = standin.Coldness{For: 4 * time.Second, Requests: 1, Openings: 1, OpeningBurst: 3}
+
+// steps holds what the script did to whom, and when.
+type steps struct {
+	cold            *place
+	heavier         cornelbay.TargetName
+	drained         *place
+	drainedAt       time.Time
+	outName         cornelbay.DataCentreName
+	outAt           time.Time
+	lastPacketAtOut time.Time
+	// openingsAtOut counts the flows that the data centre had taken on before.
+	openingsAtOut int
+}
+
+// step is one step of the script; it lasts for at least the given time.
+type step struct {
+	what  string
+	lasts time.Duration
+	do    func(ctx context.Context) error
+}
+
+func (r *run) script(ctx context.Context) error {
+	r.choose()
+	if err := r.begin(ctx); err != nil {
+		return err
+	}
+	loadCtx, stopLoad := context.WithCancel(ctx)
+	defer stopLoad()
+	var load sync.WaitGroup
+	load.Go(func() { r.flows.run(loadCtx) })
+	load.Go(func() { r.requests.run(loadCtx) })
+	for _, s := range r.plan() {
+		r.say("%s", s.what)
+		began := time.Now()
+		if err := s.do(ctx); err != nil {
+			return merry.Prepend(err, s.what)
+		}
+		if !wait(ctx, s.lasts-time.Since(began)) {
+			return ctx.Err()
+		}
+		r.progress()
+	}
+	stopLoad()
+	load.Wait()
+	return nil
+}
+
+func (r *run) plan() []step {
+	killed, stopped := r.world.hosts[1], r.world.hosts[2]
+	idle := func(context.Context) error { return nil }
+	return []step{
+		{"load of flows and requests", 2 * time.Second, idle},
+		{"apply a change of weight", 1500 * time.Millisecond, r.changeWeight},
+		{"drain " + string(r.steps.drained.Name), 2 * time.Second, r.drain},
+		{"start " + string(r.steps.cold.Name) + " cold", 2500 * time.Millisecond, r.startCold},
+		{"platform down; kill host " + string(killed.name), 2500 * time.Millisecond, func(context.Context) error {
+			r.world.platform.Set(platform.Faults{Down: true})
+			killed.kill()
+			return nil
+		}},
+		{"platform up; start " + string(killed.name) + " again", time.Second, func(context.Context) error {
+			r.world.platform.Set(platform.Faults{})
+			return r.world.startHost(killed)
+		}},
+		{"stop host " + string(stopped.name) + " as planned", time.Second, func(ctx context.Context) error {
+			return r.stopHost(ctx, stopped)
+		}},
+		{"start " + string(stopped.name) + " again", 1500 * time.Millisecond, func(context.Context) error {
+			return r.world.startHost(stopped)
+		}},
+		{"take " + string(r.steps.outName) + " out", 4 * time.Second, r.takeOut},
+		{"bring " + string(r.steps.outName) + " back in", 2500 * time.Millisecond, r.bringIn},
+	}
+}
+
+// choose picks the targets and the data centre of the script's steps.
+func (r *run) choose() {
+	targets := r.Document.Services[0].Targets
+	last := targets[len(targets)-1]
+	r.steps.cold = r.world.places[last.Name]
+	r.steps.heavier = targets[1].Name
+	r.steps.drained = r.world.places[targets[0].Name]
+	dcs := r.Document.DataCentres
+	r.steps.outName = dcs[len(dcs)-1].Name
+}
+
+// begin applies the document without the target that starts later.
+func (r *run) begin(ctx context.Context) error {
+	doc := r.Document.Clone()
+	s := &doc.Services[0]
+	s.Targets = s.Targets[:len(s.Targets)-1]
+	if _, err := r.commit(func() (config.Head, error) {
+		return r.world.operator.Apply(ctx, doc, change("first configuration"))
+	}); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for len(r.world.readyHosts()) < len(r.world.hosts) {
+		if !wait(ctx, readyPoll) {
+			return merry.Errorf("%d of %d hosts are ready", len(r.world.readyHosts()), len(r.world.hosts))
+		}
+	}
+	r.say("%d hosts ready with %d targets of %s", len(r.world.hosts), len(r.world.places), r.Document.Deployment)
+	return nil
+}
+
+func change(reason string) operator.Change { return operator.Change{Author: "demo", Reason: reason} }
+
+// commit notes when a change was committed.
+func (r *run) commit(apply func() (config.Head, error)) (config.Head, error) {
+	h, err := apply()
+	if err == nil {
+		r.world.config.commit(h.Generation, time.Now())
+	}
+	return h, err
+}
+
+// edit commits a change of the document and waits until it is in force.
+func (r *run) edit(ctx context.Context, reason string, edit func(*config.Document) error) error {
+	h, err := r.commit(func() (config.Head, error) { return r.world.operator.Edit(ctx, change(reason), edit) })
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if !r.world.config.waitInForce(ctx, h.Generation) {
+		return merry.Errorf("generation %d did not come into force", h.Generation)
+	}
+	return nil
+}
+
+func (r *run) changeWeight(ctx context.Context) error {
+	return r.edit(ctx, "weight", func(doc *config.Document) error {
+		target(doc, r.steps.heavier).Weight = 2
+		return nil
+	})
+}
+
+func (r *run) drain(ctx context.Context) error {
+	r.steps.drainedAt = time.Now()
+	return r.edit(ctx, "drain", func(doc *config.Document) error {
+		target(doc, r.steps.drained.Name).Drain = true
+		return nil
+	})
+}
+
+func (r *run) startCold(ctx context.Context) error {
+	r.steps.cold.standin.TurnCold(time.Now(), coldness)
+	return r.edit(ctx, "new target", func(doc *config.Document) error {
+		for i := range doc.Services {
+			if s := &doc.Services[i]; s.Name == r.steps.cold.service.Name {
+				s.Targets = append(s.Targets, r.steps.cold.Target)
+			}
+		}
+		return nil
+	})
+}
+
+// target returns the named target of a document that has it.
+func target(doc *config.Document, name cornelbay.TargetName) *cornelbay.Target {
+	for _, s := range doc.Services {
+		for i := range s.Targets {
+			if s.Targets[i].Name == name {
+				return &s.Targets[i]
+			}
+		}
+	}
+	panic("no target " + name) // the script names targets of the document
+}
+
+func (r *run) stopHost(ctx context.Context, h *host) error {
+	r.requests.stop(h)
+	defer r.requests.stop(nil)
+	return h.daemon.Load().Stop(ctx)
+}
+
+func (r *run) setOut(ctx context.Context, out bool) error {
+	return r.edit(ctx, "data centre", func(doc *config.Document) error {
+		for i := range doc.DataCentres {
+			if dc := &doc.DataCentres[i]; dc.Name == r.steps.outName {
+				dc.Out = out
+			}
+		}
+		return nil
+	})
+}
+
+func (r *run) takeOut(ctx context.Context) error {
+	names := make(targetNames)
+	for _, p := range r.world.places {
+		if p.DataCentre == r.steps.outName {
+			names[p.Name] = true
+		}
+	}
+	r.steps.outAt = time.Now()
+	r.flows.giveUp(r.steps.outAt, names)
+	return r.setOut(ctx, true)
+}
+
+// bringIn notes first what has arrived while the data centre was out.
+func (r *run) bringIn(ctx context.Context) error {
+	f, q := r.flows.figures(), r.requests.figures()
+	for _, p := range r.world.places {
+		if p.DataCentre == r.steps.outName {
+			r.steps.openingsAtOut += f.openings[p.Name]
+			r.steps.lastPacketAtOut = latest(r.steps.lastPacketAtOut, f.lastPacket[p.Name], q.lastRequest[p.Name])
+		}
+	}
+	r.flows.giveUp(time.Now(), nil)
+	return r.setOut(ctx, false)
+}
+
+func latest(times ...time.Time) time.Time {
+	var out time.Time
+	for _, t := range times {
+		if t.After(out) {
+			out = t
+		}
+	}
+	return out
+}
+
+func (r *run) progress() {
+	f, q := r.flows.figures(), r.requests.figures()
+	open, all := r.flows.open()
+	r.say("  flows %d of %d open, %d moved, %d stalled; packets %d sent, %d arrived; requests %d answered, %d not run, %d unknown, %d failed",
+		open, all, f.moved, f.stalled, f.sent, f.received, q.answered, q.notRun, q.unknown, q.failed)
+}
--- /dev/null
+++ b/demo/world.go
@@ -0,0 +1,222 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/config"
+	"github.com/cornelbay/cornelbay/daemon"
+	"github.com/cornelbay/cornelbay/entry"
+	"github.com/cornelbay/cornelbay/operator"
+	"github.com/cornelbay/cornelbay/platform"
+	"github.com/cornelbay/cornelbay/standin"
+)
+
+// The sizes and times of the world.
+const (
+	hostCount    = 6
+	stopNotice   = 500 * time.Millisecond
+	readyPoll    = 100 * time.Millisecond
+	startTimeout = 15 * time.Second
+)
+
+var anyPort = netip.MustParseAddrPort("127.0.0.1:0")
+
+// place is a target stand-in with what the document says of it.
+type place struct {
+	cornelbay.Target
+	service cornelbay.Service
+	standin *standin.Target
+}
+
+// host is one host, whose daemon changes when it is started again.
+type host struct {
+	name cornelbay.HostName
+	dc   cornelbay.DataCentreName
+
+	daemon atomic.Pointer[daemon.Daemon]
+	kill   context.CancelFunc
+	// ready is what the fabric last saw.
+	ready atomic.Bool
+}
+
+// world holds the hosts and the stand-ins around them.
+type world struct {
+	doc      *config.Document
+	memory   platform.Memory
+	platform platform.Faulty
+	operator operator.Client
+	base     string
+	fabric   standin.Fabric
+	probe    http.Client
+	hosts    []*host
+	places   map[cornelbay.TargetName]*place
+
+	onPacket  func(p *place, pk *cornelbay.Packet)
+	onRequest func(p *place, r *http.Request)
+
+	config   configWatch
+	stops    []func()
+	ctx      context.Context
+	cancel   context.CancelFunc
+	watchers sync.WaitGroup
+}
+
+func newWorld(ctx context.Context, doc *config.Document) (*world, error) {
+	w := &world{doc: doc, places: make(map[cornelbay.TargetName]*place)}
+	w.ctx, w.cancel = context.WithCancel(ctx)
+	w.probe.Transport = &http.Transport{MaxIdleConnsPerHost: 1}
+	w.platform.Service = &w.memory
+	w.operator.Service = &w.memory
+	if err := w.start(); err != nil {
+		w.close()
+		return nil, err
+	}
+	return w, nil
+}
+
+func (w *world) start() error {
+	at, stop, err := standin.Serve(anyPort, &platform.Server{Service: &w.platform})
+	if err != nil {
+		return err
+	}
+	w.base = "http://" + at.String()
+	w.stops = append(w.stops, stop)
+	if err := w.fabric.Start(); err != nil {
+		return err
+	}
+	w.stops = append(w.stops, w.fabric.Close)
+	if err := w.startTargets(); err != nil {
+		return err
+	}
+	dcs := w.doc.DataCentres
+	for i := range hostCount {
+		dc := dcs[i%len(dcs)].Name
+		h := &host{name: cornelbay.HostName(fmt.Sprintf("%s-%d", dc, i/len(dcs)+1)), dc: dc}
+		w.hosts = append(w.hosts, h)
+		if err := w.startHost(h); err != nil {
+			return err
+		}
+	}
+	w.watchers.Go(w.watchHosts)
+	w.watchers.Go(func() { w.config.run(w.ctx, w.hosts) })
+	return nil
+}
+
+func (w *world) startTargets() error {
+	for i := range w.doc.Services {
+		s := &w.doc.Services[i]
+		for j := range s.Targets {
+			t := &s.Targets[j]
+			p := &place{service: *s, standin: &standin.Target{Name: t.Name, Slots: t.SlotCount(), CutEvery: cutEvery}}
+			p.standin.OnPacket = func(pk *cornelbay.Packet) { w.onPacket(p, pk) }
+			p.standin.OnRequest = func(r *http.Request) { w.onRequest(p, r) }
+			if err := p.standin.Start(anyPort, anyPort); err != nil {
+				return err
+			}
+			w.stops = append(w.stops, p.standin.Close)
+			t.Tunnel, t.HTTP = p.standin.Tunnel(), p.standin.HTTP()
+			p.Target = *t
+			w.places[t.Name] = p
+		}
+	}
+	return nil
+}
+
+// startHost starts a host with the next incarnation.
+func (w *world) startHost(h *host) error {
+	ctx, kill := context.WithCancel(w.ctx)
+	now := time.Now().UnixNano()
+	d, err := daemon.Start(ctx, daemon.Settings{
+		Settings: entry.Settings{
+			Self: cornelbay.Host{
+				Name: h.name, DataCentre: h.dc, Incarnation: cornelbay.Incarnation(now),
+				Fabric: anyPort, Datagram: anyPort, RPC: anyPort, HTTP: anyPort, Admin: anyPort,
+			},
+			Seed: uint64(now), HashKey: [2]uint64{1, 2}, TicketKeys: [][]byte{[]byte("ticket key of the demo")},
+			Introduce: w.introduce(h),
+		},
+		Platform: w.base, Keys: [][]byte{[]byte("datagram key of the demo")},
+		StopNotice: stopNotice, Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel},
+	})
+	if err != nil {
+		kill()
+		return err
+	}
+	h.kill = kill
+	h.daemon.Store(d)
+	return nil
+}
+
+// introduce lists the hosts that run already.
+func (w *world) introduce(own *host) []cornelbay.Host {
+	var out []cornelbay.Host
+	for _, h := range w.hosts {
+		if d := h.daemon.Load(); d != nil && h != own {
+			out = append(out, d.Self())
+		}
+	}
+	return out
+}
+
+// watchHosts asks the hosts as the fabric does, and sprays over those that are
+// ready.
+func (w *world) watchHosts() {
+	for w.ctx.Err() == nil {
+		var ready []netip.AddrPort
+		for _, h := range w.hosts {
+			self := h.daemon.Load().Self()
+			ok := standin.Ready(w.ctx, &w.probe, self.Admin)
+			h.ready.Store(ok)
+			if ok {
+				ready = append(ready, self.Fabric)
+			}
+		}
+		w.fabric.SetHosts(ready...)
+		wait(w.ctx, readyPoll)
+	}
+}
+
+// readyHosts returns the hosts that the fabric sees as ready.
+func (w *world) readyHosts() []*host {
+	var out []*host
+	for _, h := range w.hosts {
+		if h.ready.Load() {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+func (w *world) close() {
+	w.cancel()
+	w.watchers.Wait()
+	for _, h := range w.hosts {
+		if d := h.daemon.Load(); d != nil {
+			<-d.Done()
+		}
+	}
+	for _, stop := range w.stops {
+		stop()
+	}
+	w.probe.CloseIdleConnections()
+}
+
+// wait waits for d or the end of ctx and reports whether ctx goes on.
+func wait(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
