--- a/cmd/cornelbay/main.go
+++ b/cmd/cornelbay/main.go
@@ -18,6 +18,7 @@
 	Validate validateCmd `cmd:"" help:"Check a document."`
 	Apply    applyCmd    `cmd:"" help:"Commit a document as the next generation."`
 	Keys     keysCmd     `cmd:"" help:"Write certificates and a datagram key for a trial."`
+	Burn     burnCmd     `cmd:"" help:"Report how requests meet their service levels."`
 	Demo     demoCmd     `cmd:"" help:"Run a deployment with stand-ins under load and faults."`
 	Standin  standinCmd  `cmd:"" help:"Run stand-ins for the platform and the targets of a document."`
 }
