--- /dev/null
+++ b/cmd/cornelbay/document.go
@@ -0,0 +1,151 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/cornelbay/cornelbay/config"
+	"github.com/cornelbay/cornelbay/operator"
+	"github.com/cornelbay/cornelbay/platform"
+)
+
+// service is embedded by commands that call the platform's service.
+type service struct {
+	Platform string `help:"URL of the platform's service." required:"" env:"CORNELBAY_PLATFORM"`
+}
+
+func (s service) client() *operator.Client {
+	return &operator.Client{Service: &platform.Client{Base: s.Platform}}
+}
+
+func load(path string) (*config.Document, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, merry.Prepend(err, "read document")
+	}
+	return config.Parse(b)
+}
+
+type validateCmd struct {
+	format
+	Document string `arg:"" help:"File of the document to check."`
+}
+
+type validation struct {
+	Valid  bool          `json:"valid"`
+	Errors config.Errors `json:"errors"`
+}
+
+// Run prints every fault of the document.
+func (c *validateCmd) Run() error {
+	doc, err := load(c.Document)
+	var faults config.Errors
+	if err != nil && !errors.As(err, &faults) {
+		return err
+	}
+	if c.JSON {
+		if err := c.print(validation{len(faults) == 0, append(config.Errors{}, faults...)}, nil); err != nil {
+			return err
+		}
+	}
+	if len(faults) > 0 {
+		return faults
+	}
+	if c.JSON {
+		return nil
+	}
+	return c.print(nil, func(w io.Writer) {
+		targets := 0
+		for _, s := range doc.Services {
+			targets += len(s.Targets)
+		}
+		fmt.Fprintf(w, "valid: %d data centres, %d services, %d targets\n", len(doc.DataCentres), len(doc.Services), targets)
+	})
+}
+
+type schemaCmd struct{}
+
+// Run prints the schema.
+func (c *schemaCmd) Run() error {
+	b, err := config.Schema()
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Println(string(b))
+	return err
+}
+
+type getCmd struct {
+	service
+	Generation uint64 `help:"Generation; the committed one by default."`
+	Head       bool   `help:"Print the head with generation, author and reason in place of the document."`
+}
+
+// Run prints a document, or its head, as JSON.
+func (c *getCmd) Run() error {
+	h, doc, err := generation(c.client(), c.Generation)
+	if err != nil {
+		return err
+	}
+	if c.Head {
+		return format{JSON: true}.print(h, nil)
+	}
+	return format{JSON: true}.print(doc, nil)
+}
+
+// generation loads a generation, or the committed one for 0.
+func generation(c *operator.Client, n uint64) (config.Head, *config.Document, error) {
+	if n == 0 {
+		return c.Load(context.Background())
+	}
+	return c.Generation(context.Background(), n)
+}
+
+type diffCmd struct {
+	format
+	Platform string   `help:"URL of the platform's service, for one document." env:"CORNELBAY_PLATFORM"`
+	Document []string `arg:"" help:"The document to compare with what is committed, or two documents."`
+}
+
+// Run prints the differences, one a line.
+func (c *diffCmd) Run() error {
+	if len(c.Document) > 2 || len(c.Document) == 1 && c.Platform == "" {
+		return merry.Wrap(errUsage, merry.AppendMessage("one document and --platform, or two documents are wanted"))
+	}
+	to, err := load(c.Document[len(c.Document)-1])
+	if err != nil {
+		return err
+	}
+	var from *config.Document
+	if len(c.Document) == 2 {
+		from, err = load(c.Document[0])
+	} else {
+		_, from, err = generation(service{c.Platform}.client(), 0)
+	}
+	if err != nil {
+		return err
+	}
+	differences := append([]config.Difference{}, config.Diff(from, to)...)
+	return c.print(differences, func(w io.Writer) {
+		for _, d := range differences {
+			fmt.Fprintln(w, d)
+		}
+	})
+}
+
+type completionCmd struct{}
+
+// Run prints a line for the shell's start file.
+func (c *completionCmd) Run() error {
+	path, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Printf("complete -C %q cornelbay\n", path)
+	return err
+}
--- /dev/null
+++ b/cmd/cornelbay/output.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/cornelbay/cornelbay/config"
+	"github.com/cornelbay/cornelbay/operator"
+)
+
+// The exit codes of the command.
+const (
+	exitFailure       = 1
+	exitInvalid       = 2
+	exitConflict      = 3
+	exitNotEverywhere = 4
+)
+
+const exitHelp = "Exit codes: 0 done, 1 failure, 2 invalid input, 3 another change was committed first, 4 not in force everywhere in time."
+
+// errUsage is the error of a command line that cannot be read.
+var errUsage = merry.New("usage")
+
+// format is embedded by commands that print tables or JSON.
+type format struct {
+	JSON bool `name:"json" help:"Print JSON."`
+}
+
+// print writes v as JSON, or calls table.
+func (f format) print(v any, table func(w io.Writer)) error {
+	if f.JSON {
+		e := json.NewEncoder(os.Stdout)
+		e.SetIndent("", "  ")
+		return e.Encode(v)
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	table(w)
+	return w.Flush()
+}
+
+// fail writes an error, one line for each fault, and returns the exit code.
+func fail(w io.Writer, err error) int {
+	for line := range strings.Lines(err.Error()) {
+		fmt.Fprintln(w, "cornelbay: "+strings.TrimSuffix(line, "\n"))
+	}
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	var faults config.Errors
+	var conflict *operator.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		return exitConflict
+	case errors.Is(err, operator.ErrNotEverywhere):
+		return exitNotEverywhere
+	case errors.As(err, &faults), errors.Is(err, errUsage), errors.Is(err, fs.ErrNotExist):
+		return exitInvalid
+	}
+	for _, invalid := range []error{
+		operator.ErrAbandoned, operator.ErrChange, operator.ErrNoTarget, operator.ErrNoDataCentre, operator.ErrNoGeneration,
+	} {
+		if errors.Is(err, invalid) {
+			return exitInvalid
+		}
+	}
+	return exitFailure
+}
--- /dev/null
+++ b/cmd/cornelbay/output_test.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"bytes"
+	"errors"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/alecthomas/kong"
+	"github.com/ansel1/merry/v2"
+	"github.com/matryer/is"
+
+	"github.com/cornelbay/cornelbay/config"
+	"github.com/cornelbay/cornelbay/operator"
+	"github.com/cornelbay/cornelbay/platform"
+)
+
+func TestFailPrintsOneLineAFault(t *testing.T) {
+	is := is.New(t)
+	var b bytes.Buffer
+	code := fail(&b, config.Errors{{Path: "a", Message: "one"}, {Path: "b", Message: "two"}})
+	is.Equal(b.String(), "cornelbay: a: one\ncornelbay: b: two\n")
+	is.Equal(code, exitInvalid)
+}
+
+func TestExitCodes(t *testing.T) {
+	for _, c := range []struct {
+		err  error
+		code int
+	}{
+		{errors.New("any"), exitFailure},
+		{platform.ErrUnavailable, exitFailure},
+		{&operator.UnknownError{Cause: platform.ErrUnavailable}, exitFailure},
+		{merry.Wrap(errUsage), exitInvalid},
+		{merry.Wrap(operator.ErrAbandoned), exitInvalid},
+		{&operator.ConflictError{}, exitConflict},
+		{errors.Join(merry.Wrap(operator.ErrNotEverywhere), nil), exitNotEverywhere},
+	} {
+		is.New(t).Equal(exitCode(c.err), c.code)
+	}
+}
+
+// run runs a command line against a platform's service.
+func run(t *testing.T, url string, args ...string) error {
+	t.Helper()
+	var c cli
+	parser, err := kong.New(&c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	k, err := parser.Parse(append(args, "--platform="+url))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return k.Run()
+}
+
+func TestVerbsCommitOneAfterAnother(t *testing.T) {
+	is := is.New(t)
+	m := &platform.Memory{}
+	s := httptest.NewServer(&platform.Server{Service: m})
+	t.Cleanup(s.Close)
+	by := []string{"--author=aicha", "--reason=trial"}
+	verb := func(args ...string) error { return run(t, s.URL, append(args, by...)...) }
+	agence := "../../examples/agence.json"
+	is.NoErr(verb("apply", agence, "--change=first"))
+	is.NoErr(verb("apply", agence, "--change=first")) // one change
+	is.NoErr(verb("target", "drain", "statut-1"))
+	is.NoErr(verb("target", "drain", "statut-1")) // it drains already
+	is.NoErr(verb("data-centre", "out", "todra", "--json"))
+	is.Equal(exitCode(verb("target", "drain", "nobody")), exitInvalid)
+	is.Equal(exitCode(verb("apply", agence, "--base=1")), exitConflict)
+	is.Equal(exitCode(verb("apply")), exitInvalid)
+	is.Equal(exitCode(verb("target", "undrain", "statut-1", "--wait")), exitInvalid) // no hosts to wait for
+	is.NoErr(verb("apply", "--rollback-to=1"))
+
+	b, err := os.ReadFile(agence)
+	is.NoErr(err)
+	less := filepath.Join(t.TempDir(), "less.json")
+	is.NoErr(os.WriteFile(less, []byte(strings.Replace(string(b), `"statut-1"`, `"statut-15"`, 1)), 0o600))
+	is.Equal(exitCode(verb("apply", less)), exitInvalid) // statut-1 does not drain
+
+	c := &operator.Client{Service: m}
+	h, doc, err := c.Load(t.Context())
+	is.NoErr(err)
+	is.Equal(h.Generation, uint64(4))
+	is.Equal(h.Author, "aicha")
+	first, err := load(agence)
+	is.NoErr(err)
+	is.Equal(len(config.Diff(first, doc)), 0)
+	is.NoErr(run(t, s.URL, "history"))
+	is.NoErr(run(t, s.URL, "get", "--generation=2"))
+	is.NoErr(run(t, s.URL, "diff", agence))
+}
--- a/config/document.go
+++ b/config/document.go
@@ -24,10 +24,16 @@
 func Parse(b []byte) (*Document, error) {
 	var doc Document
 	errs := decodeStrict(b, &doc)
-	if len(errs) > 0 {
+	if errs.broken() {
 		return nil, errs
 	}
-	if errs := doc.Validate(); len(errs) > 0 {
+	read := errs.paths()
+	for _, e := range doc.Validate() {
+		if !read[e.Path] {
+			errs = append(errs, e)
+		}
+	}
+	if len(errs) > 0 {
 		return nil, errs
 	}
 	return &doc, nil
--- a/config/document_test.go
+++ b/config/document_test.go
@@ -75,6 +75,11 @@
 			"services[0].targets[0].weight: 1001 is not between 0 and 1000",
 			"services[0].targets[0].slots: -1 is not between 0 and 10000",
 		}},
+		{"of both kinds", replace(`"slots"`, `"slotts"`, `"dataCentre": "todra"`, `"dataCentre": "imlill"`, `"port": 443`, `"port": "x"`), []string{
+			`services[0].port: "x" where a whole number from 0 to 65535 is wanted`,
+			"services[0].targets[0].slotts: unknown key",
+			`services[0].targets[3].dataCentre: no data centre "imlill"`,
+		}},
 		{"null", `{"deployment": null, "dataCentres": null, "services": []}`, []string{
 			"deployment: null where a string is wanted", "dataCentres: null where a list is wanted",
 		}},
--- a/config/strict.go
+++ b/config/strict.go
@@ -46,6 +46,18 @@
 	*e = append(*e, Error{Path: path, Message: fmt.Sprintf(format, args...)})
 }
 
+// broken reports whether the JSON could not be read to its end.
+func (e Errors) broken() bool { return len(e) > 0 && e[len(e)-1].Path == "" }
+
+// paths returns the places of the faults.
+func (e Errors) paths() map[string]bool {
+	out := make(map[string]bool)
+	for i := range e {
+		out[e[i].Path] = true
+	}
+	return out
+}
+
 // decodeStrict reads JSON into v and returns every unknown or doubled key and
 // every value of a wrong type.
 func decodeStrict(b []byte, v any) Errors {
--- a/daemon/admin.go
+++ b/daemon/admin.go
@@ -10,7 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/cornelbay/cornelbay"
-	"github.com/cornelbay/cornelbay/config"
+	"github.com/cornelbay/cornelbay/operator"
 )
 
 // controlTimeout is the time after which a control goroutine that has not
@@ -18,15 +18,7 @@
 const controlTimeout = 5 * time.Second
 
 // Status is what a host tells operators of itself.
-type Status struct {
-	Host    cornelbay.Host          `json:"host"`
-	Head    config.Head             `json:"head"`
-	Ready   bool                    `json:"ready"`
-	Stop    bool                    `json:"stopping"`
-	Live    []cornelbay.Host        `json:"live"`
-	Missing []cornelbay.Host        `json:"missing"`
-	Targets []cornelbay.TargetState `json:"targets"`
-}
+type Status = operator.HostStatus
 
 func (d *Daemon) adminHandler() http.Handler {
 	m := http.NewServeMux()
@@ -49,7 +41,7 @@
 		m := d.host.Members(now)
 		ch <- Status{
 			Host: d.Self(), Head: d.host.Head(), Ready: d.host.Ready() && !d.stopping.Load(),
-			Stop: d.stopping.Load(), Live: m.Live, Missing: m.Missing, Targets: d.host.States(now),
+			Stopping: d.stopping.Load(), Live: m.Live, Missing: m.Missing, Targets: d.host.States(now),
 		}
 		return nil
 	})
--- a/entry/config.go
+++ b/entry/config.go
@@ -10,6 +10,8 @@
 	"github.com/cornelbay/cornelbay/platform"
 )
 
+func init() { peer.RegisterCall[config.FetchArgs, config.FetchReply]() }
+
 // Head returns the head of the generation in force; its Generation is 0 while
 // there is none.
 func (h *Host) Head() config.Head { return h.keeper.Head() }
