config: let a fetch follow hosts that have gone on

A host now answers with all that the asking host lacks of the head in force, as far as it remembers the last 16 generations, and the asking host takes that head when it is whole or the older one cannot be had. TestFetchFollowsPeersThatWentOn overflows the stack on the code before.

--- a/config/fetch.go
+++ b/config/fetch.go
@@ -23,6 +23,8 @@
 	// make in the long run, and callBurst the number at once.
 	callRate  = 4.0
 	callBurst = 32.0
+	// pastGenerations is the number of generations whose names are remembered.
+	pastGenerations = 16
 )
 
 // FetchArgs asks another host for the generation that it has in force.
@@ -31,7 +33,9 @@
 	// Generation, Base and Manifest are what the asking host holds.
 	Generation     uint64
 	Base, Manifest string
-	// Want lists the digests of the objects that are still missing.
+	// Head is the generation that is being gathered, and Want lists the digests of
+	// the objects that it still lacks.
+	Head uint64
 	Want []string
 }
 
@@ -201,7 +205,7 @@
 	f.sent[f.call] = now
 	args := FetchArgs{Group: k.Group, Generation: k.head.Generation, Base: k.head.Base, Manifest: k.head.Manifest(k.Group)}
 	if f.head.Generation > 0 {
-		args.Want = f.objects.Missing(f.head, k.Group)
+		args.Head, args.Want = f.head.Generation, f.objects.Missing(f.head, k.Group)
 	}
 	return []cornelbay.Effect{peer.Call{ID: f.call, To: h.Name, Address: h.RPC, Args: args}}
 }
@@ -304,15 +308,7 @@
 		k.Stats.Refused++
 		return false
 	}
-	helped := false
-	if h.Generation > f.head.Generation {
-		n := found{head: h, raw: r.Head, version: r.Version}
-		if r.ConfirmedAgeMs > 0 {
-			n.sentAt = askedAt.Add(-age)
-		}
-		k.take(n)
-		helped = true
-	}
+	helped := f.head.Generation == 0
 	for _, b := range r.Objects {
 		d := Digest(b)
 		if _, held := f.objects[d]; !held {
@@ -320,7 +316,21 @@
 			helped = true
 		}
 	}
-	return helped
+	if h.Generation <= f.head.Generation {
+		return helped
+	}
+	n := found{head: h, raw: r.Head, version: r.Version}
+	if r.ConfirmedAgeMs > 0 {
+		n.sentAt = askedAt.Add(-age)
+	}
+	if !helped || len(f.objects.Missing(h, k.Group)) == 0 {
+		// The host has gone on: its head is whole already, or that of the fetch is
+		// not to be had from it.
+		f.found = n
+		return true
+	}
+	k.take(n)
+	return true
 }
 
 // adopt puts the gathered generation in force, whole.
@@ -339,13 +349,11 @@
 	}
 	named := f.objects.Named(f.head, k.Group)
 	held := make(Objects, len(named))
-	k.fresh = nil
 	for _, d := range named {
 		held[d] = f.objects[d]
-		if _, ok := k.objects[d]; !ok {
-			k.fresh = append(k.fresh, d)
-		}
 	}
+	k.past = append(k.past, pastGeneration{f.head.Generation, named})
+	k.past = k.past[max(len(k.past)-pastGenerations, 0):]
 	k.head, k.raw, k.version = f.head, f.raw, f.version
 	k.doc, k.objects = doc, held
 	if !f.sentAt.IsZero() {
@@ -357,23 +365,21 @@
 	}
 }
 
-// serveObjects returns the objects that an asking host wants, or those that it
-// is likely to lack.
+// pastGeneration is what a generation that was in force named.
+type pastGeneration struct {
+	generation uint64
+	named      []string
+}
+
+// serveObjects returns what an asking host lacks of the head in force.
 func (k *Keeper) serveObjects(args FetchArgs) [][]byte {
 	want := args.Want
-	if len(want) == 0 {
-		want = []string{k.head.Base, k.head.Manifest(k.Group)}
-		want = slices.DeleteFunc(want, func(d string) bool { return d == args.Base || d == args.Manifest })
-		switch args.Generation {
-		case 0:
-			want = k.objects.Named(k.head, k.Group)
-		case k.head.Generation - 1:
-			want = append(want, k.fresh...)
-		}
+	if args.Head != k.head.Generation {
+		want = k.lacking(args)
 	}
 	var out [][]byte
 	size := 0
-	for _, d := range slices.Compact(want) {
+	for _, d := range want {
 		b, ok := k.objects[d]
 		if ok && (size == 0 || size+len(b) <= maxReplyBytes) {
 			out = append(out, b)
@@ -383,6 +389,24 @@
 	return out
 }
 
+// lacking returns the digests of what a host lacks that has the generation of
+// the arguments in force; when that one is not known any more these are the base
+// and the manifest.
+func (k *Keeper) lacking(args FetchArgs) []string {
+	named := k.objects.Named(k.head, k.Group)
+	if args.Generation == 0 {
+		return named
+	}
+	has := []string{args.Base, args.Manifest}
+	known := slices.IndexFunc(k.past, func(p pastGeneration) bool { return p.generation == args.Generation })
+	if known >= 0 {
+		has = k.past[known].named
+	} else {
+		named = named[:min(len(named), 2)]
+	}
+	return slices.DeleteFunc(named, func(d string) bool { return slices.Contains(has, d) })
+}
+
 // watcher reports whether the host watches the platform for its group in its
 // data centre.
 func (k *Keeper) watcher() bool {
--- a/config/keeper.go
+++ b/config/keeper.go
@@ -80,7 +80,7 @@
 	version uint64
 	doc     *Document
 	objects Objects
-	fresh   []string
+	past    []pastGeneration
 
 	fetch     *fetch
 	nextFetch time.Time
--- a/config/keeper_test.go
+++ b/config/keeper_test.go
@@ -22,6 +22,7 @@
 	mangle  func(platform.Answer) platform.Answer
 	keepers map[cornelbay.HostName]*Keeper
 	paused  cornelbay.HostName
+	blind   cornelbay.HostName
 	cut     bool
 	calls   int
 }
@@ -78,7 +79,7 @@
 	for _, e := range effects {
 		switch e := e.(type) {
 		case platform.Call:
-			out, _ := k.StoreAnswer(f.now, f.platform(e))
+			out, _ := k.StoreAnswer(f.now, f.platform(k, e))
 			f.do(k, out)
 		case peer.Call:
 			a := peer.Answer{Call: e, Err: peer.ErrNoAnswer}
@@ -91,8 +92,11 @@
 	}
 }
 
-func (f *fakes) platform(c platform.Call) platform.Answer {
+func (f *fakes) platform(k *Keeper, c platform.Call) platform.Answer {
 	f.calls++
+	if f.blind == k.Self.Name {
+		return platform.Answer{Call: c, Err: platform.ErrUnavailable}
+	}
 	if f.down != nil {
 		return platform.Answer{Call: c, Err: f.down, RetryAfter: time.Second}
 	}
@@ -220,6 +224,28 @@
 	is.True(f.now.Sub(fresh.ConfirmedAt()) > 5*time.Second)
 }
 
+func TestFetchFollowsPeersThatWentOn(t *testing.T) {
+	is := is.New(t)
+	f := newFakes(t, "a", "b")
+	f.commit(1, 100)
+	f.run(2 * time.Second)
+	f.paused = "b"
+	f.mangle = func(a platform.Answer) platform.Answer {
+		if a.Call.Key != HeadKey {
+			a.Err = platform.ErrNotFound
+		}
+		return a
+	}
+	f.commit(2, 200)
+	f.run(2 * time.Second)
+	is.Equal(f.keepers["a"].fetch.head.Generation, uint64(2)) // its shards cannot be read
+	f.paused, f.mangle, f.blind = "", nil, "a"
+	f.commit(3, 300)
+	f.run(4 * time.Second)
+	is.Equal(f.keepers["b"].Generation(), uint64(3)) // holds no shard of generation 2
+	is.Equal(f.keepers["a"].Generation(), uint64(3))
+}
+
 func TestPlatformDownForAnHour(t *testing.T) {
 	for _, c := range []struct {
 		name string
@@ -303,7 +329,7 @@
 		k.Tick(f.now) // its answer is four seconds late
 		f.now = f.now.Add(100 * time.Millisecond)
 	}
-	out, _ := k.StoreAnswer(f.now, f.platform(first))
+	out, _ := k.StoreAnswer(f.now, f.platform(k, first))
 	f.do(k, out)
 	is.Equal(k.Generation(), uint64(1))
 }
