Stop the traffic of a host that wakes until it knows what is in force

Cause: a host that was paused while a data centre was taken out forwarded the packets that had waited for it, and sent requests and probes, before its control goroutine had run (matrix: takeOut/committed/leaseLapsedInPause, outIsSilent at the moment of waking). The age of the last confirmation was also forgotten in a pause, so that a host that nobody tells would never have been cut off. Change: plane and dispatcher suspend themselves when their control has not ticked for 1 s; control resumes them once the keeper has confirmed the head, or after CutOffAfter, by when targets of unheard data centres are closed. Ruled out: checking the age in the keeper alone, since traffic goroutines run first.

--- a/entry/host.go
+++ b/entry/host.go
@@ -48,6 +48,11 @@
 	judge   warmth.Judge
 	known   cornelbay.Members
 	version uint64
+	// confirmed is the last time of which the host knows that the platform
+	// confirmed the generation in force.
+	confirmed  time.Time
+	staleSince time.Time
+	suspended  bool
 }
 
 // New returns a host that has heard of nothing yet.
@@ -63,11 +68,12 @@
 }
 
 // Ready reports whether the host knows enough to serve.
-func (h *Host) Ready() bool { return h.keeper.Document() != nil && h.flows.Ready() }
+func (h *Host) Ready() bool { return h.keeper.Document() != nil && h.flows.Ready() && !h.suspended }
 
 // Tick advances the control state to now.
 func (h *Host) Tick(now time.Time) []cornelbay.Effect {
 	out := h.keeper.Tick(now) // first, since it notices a pause
+	out = append(out, h.suspend(now)...)
 	out = append(out, h.tickMembers(now)...)
 	out = append(out, h.tickTargets(now)...)
 	out = append(out, h.flows.Tick(now)...)
--- a/entry/members.go
+++ b/entry/members.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/flow"
 	"github.com/cornelbay/cornelbay/member"
 )
 
@@ -18,10 +19,34 @@
 // Members returns what is known of the group at now.
 func (h *Host) Members(now time.Time) cornelbay.Members {
 	m := h.members.Members(now)
-	m.ConfirmedAt = h.keeper.ConfirmedAt()
+	m.ConfirmedAt = h.confirmed
 	return m
 }
 
+// confirm keeps the last confirmation that the keeper has known: after a pause
+// the keeper has none, and what was confirmed before goes on to age.
+func (h *Host) confirm() {
+	if at := h.keeper.ConfirmedAt(); at.After(h.confirmed) {
+		h.confirmed = at
+	}
+}
+
+// suspend stops the traffic of a host that has woken from a pause until it has
+// learnt what is in force. One that nobody tells goes on after CutOffAfter, by
+// then without the data centres of which it hears nothing.
+func (h *Host) suspend(now time.Time) []cornelbay.Effect {
+	stale := h.keeper.Stale(now)
+	switch {
+	case !stale:
+		h.staleSince = time.Time{}
+	case h.staleSince.IsZero():
+		h.staleSince = now
+	}
+	h.suspended = stale && now.Sub(h.staleSince) < flow.CutOffAfter
+	h.flows.Suspend(h.suspended)
+	return h.Requests.Suspend(now, h.suspended)
+}
+
 // Lookup returns what is known of the named host.
 func (h *Host) Lookup(name cornelbay.HostName) (cornelbay.Host, bool) {
 	return h.members.Lookup(name)
@@ -32,6 +57,7 @@
 
 func (h *Host) tickMembers(now time.Time) []cornelbay.Effect {
 	h.members.Generation = h.keeper.Generation()
+	h.confirm()
 	h.members.Confirm(h.keeper.ConfirmedAt())
 	out := h.members.Tick(now)
 	if h.members.Leaving && h.Requests.Idle() {
@@ -69,6 +95,7 @@
 
 // membersChanged hands on what is known of the group when it has changed.
 func (h *Host) membersChanged(now time.Time) []cornelbay.Effect {
+	h.confirm()
 	m := h.Members(now)
 	if confirmed := m.ConfirmedAt; !confirmed.Before(h.known.ConfirmedAt) && confirmed.Sub(h.known.ConfirmedAt) < confirmedStep && h.version == h.members.Version() {
 		return nil
--- a/entry/targets.go
+++ b/entry/targets.go
@@ -17,6 +17,9 @@
 }
 
 func (h *Host) tickTargets(now time.Time) []cornelbay.Effect {
+	if h.suspended {
+		return nil
+	}
 	out := h.judge.Tick(now)
 	states := h.judge.States(now)
 	out = append(out, h.flows.SetStates(now, states)...)
--- a/flow.go
+++ b/flow.go
@@ -84,6 +84,8 @@
 	HopLimit
 	Unanswered
 	HoldFull
+	// Suspended packets came while the host did not know what is in force.
+	Suspended
 	OAM
 	CriticalOption
 	Forged
@@ -92,7 +94,7 @@
 
 var reasonNames = [...]string{
 	"notDropped", "noService", "noTarget", "noConfig", "malformed",
-	"truncated", "fragment", "hopLimit", "unanswered", "holdFull",
+	"truncated", "fragment", "hopLimit", "unanswered", "holdFull", "suspended",
 	"oam", "criticalOption", "forged", "extension",
 }
 
--- a/flow/control.go
+++ b/flow/control.go
@@ -246,8 +246,12 @@
 // package is Hold: a packet whose flow is not known is relayed or dropped.
 func (c *Control) Held(now time.Time, key cornelbay.FlowKey) []cornelbay.Effect { return nil }
 
+// Suspend makes the plane decide nothing for as long as suspended is true.
+func (c *Control) Suspend(suspended bool) { c.Plane.suspended.Store(suspended) }
+
 // Tick returns the effects that are due at now.
 func (c *Control) Tick(now time.Time) []cornelbay.Effect {
+	c.Plane.ticked.Store(now.UnixNano())
 	c.init()
 	c.Plane.Table.sweep(c.sweep, ticks(now))
 	c.sweep++
--- a/flow/plane.go
+++ b/flow/plane.go
@@ -24,6 +24,10 @@
 	"github.com/cornelbay/cornelbay"
 )
 
+// PauseLimit is the time without a tick of its Control from which a plane
+// decides nothing: what it knows may have been replaced meanwhile.
+const PauseLimit = time.Second
+
 // MaxHops bounds the relays of one packet.
 const MaxHops = 12
 
@@ -37,12 +41,25 @@
 	Counters Counters
 
 	snapshot atomic.Pointer[Snapshot]
+	// ticked is the time of the last tick in nanoseconds, or 0 before the first.
+	ticked    atomic.Int64
+	suspended atomic.Bool
+}
+
+// lapsed reports whether the plane must not act on what it knows.
+func (p *Plane) lapsed(now time.Time) bool {
+	ticked := p.ticked.Load()
+	return p.suspended.Load() || ticked != 0 && now.UnixNano()-ticked > int64(PauseLimit)
 }
 
 // Decide returns the verdict for one packet.
 func (p *Plane) Decide(now time.Time, pk *cornelbay.Packet) (v cornelbay.Verdict) {
 	hash := p.hash(&pk.Key)
-	p.decide(hash, ticks(now), pk, &v)
+	if p.lapsed(now) {
+		v.Reason = cornelbay.Suspended
+	} else {
+		p.decide(hash, ticks(now), pk, &v)
+	}
 	p.Counters.count(hash, &v)
 	return v
 }
--- a/request/dispatcher.go
+++ b/request/dispatcher.go
@@ -21,7 +21,11 @@
 	// Rand is the seeded source of jitter and ties; nil stands for a fixed seed.
 	Rand *rand.Rand
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// ticked is the time of the last Suspend; zero before the first.
+	ticked    time.Time
+	suspended bool
+
 	out      []cornelbay.Effect
 	services map[cornelbay.ServiceName]*service
 	live     []cornelbay.Host
@@ -73,7 +77,29 @@
 func (d *Dispatcher) lock(now time.Time) {
 	d.mu.Lock()
 	d.init()
+	if !d.ticked.IsZero() && now.Sub(d.ticked) > PauseLimit {
+		d.suspended = true
+	}
+	d.runTimers(now)
+}
+
+// PauseLimit is the time without a Suspend from which nothing is started: what
+// is known of the targets may have been replaced meanwhile.
+const PauseLimit = time.Second
+
+// Suspend tells whether the host knows what is in force; while it does not,
+// requests wait. It is called at each tick: without it the dispatcher suspends
+// itself after PauseLimit.
+func (d *Dispatcher) Suspend(now time.Time, suspended bool) []cornelbay.Effect {
+	d.mu.Lock()
+	d.init()
+	resumed := d.suspended && !suspended
+	d.ticked, d.suspended = now, suspended
 	d.runTimers(now)
+	if resumed {
+		d.pumpAll(now)
+	}
+	return d.unlock()
 }
 
 func (d *Dispatcher) unlock() []cornelbay.Effect {
--- a/request/job.go
+++ b/request/job.go
@@ -130,6 +130,9 @@
 }
 
 func (d *Dispatcher) mayRun(s *service) bool {
+	if d.suspended {
+		return false
+	}
 	if s.Bulk {
 		return d.running < MaxRunning*bulkShare/100
 	}
@@ -177,7 +180,7 @@
 	if !j.Idempotent() || j.hedged || j.replaced == maxReplaced || j.running != 1 || !s.budget.has() {
 		return
 	}
-	if t := s.pool.Pick(now, a.target, 0); t != nil && t != a.target && s.queue.len() == 0 {
+	if t := s.pool.Pick(now, a.target, 0); t != nil && t != a.target && s.queue.len() == 0 && !d.suspended {
 		s.budget.take()
 		j.hedged = true
 		d.counters.Hedges++
