Take long unknown flows in a split for new ones

Cause: while two halves of the hosts cannot hear each other during a drain, a new flow's packet meets the half that does not know it with an even chance, and one in 64 such packets met it six times in three seconds. Change: the host that ends the search counts the packets of such a flow; the sixth within 3.5 s goes to the bucket's target for new flows, since by far the most unknown flows began at the other half. A data centre that was cut off is sent to again only after a confirmation of the configuration or 3 s of hearing it, so that a data centre taken out meanwhile gets nothing in between.

--- a/flow/control.go
+++ b/flow/control.go
@@ -18,6 +18,9 @@
 	// CutOffAfter is when a host that had no confirmation of the configuration
 	// and heard no host of another data centre sends nothing there any more.
 	CutOffAfter = 10 * time.Second
+	// BackAfter is how long a host of a data centre must be heard again before
+	// packets are sent there without a confirmation of the configuration.
+	BackAfter = 3 * time.Second
 	// DoubtAfter is the age of the last confirmation of the configuration from
 	// which a host that hears no more than half of the hosts no longer relies on
 	// its buckets for flows that it does not know.
@@ -31,7 +34,8 @@
 //
 // A host that had no confirmation of the configuration and heard no host of
 // another data centre for CutOffAfter cannot know whether that one is out: it
-// sends no packet to the targets there until it hears of either again. Their
+// sends no packet to the targets there until it has a confirmation again, or has
+// heard a host there for BackAfter. Their
 // flows at this host stall meanwhile, and other hosts may serve them.
 type Control struct {
 	Self  cornelbay.HostName
@@ -48,10 +52,9 @@
 	members  cornelbay.Members
 	missing  map[cornelbay.HostName]time.Time
 	// serving has the other hosts that decide packets.
-	serving map[cornelbay.HostName]bool
-	// heard is when a host of a data centre was last alive.
-	heard  map[cornelbay.DataCentreName]time.Time
-	states map[cornelbay.TargetName]cornelbay.TargetState
+	serving  map[cornelbay.HostName]bool
+	contacts map[cornelbay.DataCentreName]*contact
+	states   map[cornelbay.TargetName]cornelbay.TargetState
 
 	dirty bool
 	doubt bool
@@ -87,7 +90,7 @@
 		c.byName = make(map[cornelbay.TargetName]int32)
 		c.serving = make(map[cornelbay.HostName]bool)
 		c.missing = make(map[cornelbay.HostName]time.Time)
-		c.heard = make(map[cornelbay.DataCentreName]time.Time)
+		c.contacts = make(map[cornelbay.DataCentreName]*contact)
 		c.states = make(map[cornelbay.TargetName]cornelbay.TargetState)
 	}
 }
@@ -157,7 +160,6 @@
 	}
 	c.members = m
 	for _, h := range m.Live {
-		c.heard[h.DataCentre] = now
 		delete(c.missing, h.Name)
 	}
 	names := make(map[cornelbay.HostName]bool)
@@ -265,13 +267,15 @@
 
 // closeTargets notes which targets may get no new flows or no packets at all.
 func (c *Control) closeTargets(now time.Time) {
+	c.updateContacts(now)
 	for i := range c.registry {
 		r := &c.registry[i]
 		if r.retired {
 			continue
 		}
 		c.closeTarget(now, r)
-		if unreachable := c.cutOff(now, r.DataCentre); unreachable != r.unreachable {
+		k := c.contacts[r.DataCentre]
+		if unreachable := k != nil && k.cutOff; unreachable != r.unreachable {
 			r.unreachable, c.dirty = unreachable, true
 		}
 	}
@@ -317,20 +321,45 @@
 	}
 }
 
-// cutOff reports whether the host must not send to a data centre because it
-// cannot know whether that one is out.
-func (c *Control) cutOff(now time.Time, dc cornelbay.DataCentreName) bool {
-	confirmed, heard := c.members.ConfirmedAt, c.heard[dc]
-	if confirmed.IsZero() || heard.IsZero() || now.Sub(confirmed) < CutOffAfter {
-		return false
-	}
+// contact is what a host hears of a data centre.
+type contact struct {
+	// heard is when a host there was last alive, and back since when one is
+	// alive again after the data centre was cut off.
+	heard, back time.Time
+	cutOff      bool
+}
+
+// updateContacts notes which data centres the host must not send to because it
+// cannot know whether they are out.
+func (c *Control) updateContacts(now time.Time) {
+	live := make(map[cornelbay.DataCentreName]bool)
 	for _, h := range c.members.Live {
-		if h.DataCentre == dc {
-			c.heard[dc] = now
-			return false
+		live[h.DataCentre] = true
+		if c.contacts[h.DataCentre] == nil {
+			c.contacts[h.DataCentre] = &contact{}
 		}
 	}
-	return now.Sub(heard) >= CutOffAfter
+	confirmed := c.members.ConfirmedAt.IsZero() || now.Sub(c.members.ConfirmedAt) < CutOffAfter
+	for dc, k := range c.contacts {
+		k.update(now, live[dc], confirmed)
+	}
+}
+
+func (k *contact) update(now time.Time, live, confirmed bool) {
+	switch {
+	case !live:
+		k.back = time.Time{}
+		k.cutOff = k.cutOff || !confirmed && now.Sub(k.heard) >= CutOffAfter
+	case !k.cutOff:
+		k.heard = now
+	case k.back.IsZero():
+		k.back = now
+	case now.Sub(k.back) >= BackAfter:
+		k.cutOff, k.heard = false, now
+	}
+	if confirmed {
+		k.cutOff = false
+	}
 }
 
 // States returns the agreed states of a service's targets that are in force.
--- a/flow/plane.go
+++ b/flow/plane.go
@@ -24,6 +24,10 @@
 	"github.com/cornelbay/cornelbay"
 )
 
+// unknownTries is the number of packets of a flow that are dropped while only
+// hosts that are not heard may know it.
+const unknownTries = 5
+
 // MaxHops bounds the relays of one packet.
 const MaxHops = 12
 
@@ -156,6 +160,11 @@
 
 // returned takes a packet back that this host relayed, with the answer in it.
 func (p *Plane) returned(pk *packet, svc *service) cornelbay.Verdict {
+	if b := svc.bucket(pk.hash); pk.Relay.Choice == "" && pk.snap.split && b.route >= 0 {
+		own := *pk.Packet
+		own.Relay = cornelbay.RelayHeader{}
+		return p.unknown(&packet{&own, pk.snap, pk.hash, pk.now, pk.mark}, b)
+	}
 	at, ok := pk.snap.byName[pk.Relay.Choice]
 	if !ok || pk.snap.targets[at].service != svc {
 		return drop(cornelbay.Unanswered)
@@ -260,15 +269,43 @@
 			return pk.relay(host, -1)
 		}
 	}
+	if !pk.askedAll(r) {
+		return drop(cornelbay.Unanswered)
+	}
+	if last := pk.snap.hosts[r.order[len(r.order)-1]]; pk.snap.split && last == pk.Relay.From {
+		return pk.relay(last, -1) // it counts the packets of the flow
+	}
+	return p.unknown(pk, b)
+}
+
+// unknown decides a packet of a flow that no live host knows.
+func (p *Plane) unknown(pk *packet, b *bucket) cornelbay.Verdict {
 	switch {
-	case pk.snap.split || !pk.askedAll(r):
+	case pk.snap.split && !p.triedLong(pk):
 		return drop(cornelbay.Unanswered)
-	case udp:
+	case pk.mark&markUDP != 0 || pk.snap.split && b.ambiguous:
 		return p.settle(pk, b.place)
 	}
 	return p.settle(pk, b.first)
 }
 
+// triedLong counts a packet of a flow that only hosts that are not heard may
+// know, and reports whether so many came that its flow is taken as one that
+// began there lately: these are by far the most. One that a host there gets
+// meanwhile is delivered.
+func (p *Plane) triedLong(pk *packet) bool {
+	r, ok := p.Table.touch(pk.hash, pk.now, 0)
+	since, n := pk.now, r.tries()
+	if n >= unknownTries {
+		return true
+	}
+	if ok && n > 0 {
+		since = r.seen
+	}
+	p.Table.put(pk.hash, unknownTarget, since, pk.mark&markUDP|mark(n+1)*markTry, pk.snap)
+	return false
+}
+
 // askedAll reports whether the packet was at every live host; it was not when
 // the hosts on its way do not agree on who is alive.
 func (pk *packet) askedAll(r *route) bool {
--- a/flow/table.go
+++ b/flow/table.go
@@ -16,6 +16,8 @@
 	IdleUDP      = 5 * time.Minute
 	IdleFinished = 5 * time.Minute
 	IdleReset    = 10 * time.Second
+
+	idleUnknown = 3500 * time.Millisecond
 )
 
 const (
@@ -33,8 +35,15 @@
 	markFinished mark = 1 << iota
 	markReset
 	markUDP
+	// markTry counts the packets of a flow whose target is unknown.
+	markTry
+
+	tryBits = 3
 )
 
+// unknownTarget stands in a record of a flow whose target no host knows.
+const unknownTarget = 1<<24 - 1
+
 // record is what a table keeps of one flow: no key, only its keyed fingerprint.
 type record struct {
 	// fingerprint is 0 in an empty slot.
@@ -48,8 +57,18 @@
 func (r *record) target() int32 { return int32(r.at >> 8) }
 func (r *record) marks() mark   { return mark(r.at) }
 
+// tries returns how many packets of a flow came whose target is unknown.
+func (r *record) tries() int {
+	if r.target() != unknownTarget {
+		return 0
+	}
+	return int(r.marks() / markTry & (1<<tryBits - 1))
+}
+
 func (r *record) idle() uint32 {
 	switch m := r.marks(); {
+	case r.target() == unknownTarget:
+		return uint32(idleUnknown / tickUnit)
 	case m&markReset != 0:
 		return uint32(IdleReset / tickUnit)
 	case m&markFinished != 0:
@@ -126,8 +145,10 @@
 		return record{}, false
 	}
 	before := s.slots[i]
-	s.slots[i].seen = now
-	s.slots[i].at |= uint32(m)
+	if before.target() != unknownTarget {
+		s.slots[i].seen = now
+		s.slots[i].at |= uint32(m)
+	}
 	s.mu.Unlock()
 	return before, true
 }
