End the history of a service when no host has an old flow

Purpose: without an end, every change would leave its buckets ambiguous for good. A host that had no packet of an earlier epoch's flow for the whole idle time, served all of it and misses no host says so; when all do, the proposer agrees on a base epoch, and the epochs before it are forgotten. No timer alone ends an epoch.

--- a/entry/messages.go
+++ b/entry/messages.go
@@ -14,6 +14,7 @@
 	peer.Register(flow.Epochs{})
 	peer.Register(flow.EpochsAnswer{})
 	peer.Register(flow.Digest{})
+	peer.Register(flow.Clear{})
 	peer.Register(flow.Serving{})
 	peer.Register(flow.Records{})
 	peer.Register(member.Leave{})
--- a/flow/control.go
+++ b/flow/control.go
@@ -59,11 +59,12 @@
 	dirty bool
 	doubt bool
 	// history is true when epochs were learnt whose flows the host may have missed.
-	history bool
-	sweep   int
-	join    join
-	handoff handoff
-	digest  digestState
+	history     bool
+	sweep       int
+	join        join
+	servedSince time.Time
+	handoff     handoff
+	digest      digestState
 }
 
 // SetServices takes the services in force and the data centres that are out.
@@ -233,6 +234,8 @@
 	case EpochsAnswer:
 		c.joinAnswered(now, from, m)
 		out = c.tickJoin(now)
+	case Clear:
+		c.cleared(now, from, m)
 	case Serving:
 		out = c.announced(from, m)
 	case Digest:
@@ -251,8 +254,7 @@
 // Tick returns the effects that are due at now.
 func (c *Control) Tick(now time.Time) []cornelbay.Effect {
 	c.init()
-	c.Plane.Table.sweep(c.sweep, ticks(now))
-	c.sweep++
+	c.sweepTable(now)
 	out := c.tickJoin(now)
 	if !c.deciding() {
 		return out
@@ -262,6 +264,7 @@
 	out = append(out, c.propose(now)...)
 	c.publish(now)
 	out = append(out, c.tickDigest(now)...)
+	out = append(out, c.tickClear(now)...)
 	return append(out, c.tickHandoff(now)...)
 }
 
--- a/flow/epoch.go
+++ b/flow/epoch.go
@@ -33,7 +33,9 @@
 	purged map[cornelbay.TargetName]bool
 	// active is true once every host has prepared it; only then are flows placed.
 	active bool
-	heard  time.Time
+	// base is true when no flow of an earlier epoch is left.
+	base  bool
+	heard time.Time
 	// table holds the index of the target of each bucket, or -1.
 	table []int32
 
@@ -82,6 +84,7 @@
 	// document excludes.
 	urgentSince time.Time
 	proposedAt  time.Time
+	history     history
 }
 
 func (s *serviceState) newest() *epoch {
@@ -118,6 +121,7 @@
 
 // prune forgets epochs whose targets are those of a neighbour.
 func (s *serviceState) prune() {
+	s.dropHistory()
 	current := s.current()
 	for i := 0; i+1 < len(s.epochs); {
 		e, next := s.epochs[i], s.epochs[i+1]
@@ -186,12 +190,12 @@
 		}
 		return false
 	}
-	if p.Buckets <= 0 || p.Buckets&(p.Buckets-1) != 0 {
+	if s.ended(p.ID) || p.Buckets <= 0 || p.Buckets&(p.Buckets-1) != 0 {
 		return false
 	}
 	e := &epoch{
 		id: p.ID, generation: p.Generation, buckets: p.Buckets,
-		active: p.Active, heard: now, purged: make(map[cornelbay.TargetName]bool),
+		active: p.Active, base: p.Base, heard: now, purged: make(map[cornelbay.TargetName]bool),
 	}
 	for _, t := range p.Purged {
 		e.purged[t] = true
--- a/flow/join.go
+++ b/flow/join.go
@@ -127,7 +127,7 @@
 
 // decide makes the host decide packets by the epochs that it has.
 func (c *Control) decide(now time.Time) {
-	c.join.announcing = true
+	c.join.announcing, c.servedSince = true, now
 	c.history, c.dirty = true, true
 	for _, s := range c.services {
 		if len(s.epochs) == 0 {
--- a/flow/messages.go
+++ b/flow/messages.go
@@ -38,8 +38,10 @@
 	Shares     []WireShare            `cbor:"5,keyasint"`
 	Purged     []cornelbay.TargetName `cbor:"6,keyasint,omitempty"`
 	Active     bool                   `cbor:"7,keyasint,omitempty"`
-	Part       int                    `cbor:"8,keyasint,omitempty"`
-	Parts      int                    `cbor:"9,keyasint,omitempty"`
+	// Base ends the history: no earlier epoch has flows.
+	Base  bool `cbor:"10,keyasint,omitempty"`
+	Part  int  `cbor:"8,keyasint,omitempty"`
+	Parts int  `cbor:"9,keyasint,omitempty"`
 }
 
 // Kind returns KindProposal.
@@ -94,6 +96,16 @@
 // Kind returns KindServing.
 func (Serving) Kind() cornelbay.MessageKind { return cornelbay.KindServing }
 
+// Clear tells the proposer that the sender has seen no flow of an epoch before
+// the given one for the whole idle time.
+type Clear struct {
+	Service cornelbay.ServiceName `cbor:"1,keyasint"`
+	ID      EpochID               `cbor:"2,keyasint"`
+}
+
+// Kind returns KindClear.
+func (Clear) Kind() cornelbay.MessageKind { return cornelbay.KindClear }
+
 // Digest lets two hosts notice that their epochs differ.
 type Digest struct {
 	Sum uint64 `cbor:"1,keyasint"`
--- a/flow/propose.go
+++ b/flow/propose.go
@@ -65,16 +65,19 @@
 		shares := c.desired(s)
 		orphaned := !newest.active && newest.id.Proposer != c.Self && now.Sub(newest.heard) > takeOverAfter
 		if slices.Equal(shares, newest.shares) && !orphaned {
+			if c.allClear(now, s) {
+				c.start(now, s, shares, true)
+			}
 			return
 		}
 		if !excluded && !c.excludes(shares, newest) && now.Sub(s.proposedAt) < proposeInterval {
 			return
 		}
-		c.start(now, s, shares)
+		c.start(now, s, shares, false)
 	case excluded && now.Sub(s.urgentSince) >= time.Duration(rank)*rankInterval:
 		c.start(now, s, slices.DeleteFunc(slices.Clone(newest.shares), func(sh assign.Share) bool {
 			return c.shutOut(s, sh.Target)
-		}))
+		}), false)
 	}
 }
 
@@ -117,7 +120,7 @@
 	return shares
 }
 
-func (c *Control) start(now time.Time, s *serviceState, shares []assign.Share) {
+func (c *Control) start(now time.Time, s *serviceState, shares []assign.Share, base bool) {
 	newest := s.newest()
 	id := EpochID{Term: newest.id.Term + 1, Proposer: c.Self}
 	if newest.id.Proposer == c.Self {
@@ -125,7 +128,7 @@
 	}
 	e := &epoch{
 		id: id, generation: c.Generation, buckets: bucketCount(len(s.Targets)), shares: shares,
-		heard: now, acked: make(map[cornelbay.HostName]bool),
+		base: base, heard: now, acked: make(map[cornelbay.HostName]bool),
 	}
 	c.fill(s, e)
 	s.insert(e)
@@ -190,7 +193,7 @@
 
 func (c *Control) proposal(s *serviceState, e *epoch) Proposal {
 	p := Proposal{
-		Service: s.Name, ID: e.id, Generation: e.generation, Buckets: e.buckets, Active: e.active,
+		Service: s.Name, ID: e.id, Generation: e.generation, Buckets: e.buckets, Active: e.active, Base: e.base,
 		Shares: toWire(e.shares, func(t cornelbay.TargetName) string { return c.wireTunnel(s, t) }),
 	}
 	for t := range e.purged {
--- a/flow/snapshot.go
+++ b/flow/snapshot.go
@@ -41,6 +41,10 @@
 	return s.services[serviceKey{k.Destination, k.Protocol}]
 }
 
+func (s *Snapshot) find(svc cornelbay.Service) *service {
+	return s.services[serviceKey{netip.AddrPortFrom(svc.Address, svc.Port), svc.Protocol.Number()}]
+}
+
 func (s *Snapshot) addService(key serviceKey, svc *service) {
 	s.services[key] = svc
 	if a := key.address.Addr(); a.Is4() {
--- a/flow/table.go
+++ b/flow/table.go
@@ -241,8 +241,8 @@
 	s.slots[i] = record{}
 }
 
-// sweep forgets the idle flows of one shard.
-func (t *Table) sweep(n int, now uint32) {
+// sweep forgets the idle flows of one shard and calls f with the others.
+func (t *Table) sweep(n int, now uint32, f func(r record)) {
 	s := &t.shards[n%shardCount]
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -251,6 +251,9 @@
 			s.remove(i)
 			continue
 		}
+		if s.slots[i].fingerprint != 0 {
+			f(s.slots[i])
+		}
 		i++
 	}
 }
--- a/flow/table_test.go
+++ b/flow/table_test.go
@@ -13,6 +13,8 @@
 
 func (evens) needed(_ uint64, target int32) bool { return target%2 == 0 }
 
+func ignore(record) {}
+
 func TestTableEqualsMap(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var table Table
@@ -41,7 +43,7 @@
 			case 2:
 				now += rapid.Uint32Range(0, uint32(IdleTCP/tickUnit)).Draw(t, "wait")
 			default:
-				table.sweep(0, now)
+				table.sweep(0, now, ignore)
 				for f, r := range model {
 					if r.expired(now) {
 						delete(model, f)
@@ -100,9 +102,9 @@
 			now := ticks(epochStart)
 			table.put(1, 1, now, tt.mark, evens{})
 			idle := uint32(tt.idle / tickUnit)
-			table.sweep(0, now+idle)
+			table.sweep(0, now+idle, ignore)
 			is.Equal(table.Len(), 1)
-			table.sweep(0, now+idle+1)
+			table.sweep(0, now+idle+1, ignore)
 			is.Equal(table.Len(), 0)
 		})
 	}
--- a/message.go
+++ b/message.go
@@ -23,6 +23,7 @@
 	KindEpochs
 	KindEpochsAnswer
 	KindServing
+	KindClear
 )
 
 // Message is a control message from one host to another, small enough for a
