Test the agreement of hosts on flows and assign in linear space

Purpose: tests drive several controls whose messages arrive at once: drains with a death, a join and a planned stop in between, a change that waits for a host, the end of history and its witnesses, UDP flows, a data centre out and back, a cut-off host, and proposals in parts. Cause: a service of 200 targets took seconds for a table, since every bucket kept its targets in order. A bucket looks for its next target when it needs one. Services of more than 32 targets have 64 buckets a target.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -62,10 +62,8 @@
 type matching struct {
 	targets []holder
 	index   []int
-	// next is the rank of the target that each bucket asks next.
-	next []int
-	// ranks holds the targets of each bucket by rising cost.
-	ranks [][]claim
+	// asked holds the claim that each bucket made last.
+	asked []claim
 }
 
 type holder struct {
@@ -99,7 +97,7 @@
 }
 
 func newMatching(buckets int, shares []Share) *matching {
-	m := &matching{next: make([]int, buckets), ranks: make([][]claim, buckets)}
+	m := &matching{asked: make([]claim, buckets)}
 	total := 0
 	for i, s := range shares {
 		if s.Weight > 0 {
@@ -136,23 +134,19 @@
 	}
 }
 
-// choice returns the claim of a bucket on the best target that it has not asked.
+// choice returns the claim of a bucket on the best target that it has not asked:
+// the cheapest of those that come after its last claim.
 func (m *matching) choice(bucket int) claim {
-	if m.ranks[bucket] == nil {
-		m.ranks[bucket] = m.rank(bucket)
-	}
-	c := m.ranks[bucket][m.next[bucket]]
-	m.next[bucket]++
-	return c
-}
-
-func (m *matching) rank(bucket int) []claim {
-	out := make([]claim, len(m.targets))
-	for i, t := range m.targets {
-		out[i] = claim{cost(uint64(bucket), t.hash, t.weight), bucket, i}
+	last, best := m.asked[bucket], claim{cost: math.Inf(1)}
+	for i := range m.targets {
+		t := &m.targets[i]
+		c := claim{cost(uint64(bucket), t.hash, t.weight), bucket, i}
+		if compare(c, last) > 0 && compare(c, best) < 0 {
+			best = c
+		}
 	}
-	slices.SortFunc(out, compare)
-	return out
+	m.asked[bucket] = best
+	return best
 }
 
 // cost is the time of the first event of a Poisson process with the rate weight.
--- /dev/null
+++ b/flow/control_test.go
@@ -0,0 +1,324 @@
+package flow
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/peer"
+)
+
+// ring is a few hosts whose messages arrive at once, except those of cut hosts.
+type ring struct {
+	t     *testing.T
+	now   time.Time
+	hosts map[cornelbay.HostName]*Control
+	names []cornelbay.HostName
+	live  []cornelbay.Host
+	cut   map[cornelbay.HostName]bool
+	// services are set on hosts that start.
+	services []cornelbay.Service
+	out      map[cornelbay.DataCentreName]bool
+}
+
+func newRing(t *testing.T, n int, services ...cornelbay.Service) *ring {
+	r := &ring{
+		t: t, now: epochStart, hosts: make(map[cornelbay.HostName]*Control),
+		cut: make(map[cornelbay.HostName]bool), services: services,
+	}
+	for i := range n {
+		r.start(cornelbay.HostName(fmt.Sprint("host-", i)))
+	}
+	r.run(5 * time.Second)
+	for _, name := range r.names {
+		if !r.hosts[name].Ready() {
+			t.Fatalf("%s is not ready", name)
+		}
+	}
+	return r
+}
+
+func (r *ring) start(name cornelbay.HostName) {
+	c := &Control{Self: name, Plane: &Plane{HashKey: [2]uint64{1, 2}}, Generation: 1}
+	r.hosts[name] = c
+	r.names = append(r.names, name)
+	r.live = append(r.live, cornelbay.Host{Name: name, DataCentre: "imlil", Incarnation: 1})
+	r.members(nil)
+	r.carryOut(name, c.SetServices(r.now, r.services, r.out))
+}
+
+// members tells every host who is live and who is missing.
+func (r *ring) members(missing []cornelbay.Host) {
+	for name, c := range r.hosts {
+		r.carryOut(name, c.SetMembers(r.now, cornelbay.Members{Live: r.live, Missing: missing}))
+	}
+}
+
+// die ends a host; the others miss it.
+func (r *ring) die(at int) {
+	h := r.live[at]
+	delete(r.hosts, h.Name)
+	r.names = append(r.names[:at:at], r.names[at+1:]...)
+	r.live = append(r.live[:at:at], r.live[at+1:]...)
+	r.members([]cornelbay.Host{h})
+}
+
+func (r *ring) carryOut(from cornelbay.HostName, effects []cornelbay.Effect) {
+	for _, e := range effects {
+		s, ok := e.(cornelbay.Send)
+		if to := r.hosts[s.To]; ok && to != nil && !r.cut[from] && !r.cut[s.To] {
+			r.carryOut(s.To, to.Receive(r.now, from, s.Message))
+		}
+	}
+}
+
+func (r *ring) run(span time.Duration) {
+	for end := r.now.Add(span); r.now.Before(end); {
+		r.now = r.now.Add(100 * time.Millisecond)
+		for _, name := range r.names {
+			r.carryOut(name, r.hosts[name].Tick(r.now))
+		}
+	}
+}
+
+// apply puts changed services into force at the named hosts, or at all.
+func (r *ring) apply(names ...cornelbay.HostName) {
+	if len(names) == 0 {
+		names = r.names
+	}
+	for _, name := range names {
+		c := r.hosts[name]
+		c.Generation++
+		r.carryOut(name, c.SetServices(r.now, r.services, r.out))
+	}
+}
+
+// send hands a packet to a host and follows its relays.
+func (r *ring) send(at int, k cornelbay.FlowKey, f cornelbay.PacketFlags) cornelbay.Verdict {
+	pk := cornelbay.Packet{Key: k, Flags: f}
+	c := r.hosts[r.names[at]]
+	for {
+		v := c.Plane.Decide(r.now, &pk)
+		if v.Action != cornelbay.Relay {
+			return v
+		}
+		if c = r.hosts[v.Host]; c == nil {
+			return cornelbay.Verdict{}
+		}
+		pk.Relay = v.Relay
+	}
+}
+
+func drained(s cornelbay.Service, at int) cornelbay.Service {
+	s.Targets = append([]cornelbay.Target(nil), s.Targets...)
+	s.Targets[at].Drain = true
+	return s
+}
+
+const flowCount = 400
+
+func TestDrainKeepsFlows(t *testing.T) {
+	tests := []struct {
+		name string
+		// fault happens between the start of new flows and their next packets.
+		fault func(r *ring)
+	}{
+		{"no fault", func(*ring) {}},
+		{"a host dies", func(r *ring) { r.die(2) }},
+		{"a host joins", func(r *ring) { r.start("host-9"); r.run(5 * time.Second) }},
+		{"a host dies and another joins", func(r *ring) { r.die(1); r.start("host-9"); r.run(5 * time.Second) }},
+		{"a planned stop", func(r *ring) {
+			c := r.hosts[r.names[0]]
+			r.carryOut(c.Self, c.Stop(r.now))
+			for !c.Stopped(r.now) {
+				r.run(time.Second)
+			}
+			r.die(0)
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := makeService("statut", 6, cornelbay.TCP, 10)
+			r := newRing(t, 5, s)
+			first := make(map[int]cornelbay.TargetName)
+			for i := range flowCount {
+				first[i] = r.send(i%5, key(s, i), cornelbay.Opening).Target
+			}
+			r.services = []cornelbay.Service{drained(s, 0)}
+			r.apply()
+			r.run(time.Second)
+			for i := flowCount; i < 2*flowCount; i++ {
+				first[i] = r.send(i%5, key(s, i), cornelbay.Opening).Target
+				is.True(first[i] != s.Targets[0].Name) // a draining target gets no new flow
+			}
+			tt.fault(r)
+			for i := range 2 * flowCount {
+				v := r.send((i+1)%len(r.names), key(s, i), 0)
+				is.Equal(v.Target, first[i]) // an established flow keeps its target
+			}
+		})
+	}
+}
+
+func TestChangeWaitsForEveryHost(t *testing.T) {
+	is := is.New(t)
+	s := makeService("statut", 6, cornelbay.TCP, 10)
+	r := newRing(t, 4, s)
+	r.cut["host-3"] = true
+	r.services = []cornelbay.Service{drained(s, 0)}
+	r.apply("host-0", "host-1", "host-2")
+	r.run(CloseAfter - 500*time.Millisecond)
+	on := func(from int) int {
+		n := 0
+		for i := from; i < from+flowCount; i++ {
+			if r.send(i%3, key(s, i), cornelbay.Opening).Target == s.Targets[0].Name {
+				n++
+			}
+		}
+		return n
+	}
+	is.True(on(0) > 0) // nothing moves while a live host has not prepared
+	r.run(time.Second)
+	is.Equal(on(flowCount), 0) // the bound for a draining target holds nevertheless
+}
+
+func TestHistoryEndsByIdleFlows(t *testing.T) {
+	is := is.New(t)
+	s := makeService("probe", 6, cornelbay.UDP, 10)
+	r := newRing(t, 3, s)
+	var old cornelbay.FlowKey
+	for i := 0; ; i++ {
+		old = key(s, i)
+		if r.send(0, old, 0).Target == s.Targets[0].Name {
+			break
+		}
+	}
+	r.services = []cornelbay.Service{drained(s, 0)}
+	r.apply()
+	epochs := func() int { return r.hosts["host-1"].Status().Services[0].Epochs }
+	for range 4 {
+		r.run(IdleUDP / 3)
+		is.Equal(r.send(1, old, 0).Target, s.Targets[0].Name)
+		is.True(epochs() > 1) // a live flow keeps the history
+	}
+	r.run(IdleUDP + time.Minute)
+	is.Equal(epochs(), 1)
+	is.Equal(r.hosts["host-2"].Status().Services[0].Ambiguous, 0)
+}
+
+func TestHistoryNeedsWitnesses(t *testing.T) {
+	is := is.New(t)
+	s := makeService("probe", 6, cornelbay.UDP, 10)
+	r := newRing(t, 3, s)
+	r.services = []cornelbay.Service{drained(s, 0)}
+	r.apply()
+	r.run(IdleUDP - time.Minute)
+	r.start("host-9")
+	r.run(IdleUDP - 10*time.Second)
+	is.True(r.hosts["host-1"].Status().Services[0].Epochs > 1) // the new host cannot tell
+	r.run(2 * time.Minute)
+	is.Equal(r.hosts["host-1"].Status().Services[0].Epochs, 1)
+}
+
+func TestUDPFlowsOfAmbiguousBuckets(t *testing.T) {
+	is := is.New(t)
+	s := makeService("probe", 6, cornelbay.UDP, 10)
+	r := newRing(t, 4, s)
+	before := make(map[int]cornelbay.TargetName)
+	for i := range flowCount {
+		before[i] = r.send(i%4, key(s, i), 0).Target
+	}
+	r.services = []cornelbay.Service{drained(s, 0)}
+	r.apply()
+	r.run(time.Second)
+	for i := range flowCount {
+		is.Equal(r.send((i+1)%4, key(s, i), 0).Target, before[i]) // a host knows the flow
+	}
+	for i := flowCount; i < 2*flowCount; i++ {
+		v := r.send(i%4, key(s, i), 0)
+		is.True(v.Target != "" && v.Target != s.Targets[0].Name) // an unknown flow is new
+		is.Equal(r.send((i+1)%4, key(s, i), 0).Target, v.Target)
+	}
+}
+
+func TestOutTargetGetsNothing(t *testing.T) {
+	is := is.New(t)
+	s := makeService("statut", 6, cornelbay.TCP, 10)
+	s.Targets[1].DataCentre = "todra"
+	r := newRing(t, 3, s)
+	gone := make(map[int]bool)
+	for i := range flowCount {
+		gone[i] = r.send(i%3, key(s, i), cornelbay.Opening).Target == s.Targets[1].Name
+	}
+	r.out = map[cornelbay.DataCentreName]bool{"todra": true}
+	r.apply()
+	r.run(CloseAfter + 200*time.Millisecond)
+	for i := range 2 * flowCount {
+		is.True(r.send(i%3, key(s, i), 0).Target != s.Targets[1].Name)
+	}
+	r.out = nil
+	r.apply()
+	r.run(3 * time.Second)
+	n := 0
+	for i := range flowCount {
+		if r.send(i%3, key(s, 10000+i), cornelbay.Opening).Target == s.Targets[1].Name {
+			n++
+		}
+		if gone[i] {
+			is.True(r.send(0, key(s, i), 0).Target != s.Targets[1].Name) // given up, not taken back
+		}
+	}
+	is.True(n > 0)
+}
+
+func TestCutOffHostSendsNothingToOtherDataCentre(t *testing.T) {
+	is := is.New(t)
+	s := makeService("statut", 2, cornelbay.TCP, 10)
+	s.Targets[1].DataCentre = "todra"
+	var p Plane
+	c, now := lone(&p, s)
+	other := cornelbay.Host{Name: "b", DataCentre: "todra"}
+	self := cornelbay.Host{Name: "a", DataCentre: "imlil"}
+	c.SetMembers(now, cornelbay.Members{Live: []cornelbay.Host{self, other}, ConfirmedAt: now})
+	c.Tick(now)
+	k := key(s, 0)
+	for i := 1; p.Decide(now, &cornelbay.Packet{Key: k, Flags: cornelbay.Opening}).Target != s.Targets[1].Name; i++ {
+		k = key(s, i)
+	}
+	m := cornelbay.Members{Live: []cornelbay.Host{self}, Missing: []cornelbay.Host{other}, ConfirmedAt: now}
+	c.SetMembers(now, m)
+	after := func(d time.Duration) cornelbay.Action {
+		c.Tick(now.Add(d))
+		return p.Decide(now.Add(d), &cornelbay.Packet{Key: k}).Action
+	}
+	is.Equal(after(CutOffAfter-time.Second), cornelbay.Forward)
+	is.Equal(after(CutOffAfter), cornelbay.Drop)
+	m.Live, m.Missing = []cornelbay.Host{self, other}, nil
+	c.SetMembers(now.Add(CutOffAfter), m)
+	is.Equal(after(CutOffAfter+time.Second), cornelbay.Drop) // it may have gone out meanwhile
+	is.Equal(after(CutOffAfter+time.Second+BackAfter), cornelbay.Forward)
+}
+
+func TestProposalsFitDatagrams(t *testing.T) {
+	is := is.New(t)
+	s := makeService("a-service-with-a-long-name", 200, cornelbay.TCP, 10)
+	r := newRing(t, 2, s)
+	c := r.hosts["host-0"]
+	parts := c.proposal(c.services[s.Name], c.services[s.Name].newest()).split()
+	is.True(len(parts) > 1)
+	codec := peer.Codec{Self: "host-0", Keys: [][]byte{[]byte("key")}}
+	var whole Proposal
+	got := &serviceState{}
+	for i, part := range parts {
+		_, err := codec.Seal(part)
+		is.NoErr(err)
+		var done bool
+		whole, done = got.assemble(part)
+		is.Equal(done, i == len(parts)-1)
+	}
+	is.Equal(len(whole.Shares), 200)
+}
--- a/flow/epoch.go
+++ b/flow/epoch.go
@@ -10,12 +10,21 @@
 	"github.com/cornelbay/cornelbay/assign"
 )
 
-// BucketsPerTarget is the least number of buckets for each target.
-const BucketsPerTarget = 256
+// The least numbers of buckets for each target: of a service with up to
+// FewTargets targets, and of a larger one.
+const (
+	BucketsPerTarget     = 256
+	FewTargets           = 32
+	BucketsPerManyTarget = 64
+)
 
 func bucketCount(targets int) int {
+	per := BucketsPerTarget
+	if targets > FewTargets {
+		per = BucketsPerManyTarget
+	}
 	n := BucketsPerTarget
-	for n < targets*BucketsPerTarget {
+	for n < targets*per {
 		n *= 2
 	}
 	return n
