--- a/request/tickets.go
+++ b/request/tickets.go
@@ -107,14 +107,17 @@
 	switch {
 	case t.Host == d.Self && t.Incarnation == d.Incarnation && err == nil:
 		d.redeem(now, j, t)
-	case live && h.Incarnation == t.Incarnation && h.Name != d.Self && j.from == "" && p == ticket.NoProof:
+	case live && h.Incarnation == t.Incarnation && h.Name != d.Self && j.from == "" && p == ticket.NoProof &&
+		(j.relayed || !d.silent(now, h.Name)):
 		d.relay(now, j, h)
 	case err != nil:
 		d.voidMoved(now, j, t, err)
 	case p != ticket.NoProof:
 		d.finish(now, j, d.recorded(p, r, j))
-	default:
+	case j.relayed || j.from != "":
 		d.refuse(now, j, IssuerGone)
+	default:
+		d.refuse(now, j, IssuerUnreached)
 	}
 }
 
