--- a/flow/control.go
+++ b/agree/control.go
@@ -1,4 +1,4 @@
-package flow
+package agree
 
 import (
 	"maps"
@@ -7,6 +7,7 @@
 
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/assign"
+	"github.com/cornelbay/cornelbay/flow"
 )
 
 // The times of the flow path's control.
@@ -39,7 +40,7 @@
 // flows at this host stall meanwhile, and other hosts may serve them.
 type Control struct {
 	Self  cornelbay.HostName
-	Plane *Plane
+	Plane *flow.Plane
 	// Generation is that of the services in force.
 	Generation uint64
 
--- a/flow/control_test.go
+++ b/agree/control_test.go
@@ -1,16 +1,55 @@
-package flow
+package agree
 
 import (
+	"encoding/binary"
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/flow"
 	"github.com/cornelbay/cornelbay/peer"
+	"github.com/cornelbay/cornelbay/track"
 )
 
+var epochStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func makeService(name string, n int, p cornelbay.Protocol, last byte) cornelbay.Service {
+	s := cornelbay.Service{
+		Name: cornelbay.ServiceName(name), Protocol: p, Port: 443,
+		Address: netip.AddrFrom4([4]byte{192, 0, 2, last}),
+	}
+	for i := range n {
+		s.Targets = append(s.Targets, cornelbay.Target{
+			Name: cornelbay.TargetName(fmt.Sprintf("%s-%d", name, i+1)), DataCentre: "imlil",
+			Tunnel: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, last, 0, byte(i + 1)}), 6081),
+		})
+	}
+	return s
+}
+
+// lone returns the control of a host without peers that is ready at the time.
+func lone(p *flow.Plane, services ...cornelbay.Service) (*Control, time.Time) {
+	c := &Control{Self: "a", Plane: p, Generation: 1}
+	c.SetMembers(epochStart, cornelbay.Members{Live: []cornelbay.Host{{Name: "a"}}})
+	c.SetServices(epochStart, services, nil)
+	now := epochStart.Add(2 * time.Second)
+	c.Tick(now)
+	return c, now
+}
+
+func key(s cornelbay.Service, n int) cornelbay.FlowKey {
+	var a [4]byte
+	binary.BigEndian.PutUint32(a[:], 10<<24|uint32(n>>14))
+	return cornelbay.FlowKey{
+		Source:      netip.AddrPortFrom(netip.AddrFrom4(a), uint16(1024+n&(1<<14-1))),
+		Destination: netip.AddrPortFrom(s.Address, s.Port), Protocol: s.Protocol.Number(),
+	}
+}
+
 // ring is a few hosts whose messages arrive at once, except those of cut hosts.
 type ring struct {
 	t     *testing.T
@@ -42,7 +81,7 @@
 }
 
 func (r *ring) start(name cornelbay.HostName) {
-	c := &Control{Self: name, Plane: &Plane{HashKey: [2]uint64{1, 2}}, Generation: 1}
+	c := &Control{Self: name, Plane: &flow.Plane{HashKey: [2]uint64{1, 2}}, Generation: 1}
 	r.hosts[name] = c
 	r.names = append(r.names, name)
 	r.live = append(r.live, cornelbay.Host{Name: name, DataCentre: "imlil", Incarnation: 1})
@@ -201,11 +240,11 @@
 	r.apply()
 	epochs := func() int { return r.hosts["host-1"].Status().Services[0].Epochs }
 	for range 4 {
-		r.run(IdleUDP / 3)
+		r.run(track.IdleUDP / 3)
 		is.Equal(r.send(1, old, 0).Target, s.Targets[0].Name)
 		is.True(epochs() > 1) // a live flow keeps the history
 	}
-	r.run(IdleUDP + time.Minute)
+	r.run(track.IdleUDP + time.Minute)
 	is.Equal(epochs(), 1)
 	is.Equal(r.hosts["host-2"].Status().Services[0].Ambiguous, 0)
 }
@@ -216,9 +255,9 @@
 	r := newRing(t, 3, s)
 	r.services = []cornelbay.Service{drained(s, 0)}
 	r.apply()
-	r.run(IdleUDP - time.Minute)
+	r.run(track.IdleUDP - time.Minute)
 	r.start("host-9")
-	r.run(IdleUDP - 10*time.Second)
+	r.run(track.IdleUDP - 10*time.Second)
 	is.True(r.hosts["host-1"].Status().Services[0].Epochs > 1) // the new host cannot tell
 	r.run(2 * time.Minute)
 	is.Equal(r.hosts["host-1"].Status().Services[0].Epochs, 1)
@@ -279,7 +318,7 @@
 	is := is.New(t)
 	s := makeService("statut", 2, cornelbay.TCP, 10)
 	s.Targets[1].DataCentre = "todra"
-	var p Plane
+	var p flow.Plane
 	c, now := lone(&p, s)
 	other := cornelbay.Host{Name: "b", DataCentre: "todra"}
 	self := cornelbay.Host{Name: "a", DataCentre: "imlil"}
--- a/flow/epoch.go
+++ b/agree/epoch.go
@@ -1,4 +1,4 @@
-package flow
+package agree
 
 import (
 	"cmp"
--- a/flow/handoff.go
+++ b/agree/handoff.go
@@ -1,4 +1,4 @@
-package flow
+package agree
 
 import (
 	"cmp"
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/flow"
+	"github.com/cornelbay/cornelbay/track"
 )
 
 const (
@@ -34,33 +36,33 @@
 
 type handedRecord struct {
 	to cornelbay.HostName
-	record
+	track.Record
 }
 
 // plan queues the records of ambiguous buckets for hosts that have become
 // keepers of the bucket.
-func (c *Control) plan(old, snap *Snapshot) {
-	if old == nil || c.handoff.stopping || slices.Equal(old.hosts, snap.hosts) {
+func (c *Control) plan(old, snap *flow.Snapshot) {
+	if old == nil || c.handoff.stopping || slices.Equal(old.Hosts, snap.Hosts) {
 		return
 	}
-	c.queue(snap, func(svc *service, bucket int) (cornelbay.HostName, bool) {
-		before := old.route(snap, svc, bucket)
-		return newKeeper(old, snap, before, &svc.routes[svc.buckets[bucket].route])
+	c.queue(snap, func(svc *flow.Service, bucket int) (cornelbay.HostName, bool) {
+		before := routeBefore(old, snap, svc, bucket)
+		return newKeeper(old, snap, before, &svc.Routes[svc.Buckets[bucket].Route])
 	})
 }
 
-// route returns the route that a bucket had in an older snapshot, or nil.
-func (s *Snapshot) route(snap *Snapshot, svc *service, bucket int) *route {
-	for key, other := range snap.services {
+// routeBefore returns the route that a bucket had in an older snapshot, or nil.
+func routeBefore(old, snap *flow.Snapshot, svc *flow.Service, bucket int) *flow.Route {
+	for key, other := range snap.Services {
 		if other != svc {
 			continue
 		}
-		was := s.services[key]
+		was := old.Services[key]
 		if was == nil {
 			return nil
 		}
-		if b := was.bucket(uint64(bucket)); b.route >= 0 {
-			return &was.routes[b.route]
+		if b := was.Bucket(uint64(bucket)); b.Route >= 0 {
+			return &was.Routes[b.Route]
 		}
 	}
 	return nil
@@ -68,21 +70,21 @@
 
 // newKeeper returns the host that the own host has to hand a bucket's records
 // to: one that was no keeper before, from the first keeper that is left.
-func newKeeper(old, snap *Snapshot, before, after *route) (cornelbay.HostName, bool) {
-	if before == nil || before.position >= keepers {
+func newKeeper(old, snap *flow.Snapshot, before, after *flow.Route) (cornelbay.HostName, bool) {
+	if before == nil || before.Position >= flow.Keepers {
 		return "", false
 	}
 	var kept []cornelbay.HostName
-	for _, h := range before.order[:min(keepers, len(before.order))] {
-		if snap.live(old.hosts[h]) {
-			kept = append(kept, old.hosts[h])
+	for _, h := range before.Order[:min(flow.Keepers, len(before.Order))] {
+		if snap.Live(old.Hosts[h]) {
+			kept = append(kept, old.Hosts[h])
 		}
 	}
-	if len(kept) == 0 || kept[0] != snap.self {
+	if len(kept) == 0 || kept[0] != snap.Self {
 		return "", false
 	}
-	for _, h := range after.order[:min(keepers, len(after.order))] {
-		if name := snap.hosts[h]; !slices.Contains(kept, name) {
+	for _, h := range after.Order[:min(flow.Keepers, len(after.Order))] {
+		if name := snap.Hosts[h]; !slices.Contains(kept, name) {
 			return name, true
 		}
 	}
@@ -91,13 +93,13 @@
 
 // queue queues the records of ambiguous buckets whose flows are not at the
 // bucket's first target, those silent longest first.
-func (c *Control) queue(snap *Snapshot, to func(svc *service, bucket int) (cornelbay.HostName, bool)) {
-	hosts := make(map[*service][]cornelbay.HostName)
+func (c *Control) queue(snap *flow.Snapshot, to func(svc *flow.Service, bucket int) (cornelbay.HostName, bool)) {
+	hosts := make(map[*flow.Service][]cornelbay.HostName)
 	found := false
-	for _, svc := range snap.services {
-		hosts[svc] = make([]cornelbay.HostName, len(svc.buckets))
-		for i := range svc.buckets {
-			if svc.buckets[i].route < 0 {
+	for _, svc := range snap.Services {
+		hosts[svc] = make([]cornelbay.HostName, len(svc.Buckets))
+		for i := range svc.Buckets {
+			if svc.Buckets[i].Route < 0 {
 				continue
 			}
 			if h, ok := to(svc, i); ok {
@@ -108,36 +110,36 @@
 	if !found {
 		return
 	}
-	c.Plane.Table.each(func(r record) {
-		at := r.target()
-		if r.marks()&(markFinished|markReset) != 0 || !snap.needed(r.fingerprint, at) {
+	c.Plane.Table.Each(func(r track.Record) {
+		at := r.Target()
+		if r.Marks()&(track.Finished|track.Reset) != 0 || !snap.Needed(r.Fingerprint, at) {
 			return
 		}
-		svc := snap.targets[at].service
-		h := hosts[svc][r.fingerprint&uint64(len(svc.buckets)-1)]
-		if h != "" && svc.bucket(r.fingerprint).first != at {
+		svc := snap.Targets[at].Service
+		h := hosts[svc][r.Fingerprint&uint64(len(svc.Buckets)-1)]
+		if h != "" && svc.Bucket(r.Fingerprint).First != at {
 			c.handoff.queue = append(c.handoff.queue, handedRecord{h, r})
 		}
 	})
 	slices.SortStableFunc(c.handoff.queue, func(a, b handedRecord) int {
-		return cmp.Or(cmp.Compare(a.seen, b.seen), cmp.Compare(a.fingerprint, b.fingerprint))
+		return cmp.Or(cmp.Compare(a.Seen, b.Seen), cmp.Compare(a.Fingerprint, b.Fingerprint))
 	})
 }
 
 // Stop returns the effects that hand on what this host alone knows; more follow
 // from Tick until Stopped reports true.
 func (c *Control) Stop(now time.Time) []cornelbay.Effect {
-	snap := c.Plane.snapshot.Load()
+	snap := c.Plane.Snapshot()
 	c.handoff.stopping, c.handoff.deadline = true, now.Add(stopTimeout)
 	if snap == nil {
 		return nil
 	}
-	c.queue(snap, func(svc *service, bucket int) (cornelbay.HostName, bool) {
-		r := &svc.routes[svc.buckets[bucket].route]
-		if r.position >= keepers || len(r.order) <= keepers {
+	c.queue(snap, func(svc *flow.Service, bucket int) (cornelbay.HostName, bool) {
+		r := &svc.Routes[svc.Buckets[bucket].Route]
+		if r.Position >= flow.Keepers || len(r.Order) <= flow.Keepers {
 			return "", false
 		}
-		return snap.hosts[r.order[keepers]], true
+		return snap.Hosts[r.Order[flow.Keepers]], true
 	})
 	return c.tickHandoff(now)
 }
@@ -162,8 +164,8 @@
 			rest = append(rest, r)
 			continue
 		}
-		if !c.registry[r.target()].retired {
-			m.add(r.record, index, c.registry[r.target()].Name)
+		if !c.registry[r.Target()].retired {
+			m.add(r.Record, index, c.registry[r.Target()].Name)
 		}
 	}
 	h.queue = rest
@@ -179,21 +181,21 @@
 	return []cornelbay.Effect{cornelbay.Send{To: to, Message: m}}
 }
 
-func (m *Records) add(r record, index map[int32]byte, name cornelbay.TargetName) {
-	i, ok := index[r.target()]
+func (m *Records) add(r track.Record, index map[int32]byte, name cornelbay.TargetName) {
+	i, ok := index[r.Target()]
 	if !ok {
 		i = byte(len(m.Targets))
-		index[r.target()] = i
+		index[r.Target()] = i
 		m.Targets = append(m.Targets, name)
 	}
-	m.Flows = binary.BigEndian.AppendUint64(m.Flows, r.fingerprint)
+	m.Flows = binary.BigEndian.AppendUint64(m.Flows, r.Fingerprint)
 	m.Flows = append(m.Flows, i)
 }
 
 // takeRecords adds the records that another host hands on; a record of its own
 // that the host has stays.
 func (c *Control) takeRecords(now time.Time, m Records) {
-	snap := c.Plane.snapshot.Load()
+	snap := c.Plane.Snapshot()
 	if snap == nil {
 		return
 	}
@@ -206,8 +208,8 @@
 		if !ok {
 			continue
 		}
-		if _, ok := c.Plane.Table.touch(fingerprint, ticks(now), 0); !ok {
-			c.Plane.Table.put(fingerprint, at, ticks(now), 0, snap)
+		if _, ok := c.Plane.Table.Touch(fingerprint, track.Ticks(now), 0); !ok {
+			c.Plane.Table.Put(fingerprint, at, track.Ticks(now), 0, snap)
 		}
 	}
 }
--- a/flow/history.go
+++ b/agree/history.go
@@ -1,9 +1,11 @@
-package flow
+package agree
 
 import (
 	"time"
 
 	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/flow"
+	"github.com/cornelbay/cornelbay/track"
 )
 
 const (
@@ -43,20 +45,20 @@
 // sweepTable forgets the idle flows of one shard and looks for flows that are
 // not where their bucket would place them now.
 func (c *Control) sweepTable(now time.Time) {
-	snap := c.Plane.snapshot.Load()
-	old := make(map[*service]bool)
-	c.Plane.Table.sweep(c.sweep, ticks(now), func(r record) {
-		at := r.target()
-		if snap == nil || !snap.usable(at) {
+	snap := c.Plane.Snapshot()
+	old := make(map[*flow.Service]bool)
+	c.Plane.Table.Sweep(c.sweep, track.Ticks(now), func(r track.Record) {
+		at := r.Target()
+		if snap == nil || !snap.Usable(at) {
 			return
 		}
-		if svc := snap.targets[at].service; svc != nil && svc.bucket(r.fingerprint).place != at {
+		if svc := snap.Targets[at].Service; svc != nil && svc.Bucket(r.Fingerprint).Place != at {
 			old[svc] = true
 		}
 	})
 	c.sweep++
 	for _, s := range c.services {
-		if snap != nil && old[snap.find(s.Service)] {
+		if snap != nil && old[snap.Services[flow.KeyOf(s.Service)]] {
 			s.history.lastOld = c.sweep
 		}
 	}
@@ -64,9 +66,9 @@
 
 func idleTime(p cornelbay.Protocol) time.Duration {
 	if p == cornelbay.UDP {
-		return IdleUDP
+		return track.IdleUDP
 	}
-	return IdleTCP
+	return track.IdleTCP
 }
 
 // clear reports whether this host had no packet of an earlier epoch's flow for
@@ -74,7 +76,7 @@
 func (c *Control) clear(now time.Time, s *serviceState) bool {
 	newest, idle := s.newest(), idleTime(s.Protocol)
 	return len(s.epochs) > 1 && newest.active && now.Sub(newest.heard) > idle && now.Sub(c.servedSince) > idle &&
-		len(c.members.Missing) == 0 && c.sweep-s.history.lastOld > shardCount
+		len(c.members.Missing) == 0 && c.sweep-s.history.lastOld > track.Shards
 }
 
 // tickClear tells the proposers of which services this host is clear.
@@ -87,7 +89,7 @@
 		}
 		s.history.next = now.Add(clearInterval)
 		m := Clear{Service: name, ID: s.newest().id}
-		if to, rank := proposer(name, c.servingNames(), c.Self); rank > 0 {
+		if to, rank := flow.Proposer(name, c.servingNames(), c.Self); rank > 0 {
 			out = append(out, cornelbay.Send{To: to, Message: m})
 		} else {
 			c.cleared(now, c.Self, m)
--- /dev/null
+++ b/agree/main_test.go
@@ -0,0 +1,14 @@
+package agree
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
--- a/flow/propose.go
+++ b/agree/propose.go
@@ -1,4 +1,4 @@
-package flow
+package agree
 
 import (
 	"slices"
@@ -6,6 +6,7 @@
 
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/assign"
+	"github.com/cornelbay/cornelbay/flow"
 )
 
 const (
@@ -56,7 +57,7 @@
 	} else if s.urgentSince.IsZero() {
 		s.urgentSince = now
 	}
-	_, rank := proposer(s.Name, c.servingNames(), c.Self)
+	_, rank := flow.Proposer(s.Name, c.servingNames(), c.Self)
 	if c.Generation < newest.generation {
 		return
 	}
--- a/flow/publish.go
+++ b/agree/publish.go
@@ -1,13 +1,14 @@
-package flow
+package agree
 
 import (
 	"cmp"
-	"net/netip"
+	"maps"
 	"slices"
 	"time"
 
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/assign"
+	"github.com/cornelbay/cornelbay/flow"
 )
 
 func compareNames(a, b cornelbay.TargetName) int { return cmp.Compare(a, b) }
@@ -18,31 +19,27 @@
 		return
 	}
 	c.dirty = false
-	old := c.Plane.snapshot.Load()
-	snap := &Snapshot{
-		services: make(map[serviceKey]*service), services4: make(map[uint64]*service),
-		byName: make(map[cornelbay.TargetName]int32),
-		self:   c.Self, hosts: c.servingNames(), isolated: c.isolated(), split: c.split(),
+	old := c.Plane.Snapshot()
+	snap := &flow.Snapshot{
+		ByName: maps.Clone(c.byName), Self: c.Self, Hosts: c.servingNames(),
+		Isolated: c.isolated(), Split: c.split(),
 	}
-	services := make(map[cornelbay.ServiceName]*service)
+	services := make(map[cornelbay.ServiceName]*flow.Service)
 	for _, s := range c.services {
 		c.setOverride(now, s)
 		s.prune()
-		svc := c.buckets(now, s, snap.hosts)
+		svc := c.buckets(now, s, snap.Hosts)
 		services[s.Name] = svc
-		snap.addService(serviceKey{netip.AddrPortFrom(s.Address, s.Port), s.Protocol.Number()}, svc)
+		snap.AddService(flow.KeyOf(s.Service), svc)
 	}
 	c.history = false
 	for i := range c.registry {
 		r := &c.registry[i]
-		snap.targets = append(snap.targets, target{
-			name: r.Name, tunnel: r.Tunnel, service: services[r.service], usable: r.usable(),
+		snap.Targets = append(snap.Targets, flow.Target{
+			Name: r.Name, Tunnel: r.Tunnel, Service: services[r.service], Usable: r.usable(),
 		})
 	}
-	for name, i := range c.byName {
-		snap.byName[name] = i
-	}
-	c.Plane.snapshot.Store(snap)
+	c.Plane.Publish(snap)
 	c.plan(old, snap)
 }
 
@@ -83,26 +80,26 @@
 }
 
 // buckets builds the buckets and routes of a service from its living epochs.
-func (c *Control) buckets(now time.Time, s *serviceState, hosts []cornelbay.HostName) *service {
+func (c *Control) buckets(now time.Time, s *serviceState, hosts []cornelbay.HostName) *flow.Service {
 	n := 1
 	for _, e := range s.epochs {
 		n = max(n, e.buckets)
 	}
 	s.resize(n)
-	out := &service{buckets: make([]bucket, n)}
+	out := &flow.Service{Buckets: make([]flow.Bucket, n)}
 	current := s.current()
-	for i := range out.buckets {
-		b := &out.buckets[i]
-		*b = bucket{place: -1, first: -1, route: -1}
+	for i := range out.Buckets {
+		b := &out.Buckets[i]
+		*b = flow.Bucket{Place: -1, First: -1, Route: -1}
 		if current != nil {
-			b.place = c.place(now, s, current, uint64(i))
+			b.Place = c.place(now, s, current, uint64(i))
 		}
-		b.ambiguous = c.candidates(s, uint64(i), b)
-		if b.ambiguous || c.doubt && b.first >= 0 {
-			b.route = int32(len(out.routes))
-			out.routes = append(out.routes, c.route(s, i, hosts))
+		b.Ambiguous = c.candidates(s, uint64(i), b)
+		if b.Ambiguous || c.doubt && b.First >= 0 {
+			b.Route = int32(len(out.Routes))
+			out.Routes = append(out.Routes, c.route(s, i, hosts))
 		}
-		s.ambiguous[i] = b.ambiguous
+		s.ambiguous[i] = b.Ambiguous
 	}
 	return out
 }
@@ -127,35 +124,35 @@
 
 // candidates sets the earliest target of a bucket and reports whether it has
 // another one.
-func (c *Control) candidates(s *serviceState, hash uint64, b *bucket) bool {
+func (c *Control) candidates(s *serviceState, hash uint64, b *flow.Bucket) bool {
 	ambiguous := false
 	add := func(at int32) {
 		if at < 0 || c.registry[at].retired {
 			return
 		}
-		if b.first < 0 {
-			b.first = at
+		if b.First < 0 {
+			b.First = at
 		}
-		ambiguous = ambiguous || at != b.first
+		ambiguous = ambiguous || at != b.First
 	}
 	for _, e := range s.epochs {
 		add(e.at(hash))
 	}
-	add(b.place)
+	add(b.Place)
 	return ambiguous
 }
 
 // route returns the route of an ambiguous bucket.
-func (c *Control) route(s *serviceState, bucket int, hosts []cornelbay.HostName) route {
-	r := route{order: stewards(s.Name, bucket, hosts), position: len(hosts)}
-	for i, h := range r.order {
+func (c *Control) route(s *serviceState, bucket int, hosts []cornelbay.HostName) flow.Route {
+	r := flow.Route{Order: flow.Stewards(s.Name, bucket, hosts), Position: len(hosts)}
+	for i, h := range r.Order {
 		if hosts[h] == c.Self {
-			r.position = i
+			r.Position = i
 		}
 	}
 	// A bucket that has just become ambiguous has no flow elsewhere yet.
 	fresh := !s.ambiguous[bucket] && !c.history && !c.split()
-	s.complete[bucket] = (fresh || s.ambiguous[bucket] && s.complete[bucket]) && r.position < keepers
-	r.complete = s.complete[bucket]
+	s.complete[bucket] = (fresh || s.ambiguous[bucket] && s.complete[bucket]) && r.Position < flow.Keepers
+	r.Complete = s.complete[bucket]
 	return r
 }
--- a/entry/flows.go
+++ b/entry/flows.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/cornelbay/cornelbay"
-	"github.com/cornelbay/cornelbay/flow"
+	"github.com/cornelbay/cornelbay/agree"
 )
 
 // Held takes the key of a flow whose packet's verdict was Hold.
@@ -18,4 +18,4 @@
 }
 
 // FlowStatus returns what the host knows of its flows.
-func (h *Host) FlowStatus() flow.Status { return h.flows.Status() }
+func (h *Host) FlowStatus() agree.Status { return h.flows.Status() }
--- a/entry/host.go
+++ b/entry/host.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/agree"
 	"github.com/cornelbay/cornelbay/config"
 	"github.com/cornelbay/cornelbay/flow"
 	"github.com/cornelbay/cornelbay/member"
@@ -44,7 +45,7 @@
 
 	members member.View
 	keeper  config.Keeper
-	flows   flow.Control
+	flows   agree.Control
 	judge   warmth.Judge
 	known   cornelbay.Members
 	version uint64
@@ -57,7 +58,7 @@
 	h.members = member.View{Self: s.Self, Seed: s.Seed, Fill: h.fill}
 	h.members.Introduce(s.Introduce...)
 	h.keeper = config.Keeper{Self: s.Self, Group: s.Group, Poll: s.Poll}
-	h.flows = flow.Control{Self: s.Self.Name, Plane: &h.Plane}
+	h.flows = agree.Control{Self: s.Self.Name, Plane: &h.Plane}
 	h.startRequests()
 	return h
 }
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -1,22 +1,22 @@
 package entry
 
 import (
-	"github.com/cornelbay/cornelbay/flow"
+	"github.com/cornelbay/cornelbay/agree"
 	"github.com/cornelbay/cornelbay/member"
 	"github.com/cornelbay/cornelbay/peer"
 )
 
 func init() {
 	peer.Register(member.Heartbeat{})
-	peer.Register(flow.Proposal{})
-	peer.Register(flow.Prepared{})
-	peer.Register(flow.Activate{})
-	peer.Register(flow.Epochs{})
-	peer.Register(flow.EpochsAnswer{})
-	peer.Register(flow.Digest{})
-	peer.Register(flow.Clear{})
-	peer.Register(flow.Serving{})
-	peer.Register(flow.Records{})
+	peer.Register(agree.Proposal{})
+	peer.Register(agree.Prepared{})
+	peer.Register(agree.Activate{})
+	peer.Register(agree.Epochs{})
+	peer.Register(agree.EpochsAnswer{})
+	peer.Register(agree.Digest{})
+	peer.Register(agree.Clear{})
+	peer.Register(agree.Serving{})
+	peer.Register(agree.Records{})
 	peer.Register(member.Leave{})
 	peer.Register(member.JoinRequest{})
 	peer.Register(member.JoinAnswer{})
--- a/fabric/isolation_test.go
+++ b/fabric/isolation_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/agree"
 	"github.com/cornelbay/cornelbay/fabric"
 	"github.com/cornelbay/cornelbay/flow"
 )
@@ -47,7 +48,7 @@
 			}
 		}
 		var plane flow.Plane
-		c := flow.Control{Self: "imlil-1", Plane: &plane}
+		c := agree.Control{Self: "imlil-1", Plane: &plane}
 		now := time.Unix(1, 0)
 		c.SetServices(now, services, nil)
 		var warm []cornelbay.TargetState
--- a/flow/main_test.go
+++ b/flow/main_test.go
@@ -1,4 +1,4 @@
-package flow
+package flow_test
 
 import (
 	"flag"
--- a/flow/plane.go
+++ b/flow/plane.go
@@ -22,6 +22,7 @@
 	"github.com/dchest/siphash"
 
 	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/track"
 )
 
 // unknownTries is the number of packets of a flow that are dropped while only
@@ -36,7 +37,7 @@
 	// HashKey keys the hash that picks the bucket of a flow.
 	HashKey [2]uint64
 	// Table remembers the flows.
-	Table Table
+	Table track.Table
 	// Counters counts the verdicts.
 	Counters Counters
 
@@ -46,7 +47,7 @@
 // Decide returns the verdict for one packet.
 func (p *Plane) Decide(now time.Time, pk *cornelbay.Packet) (v cornelbay.Verdict) {
 	hash := p.hash(&pk.Key)
-	p.decide(hash, ticks(now), pk, &v)
+	p.decide(hash, track.Ticks(now), pk, &v)
 	p.Counters.count(hash, &v)
 	return v
 }
@@ -57,7 +58,7 @@
 	snap *Snapshot
 	hash uint64
 	now  uint32
-	mark mark
+	mark track.Mark
 }
 
 func (p *Plane) decide(hash uint64, now uint32, in *cornelbay.Packet, v *cornelbay.Verdict) {
@@ -66,59 +67,59 @@
 		v.Reason = cornelbay.NoConfig
 		return
 	}
-	svc := snap.service(&in.Key)
+	svc := snap.Lookup(&in.Key)
 	if svc == nil {
 		v.Reason = cornelbay.NoService
 		return
 	}
 	m := marks(in)
-	if in.Relay.Hops > 0 && in.Relay.From == snap.self {
+	if in.Relay.Hops > 0 && in.Relay.From == snap.Self {
 		*v = p.returned(&packet{in, snap, hash, now, m}, svc)
 		return
 	}
-	r, ok := p.Table.touch(hash, now, m)
-	ok = ok && snap.usable(r.target()) && snap.targets[r.target()].service == svc
+	r, ok := p.Table.Touch(hash, now, m)
+	ok = ok && snap.Usable(r.Target()) && snap.Targets[r.Target()].Service == svc
 	if ok && in.Relay.Hops == 0 && in.Flags == 0 {
-		t := &snap.targets[r.target()]
-		v.Action, v.Target, v.Tunnel = cornelbay.Forward, t.name, t.tunnel
+		t := &snap.Targets[r.Target()]
+		v.Action, v.Target, v.Tunnel = cornelbay.Forward, t.Name, t.Tunnel
 		return
 	}
 	pk := &packet{in, snap, hash, now, m}
-	if ok && (in.Flags&cornelbay.Opening == 0 || r.marks()&(markFinished|markReset) == 0) {
-		*v = p.recorded(pk, svc, r.target())
+	if ok && (in.Flags&cornelbay.Opening == 0 || r.Marks()&(track.Finished|track.Reset) == 0) {
+		*v = p.recorded(pk, svc, r.Target())
 		return
 	}
 	*v = p.unrecorded(pk, svc)
 }
 
 // unrecorded decides a packet of a flow that this host has not on record.
-func (p *Plane) unrecorded(pk *packet, svc *service) cornelbay.Verdict {
-	b := svc.bucket(pk.hash)
-	if chosen, ok := pk.snap.byName[pk.Relay.Choice]; ok && pk.Relay.Hops > 0 && pk.mark&(markFinished|markReset) != 0 &&
-		pk.snap.usable(chosen) && pk.snap.targets[chosen].service == svc {
+func (p *Plane) unrecorded(pk *packet, svc *Service) cornelbay.Verdict {
+	b := svc.Bucket(pk.hash)
+	if chosen, ok := pk.snap.ByName[pk.Relay.Choice]; ok && pk.Relay.Hops > 0 && pk.mark&(track.Finished|track.Reset) != 0 &&
+		pk.snap.Usable(chosen) && pk.snap.Targets[chosen].Service == svc {
 		return pk.forward(chosen)
 	}
 	switch {
 	case pk.Flags&cornelbay.Opening != 0:
 		return p.open(pk, svc, b)
-	case b.first < 0:
+	case b.First < 0:
 		return drop(cornelbay.NoTarget)
-	case b.route >= 0:
+	case b.Route >= 0:
 		return p.search(pk, svc, b)
 	}
-	return p.decided(pk, b.first)
+	return p.decided(pk, b.First)
 }
 
-func marks(in *cornelbay.Packet) mark {
-	var m mark
+func marks(in *cornelbay.Packet) track.Mark {
+	var m track.Mark
 	if in.Flags&cornelbay.Finishing != 0 {
-		m |= markFinished
+		m |= track.Finished
 	}
 	if in.Flags&cornelbay.Resetting != 0 {
-		m |= markReset
+		m |= track.Reset
 	}
 	if in.Key.Protocol == cornelbay.UDP.Number() {
-		m |= markUDP
+		m |= track.UDP
 	}
 	return m
 }
@@ -126,32 +127,32 @@
 func drop(r cornelbay.DropReason) cornelbay.Verdict { return cornelbay.Verdict{Reason: r} }
 
 func (pk *packet) forward(at int32) cornelbay.Verdict {
-	t := &pk.snap.targets[at]
-	return cornelbay.Verdict{Action: cornelbay.Forward, Target: t.name, Tunnel: t.tunnel}
+	t := &pk.snap.Targets[at]
+	return cornelbay.Verdict{Action: cornelbay.Forward, Target: t.Name, Tunnel: t.Tunnel}
 }
 
 // relay sends the packet on, with the target that is known or chosen, if any.
 func (pk *packet) relay(to cornelbay.HostName, at int32) cornelbay.Verdict {
 	h := cornelbay.RelayHeader{From: pk.Relay.From, Hops: pk.Relay.Hops + 1}
 	if pk.Relay.Hops == 0 {
-		h.From = pk.snap.self
+		h.From = pk.snap.Self
 	}
 	if h.Hops > MaxHops {
 		return drop(cornelbay.HopLimit)
 	}
 	if at >= 0 {
-		h.Choice = pk.snap.targets[at].name
+		h.Choice = pk.snap.Targets[at].Name
 	}
 	return cornelbay.Verdict{Action: cornelbay.Relay, Host: to, Relay: h}
 }
 
 func (p *Plane) record(pk *packet, at int32) {
-	p.Table.put(pk.hash, at, pk.now, pk.mark, pk.snap)
+	p.Table.Put(pk.hash, at, pk.now, pk.mark, pk.snap)
 }
 
 // decided forwards a packet whose flow is at the given target for certain.
 func (p *Plane) decided(pk *packet, at int32) cornelbay.Verdict {
-	if !pk.snap.usable(at) {
+	if !pk.snap.Usable(at) {
 		return drop(cornelbay.NoTarget)
 	}
 	p.record(pk, at)
@@ -159,14 +160,14 @@
 }
 
 // returned takes a packet back that this host relayed, with the answer in it.
-func (p *Plane) returned(pk *packet, svc *service) cornelbay.Verdict {
-	if b := svc.bucket(pk.hash); pk.Relay.Choice == "" && pk.snap.split && b.route >= 0 {
+func (p *Plane) returned(pk *packet, svc *Service) cornelbay.Verdict {
+	if b := svc.Bucket(pk.hash); pk.Relay.Choice == "" && pk.snap.Split && b.Route >= 0 {
 		own := *pk.Packet
 		own.Relay = cornelbay.RelayHeader{}
 		return p.unknown(&packet{&own, pk.snap, pk.hash, pk.now, pk.mark}, b)
 	}
-	at, ok := pk.snap.byName[pk.Relay.Choice]
-	if !ok || pk.snap.targets[at].service != svc {
+	at, ok := pk.snap.ByName[pk.Relay.Choice]
+	if !ok || pk.snap.Targets[at].Service != svc {
 		return drop(cornelbay.Unanswered)
 	}
 	return p.decided(pk, at)
@@ -175,40 +176,40 @@
 // answer sends a packet back to the host that received it, or forwards it when
 // that host needs no answer.
 func (p *Plane) answer(pk *packet, at int32) cornelbay.Verdict {
-	if pk.Relay.Hops == 0 || pk.Relay.Hops >= MaxHops || !pk.snap.live(pk.Relay.From) {
+	if pk.Relay.Hops == 0 || pk.Relay.Hops >= MaxHops || !pk.snap.Live(pk.Relay.From) {
 		return pk.forward(at)
 	}
 	return pk.relay(pk.Relay.From, at)
 }
 
 // recorded decides a packet of a flow that this host has on record.
-func (p *Plane) recorded(pk *packet, svc *service, at int32) cornelbay.Verdict {
+func (p *Plane) recorded(pk *packet, svc *Service, at int32) cornelbay.Verdict {
 	if pk.Flags&cornelbay.Opening == 0 {
 		return p.finishing(pk, svc, at)
 	}
-	chosen, ok := pk.snap.byName[pk.Relay.Choice]
+	chosen, ok := pk.snap.ByName[pk.Relay.Choice]
 	switch {
 	case pk.Relay.Hops == 0:
-		return p.openAt(pk, svc, svc.bucket(pk.hash), at)
-	case pk.Relay.Hops > 1 && ok && pk.snap.usable(chosen):
+		return p.openAt(pk, svc, svc.Bucket(pk.hash), at)
+	case pk.Relay.Hops > 1 && ok && pk.snap.Usable(chosen):
 		// The steward has decided.
 		return p.decided(pk, chosen)
 	case chosen == at:
-		return p.openAt(pk, svc, svc.bucket(pk.hash), at)
+		return p.openAt(pk, svc, svc.Bucket(pk.hash), at)
 	}
 	return p.answer(pk, at)
 }
 
 // finishing takes the last packet of a recorded flow past the bucket's keepers,
 // which need not hand on its record then; other packets are answered at once.
-func (p *Plane) finishing(pk *packet, svc *service, at int32) cornelbay.Verdict {
-	b := svc.bucket(pk.hash)
-	last := pk.mark&(markFinished|markReset) != 0
-	if !last || b.route < 0 || pk.snap.isolated || pk.Relay.Hops > 0 && pk.Relay.Choice == "" {
+func (p *Plane) finishing(pk *packet, svc *Service, at int32) cornelbay.Verdict {
+	b := svc.Bucket(pk.hash)
+	last := pk.mark&(track.Finished|track.Reset) != 0
+	if !last || b.Route < 0 || pk.snap.Isolated || pk.Relay.Hops > 0 && pk.Relay.Choice == "" {
 		return p.answer(pk, at)
 	}
-	if next := svc.routes[b.route].keeper(pk.Relay.Hops); next >= 0 {
-		if host := pk.snap.hosts[svc.routes[b.route].order[next]]; host != pk.Relay.From {
+	if next := svc.Routes[b.Route].keeper(pk.Relay.Hops); next >= 0 {
+		if host := pk.snap.Hosts[svc.Routes[b.Route].Order[next]]; host != pk.Relay.From {
 			return pk.relay(host, at)
 		}
 	}
@@ -216,77 +217,77 @@
 }
 
 // open places a new flow.
-func (p *Plane) open(pk *packet, svc *service, b *bucket) cornelbay.Verdict {
-	at := b.place
-	if chosen, ok := pk.snap.byName[pk.Relay.Choice]; ok && pk.Relay.Hops > 0 &&
-		pk.snap.usable(chosen) && pk.snap.targets[chosen].service == svc {
+func (p *Plane) open(pk *packet, svc *Service, b *Bucket) cornelbay.Verdict {
+	at := b.Place
+	if chosen, ok := pk.snap.ByName[pk.Relay.Choice]; ok && pk.Relay.Hops > 0 &&
+		pk.snap.Usable(chosen) && pk.snap.Targets[chosen].Service == svc {
 		at = chosen
 	}
-	if !pk.snap.usable(at) {
+	if !pk.snap.Usable(at) {
 		return drop(cornelbay.NoTarget)
 	}
 	return p.openAt(pk, svc, b, at)
 }
 
 // openAt records a new flow and has the bucket's other keepers record it.
-func (p *Plane) openAt(pk *packet, svc *service, b *bucket, at int32) cornelbay.Verdict {
-	if b.route < 0 {
+func (p *Plane) openAt(pk *packet, svc *Service, b *Bucket, at int32) cornelbay.Verdict {
+	if b.Route < 0 {
 		return p.decided(pk, at)
 	}
-	if pk.snap.isolated && b.ambiguous && pk.Relay.Hops == 0 {
+	if pk.snap.Isolated && b.Ambiguous && pk.Relay.Hops == 0 {
 		return drop(cornelbay.Unanswered)
 	}
-	r := &svc.routes[b.route]
+	r := &svc.Routes[b.Route]
 	next := r.keeper(pk.Relay.Hops)
 	p.record(pk, at)
 	if next < 0 {
 		return pk.forward(at)
 	}
-	if host := pk.snap.hosts[r.order[next]]; host != pk.Relay.From {
+	if host := pk.snap.Hosts[r.Order[next]]; host != pk.Relay.From {
 		return pk.relay(host, at)
 	}
 	return pk.forward(at)
 }
 
 // search decides a packet of an ambiguous bucket without a record here.
-func (p *Plane) search(pk *packet, svc *service, b *bucket) cornelbay.Verdict {
-	r := &svc.routes[b.route]
-	udp := pk.mark&markUDP != 0
+func (p *Plane) search(pk *packet, svc *Service, b *Bucket) cornelbay.Verdict {
+	r := &svc.Routes[b.Route]
+	udp := pk.mark&track.UDP != 0
 	// Another host may not have heard yet that the own one is a deputy no more, so
 	// a deputy answers only after the steward was asked.
-	if r.complete && !udp && (r.position == steward || pk.Relay.Hops > 0) {
-		return p.settle(pk, b.first)
+	if r.Complete && !udp && (r.Position == steward || pk.Relay.Hops > 0) {
+		return p.settle(pk, b.First)
 	}
-	if pk.snap.isolated {
+	if pk.snap.Isolated {
 		return drop(cornelbay.Unanswered)
 	}
 	from := 0
 	if pk.Relay.Hops > 0 {
-		from = r.position + 1
+		from = r.Position + 1
 	}
-	for i := from; i < len(r.order); i++ {
-		if host := pk.snap.hosts[r.order[i]]; i != r.position && host != pk.Relay.From {
+	for i := from; i < len(r.Order); i++ {
+		if host := pk.snap.Hosts[r.Order[i]]; i != r.Position && host != pk.Relay.From {
 			return pk.relay(host, -1)
 		}
 	}
 	if !pk.askedAll(r) {
 		return drop(cornelbay.Unanswered)
 	}
-	if last := pk.snap.hosts[r.order[len(r.order)-1]]; pk.snap.split && last == pk.Relay.From {
+	if last := pk.snap.Hosts[r.Order[len(r.Order)-1]]; pk.snap.Split && last == pk.Relay.From {
 		return pk.relay(last, -1) // it counts the packets of the flow
 	}
 	return p.unknown(pk, b)
 }
 
 // unknown decides a packet of a flow that no live host knows.
-func (p *Plane) unknown(pk *packet, b *bucket) cornelbay.Verdict {
+func (p *Plane) unknown(pk *packet, b *Bucket) cornelbay.Verdict {
 	switch {
-	case pk.snap.split && !p.triedLong(pk):
+	case pk.snap.Split && !p.triedLong(pk):
 		return drop(cornelbay.Unanswered)
-	case pk.mark&markUDP != 0 || pk.snap.split && b.ambiguous:
-		return p.settle(pk, b.place)
+	case pk.mark&track.UDP != 0 || pk.snap.Split && b.Ambiguous:
+		return p.settle(pk, b.Place)
 	}
-	return p.settle(pk, b.first)
+	return p.settle(pk, b.First)
 }
 
 // triedLong counts a packet of a flow that only hosts that are not heard may
@@ -294,23 +295,23 @@
 // began there lately: these are by far the most. One that a host there gets
 // meanwhile is delivered.
 func (p *Plane) triedLong(pk *packet) bool {
-	r, ok := p.Table.touch(pk.hash, pk.now, 0)
-	since, n := pk.now, r.tries()
+	r, ok := p.Table.Touch(pk.hash, pk.now, 0)
+	since, n := pk.now, r.Tries()
 	if n >= unknownTries {
 		return true
 	}
 	if ok && n > 0 {
-		since = r.seen
+		since = r.Seen
 	}
-	p.Table.put(pk.hash, unknownTarget, since, pk.mark&markUDP|mark(n+1)*markTry, pk.snap)
+	p.Table.Put(pk.hash, track.UnknownTarget, since, pk.mark&track.UDP|track.Mark(n+1)*track.Try, pk.snap)
 	return false
 }
 
 // askedAll reports whether the packet was at every live host; it was not when
 // the hosts on its way do not agree on who is alive.
-func (pk *packet) askedAll(r *route) bool {
-	hosts := len(r.order)
-	if pk.Relay.Hops == 0 || pk.snap.live(pk.Relay.From) {
+func (pk *packet) askedAll(r *Route) bool {
+	hosts := len(r.Order)
+	if pk.Relay.Hops == 0 || pk.snap.Live(pk.Relay.From) {
 		hosts--
 	}
 	return int(pk.Relay.Hops) >= hosts
@@ -318,7 +319,7 @@
 
 // settle records the target of a flow of which no host has a record.
 func (p *Plane) settle(pk *packet, at int32) cornelbay.Verdict {
-	if !pk.snap.usable(at) {
+	if !pk.snap.Usable(at) {
 		return drop(cornelbay.NoTarget)
 	}
 	p.record(pk, at)
@@ -344,3 +345,9 @@
 	// 0 marks an empty slot of the table.
 	return max(1, siphash.Hash(p.HashKey[0], p.HashKey[1], b[:n+5]))
 }
+
+// Snapshot returns what was published last, or nil.
+func (p *Plane) Snapshot() *Snapshot { return p.snapshot.Load() }
+
+// Publish makes Decide use a snapshot, which never changes from then on.
+func (p *Plane) Publish(s *Snapshot) { p.snapshot.Store(s) }
--- a/flow/plane_test.go
+++ b/flow/plane_test.go
@@ -1,4 +1,4 @@
-package flow
+package flow_test
 
 import (
 	"encoding/binary"
@@ -11,6 +11,9 @@
 	"pgregory.net/rapid"
 
 	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/agree"
+	"github.com/cornelbay/cornelbay/flow"
+	"github.com/cornelbay/cornelbay/track"
 )
 
 var epochStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -30,11 +33,11 @@
 }
 
 // lone returns the control of a host without peers that is ready at the time.
-func lone(p *Plane, services ...cornelbay.Service) (*Control, time.Time) {
-	c := &Control{Self: "a", Plane: p, Generation: 1}
+func lone(p *flow.Plane, services ...cornelbay.Service) (*agree.Control, time.Time) {
+	c := &agree.Control{Self: "a", Plane: p, Generation: 1}
 	c.SetMembers(epochStart, cornelbay.Members{Live: []cornelbay.Host{{Name: "a"}}})
 	c.SetServices(epochStart, services, nil)
-	now := epochStart.Add(startTimeout)
+	now := epochStart.Add(2 * time.Second)
 	c.Tick(now)
 	return c, now
 }
@@ -61,7 +64,7 @@
 				owner[tg.Name] = s
 			}
 		}
-		var p Plane
+		var p flow.Plane
 		_, now := lone(&p, services...)
 		for range 50 {
 			pk := cornelbay.Packet{
@@ -95,13 +98,13 @@
 	s := makeService("statut", 2, cornelbay.TCP, 10)
 	drained := makeService("carto", 1, cornelbay.TCP, 11)
 	drained.Targets[0].Drain = true
-	var ready, empty Plane
+	var ready, empty flow.Plane
 	_, now := lone(&ready, s, drained)
 	unknown := key(s, 1)
 	unknown.Protocol = cornelbay.UDP.Number()
 	tests := []struct {
 		name  string
-		plane *Plane
+		plane *flow.Plane
 		key   cornelbay.FlowKey
 		want  cornelbay.DropReason
 	}{
@@ -123,7 +126,7 @@
 func BenchmarkVerdict(b *testing.B) {
 	const flows = 1_000_000
 	s := makeService("statut", 14, cornelbay.TCP, 10)
-	p := Plane{HashKey: [2]uint64{1, 2}, Table: Table{MaxFlows: 2 * flows}}
+	p := flow.Plane{HashKey: [2]uint64{1, 2}, Table: track.Table{MaxFlows: 2 * flows}}
 	_, now := lone(&p, s)
 	var pk cornelbay.Packet
 	for i := range flows {
--- a/flow/snapshot.go
+++ b/flow/snapshot.go
@@ -13,42 +13,52 @@
 
 // Snapshot is what traffic goroutines read; it never changes once published.
 type Snapshot struct {
-	// services4 has the services with an IPv4 address, by a packed key.
-	services4 map[uint64]*service
-	services  map[serviceKey]*service
-	// targets is indexed as the table's records are; an index is never reused.
-	targets []target
-	byName  map[cornelbay.TargetName]int32
-	self    cornelbay.HostName
-	hosts   []cornelbay.HostName
-	// isolated is true while the host hears none of the hosts it should hear.
-	isolated bool
-	// split is true while so many hosts are missing that they may have placed
+	// Services has the services by their address; AddService adds one.
+	Services map[ServiceKey]*Service
+	// Targets is indexed as the table's records are; an index is never reused.
+	Targets []Target
+	ByName  map[cornelbay.TargetName]int32
+	Self    cornelbay.HostName
+	// Hosts lists the live hosts that decide packets, the own one included.
+	Hosts []cornelbay.HostName
+	// Isolated is true while the host hears none of the hosts it should hear.
+	Isolated bool
+	// Split is true while so many hosts are missing that they may have placed
 	// flows among themselves.
-	split bool
+	Split bool
+
+	// services4 has the services with an IPv4 address, by a packed key.
+	services4 map[uint64]*Service
+}
+
+// ServiceKey is what tells services apart: their destination and protocol.
+type ServiceKey struct {
+	Address  netip.AddrPort
+	Protocol uint8
 }
 
-type serviceKey struct {
-	address  netip.AddrPort
-	protocol uint8
+// KeyOf returns the key of a service.
+func KeyOf(s cornelbay.Service) ServiceKey {
+	return ServiceKey{netip.AddrPortFrom(s.Address, s.Port), s.Protocol.Number()}
 }
 
-// service returns the service of a flow by its destination and protocol alone.
-func (s *Snapshot) service(k *cornelbay.FlowKey) *service {
+// Lookup returns the service of a flow by its destination and protocol alone, or nil.
+func (s *Snapshot) Lookup(k *cornelbay.FlowKey) *Service {
 	if a := k.Destination.Addr(); a.Is4() {
 		return s.services4[pack(a, k.Destination.Port(), k.Protocol)]
 	}
-	return s.services[serviceKey{k.Destination, k.Protocol}]
+	return s.Services[ServiceKey{k.Destination, k.Protocol}]
 }
 
-func (s *Snapshot) find(svc cornelbay.Service) *service {
-	return s.services[serviceKey{netip.AddrPortFrom(svc.Address, svc.Port), svc.Protocol.Number()}]
-}
-
-func (s *Snapshot) addService(key serviceKey, svc *service) {
-	s.services[key] = svc
-	if a := key.address.Addr(); a.Is4() {
-		s.services4[pack(a, key.address.Port(), key.protocol)] = svc
+// AddService adds a service to a snapshot that is not published yet.
+func (s *Snapshot) AddService(key ServiceKey, svc *Service) {
+	if s.Services == nil {
+		s.Services = make(map[ServiceKey]*Service)
+		s.services4 = make(map[uint64]*Service)
+	}
+	s.Services[key] = svc
+	if a := key.Address.Addr(); a.Is4() {
+		s.services4[pack(a, key.Address.Port(), key.Protocol)] = svc
 	}
 }
 
@@ -57,53 +67,56 @@
 	return uint64(binary.BigEndian.Uint32(b[:]))<<24 | uint64(port)<<8 | uint64(protocol)
 }
 
-type target struct {
-	name   cornelbay.TargetName
-	tunnel netip.AddrPort
-	// service is nil for a target of a service that is no longer served.
-	service *service
-	// usable is false when no packet may go to the target.
-	usable bool
+// Target is a target that has an index.
+type Target struct {
+	Name   cornelbay.TargetName
+	Tunnel netip.AddrPort
+	// Service is nil for a target of a service that is no longer served.
+	Service *Service
+	// Usable is false when no packet may go to the target.
+	Usable bool
 }
 
-type service struct {
-	buckets []bucket
-	routes  []route
+// Service holds the buckets of one service; their number is a power of two.
+type Service struct {
+	Buckets []Bucket
+	Routes  []Route
 }
 
-func (s *service) bucket(hash uint64) *bucket { return &s.buckets[hash&uint64(len(s.buckets)-1)] }
+// Bucket returns the bucket of a flow with the hash.
+func (s *Service) Bucket(hash uint64) *Bucket { return &s.Buckets[hash&uint64(len(s.Buckets)-1)] }
 
-// bucket holds indices of targets, or -1 for none.
-type bucket struct {
-	// place is the target of new flows.
-	place int32
-	// first is the earliest target that may have flows.
-	first int32
-	// route is the index of the bucket's route when flows may have another
+// Bucket holds indices of targets, or -1 for none.
+type Bucket struct {
+	// Place is the target of new flows.
+	Place int32
+	// First is the earliest target that may have flows.
+	First int32
+	// Route is the index of the bucket's route when flows may have another
 	// target, and -1 when the bucket alone decides.
-	route int32
-	// ambiguous is true when flows are known to have more than one target.
-	ambiguous bool
+	Route int32
+	// Ambiguous is true when flows are known to have more than one target.
+	Ambiguous bool
 }
 
-// route tells which hosts know the flows of an ambiguous bucket.
-type route struct {
-	// order lists indices of the live hosts: the steward, the deputy, the rest.
-	order []int16
-	// position is the own place in order.
-	position int
-	// complete is true when the own host has the record of every flow that is
+// Route tells which hosts know the flows of an ambiguous bucket.
+type Route struct {
+	// Order lists indices of the live hosts: the steward, the deputy, the rest.
+	Order []int16
+	// Position is the own place in order.
+	Position int
+	// Complete is true when the own host has the record of every flow that is
 	// not at the bucket's first target.
-	complete bool
+	Complete bool
 }
 
 // keeper returns the place of the keeper that a packet for the keepers goes to
 // next after the given relays, or -1 when it has seen them.
-func (r *route) keeper(hops uint8) int {
+func (r *Route) keeper(hops uint8) int {
 	switch {
-	case hops == 0 && r.position != steward:
+	case hops == 0 && r.Position != steward:
 		return steward
-	case hops <= 1 && r.position == steward && len(r.order) > deputy:
+	case hops <= 1 && r.Position == steward && len(r.Order) > deputy:
 		return deputy
 	}
 	return -1
@@ -112,12 +125,13 @@
 const (
 	steward = 0
 	deputy  = 1
-	// keepers is the number of hosts that hold the records of a bucket.
-	keepers = 2
+
+	// Keepers is the number of hosts that hold the records of a bucket.
+	Keepers = 2
 )
 
-// stewards returns the hosts in the order in which they answer for a bucket.
-func stewards(service cornelbay.ServiceName, bucket int, hosts []cornelbay.HostName) []int16 {
+// Stewards returns the hosts in the order in which they answer for a bucket.
+func Stewards(service cornelbay.ServiceName, bucket int, hosts []cornelbay.HostName) []int16 {
 	scores := make([]uint64, len(hosts))
 	out := make([]int16, len(hosts))
 	b := binary.BigEndian.AppendUint32([]byte(service), uint32(bucket))
@@ -132,10 +146,10 @@
 	return out
 }
 
-// proposer returns the host that proposes the epochs of a service, and how many
+// Proposer returns the host that proposes the epochs of a service, and how many
 // hosts come before self.
-func proposer(service cornelbay.ServiceName, hosts []cornelbay.HostName, self cornelbay.HostName) (cornelbay.HostName, int) {
-	order := stewards(service, -1, hosts)
+func Proposer(service cornelbay.ServiceName, hosts []cornelbay.HostName, self cornelbay.HostName) (cornelbay.HostName, int) {
+	order := Stewards(service, -1, hosts)
 	for rank, i := range order {
 		if hosts[i] == self {
 			return hosts[order[0]], rank
@@ -144,17 +158,19 @@
 	return "", len(order)
 }
 
-func (s *Snapshot) live(name cornelbay.HostName) bool { return slices.Contains(s.hosts, name) }
+// Live reports whether the host is live and decides packets.
+func (s *Snapshot) Live(name cornelbay.HostName) bool { return slices.Contains(s.Hosts, name) }
 
-func (s *Snapshot) usable(at int32) bool {
-	return at >= 0 && int(at) < len(s.targets) && s.targets[at].usable
+// Usable reports whether packets may go to the target with the index.
+func (s *Snapshot) Usable(at int32) bool {
+	return at >= 0 && int(at) < len(s.Targets) && s.Targets[at].Usable
 }
 
-// needed reports whether a flow's target cannot be told from its bucket alone.
-func (s *Snapshot) needed(fingerprint uint64, at int32) bool {
-	if !s.usable(at) || s.targets[at].service == nil {
+// Needed reports whether a flow's target cannot be told from its bucket alone.
+func (s *Snapshot) Needed(fingerprint uint64, at int32) bool {
+	if !s.Usable(at) || s.Targets[at].Service == nil {
 		return false
 	}
-	b := s.targets[at].service.bucket(fingerprint)
-	return b.route >= 0 || b.first != at
+	b := s.Targets[at].Service.Bucket(fingerprint)
+	return b.Route >= 0 || b.First != at
 }
--- a/matrix/procedure.go
+++ b/matrix/procedure.go
@@ -7,8 +7,8 @@
 	"net/netip"
 
 	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/agree"
 	"github.com/cornelbay/cornelbay/config"
-	"github.com/cornelbay/cornelbay/flow"
 	"github.com/cornelbay/cornelbay/measure"
 	"github.com/cornelbay/cornelbay/operator"
 	"github.com/cornelbay/cornelbay/peer"
@@ -131,11 +131,11 @@
 	switch e := e.(type) {
 	case cornelbay.Send:
 		switch e.Message.(type) {
-		case flow.Proposal:
+		case agree.Proposal:
 			w.reached("proposed", name)
-		case flow.Prepared:
+		case agree.Prepared:
 			w.reached("partlyPrepared", name)
-		case flow.Activate:
+		case agree.Activate:
 			w.reached("activated", name)
 		}
 	case peer.Call:
--- a/flow/table.go
+++ b/track/table.go
@@ -1,4 +1,5 @@
-package flow
+// Package track remembers the target of each flow that a host has seen.
+package track
 
 import (
 	"sync"
@@ -21,70 +22,79 @@
 )
 
 const (
+	// Shards is the number of parts that Sweep visits in turn.
+	Shards      = 1 << shardBits
 	shardBits   = 6
-	shardCount  = 1 << shardBits
 	minSlots    = 64
 	evictWindow = 32
 	tickUnit    = 100 * time.Millisecond
 )
 
-// mark tells what was seen of a recorded flow.
-type mark uint8
+// Mark tells what was seen of a recorded flow.
+type Mark uint8
 
+// The marks of a flow.
 const (
-	markFinished mark = 1 << iota
-	markReset
-	markUDP
-	// markTry counts the packets of a flow whose target is unknown.
-	markTry
+	// Finished is set when a packet with FIN was seen.
+	Finished Mark = 1 << iota
+	// Reset is set when a packet with RST was seen.
+	Reset
+	// UDP is set on flows of that protocol.
+	UDP
+	// Try counts the packets of a flow whose target is unknown.
+	Try
 
 	tryBits = 3
 )
 
-// unknownTarget stands in a record of a flow whose target no host knows.
-const unknownTarget = 1<<24 - 1
+// UnknownTarget stands in a record of a flow whose target no host knows.
+const UnknownTarget = 1<<24 - 1
 
-// record is what a table keeps of one flow: no key, only its keyed fingerprint.
-type record struct {
-	// fingerprint is 0 in an empty slot.
-	fingerprint uint64
-	// seen is the time of the last packet in units of tickUnit.
-	seen uint32
+// Record is what a table keeps of one flow: no key, only its keyed fingerprint.
+type Record struct {
+	// Fingerprint is 0 in an empty slot.
+	Fingerprint uint64
+	// Seen is the time of the last packet as Ticks gives it.
+	Seen uint32
 	// at holds the index of the target in the upper 24 bits and the marks below.
 	at uint32
 }
 
-func (r *record) target() int32 { return int32(r.at >> 8) }
-func (r *record) marks() mark   { return mark(r.at) }
+// Target returns the index of the flow's target.
+func (r *Record) Target() int32 { return int32(r.at >> 8) }
 
-// tries returns how many packets of a flow came whose target is unknown.
-func (r *record) tries() int {
-	if r.target() != unknownTarget {
+// Marks returns what was seen of the flow.
+func (r *Record) Marks() Mark { return Mark(r.at) }
+
+// Tries returns how many packets of a flow came whose target is unknown.
+func (r *Record) Tries() int {
+	if r.Target() != UnknownTarget {
 		return 0
 	}
-	return int(r.marks() / markTry & (1<<tryBits - 1))
+	return int(r.Marks() / Try & (1<<tryBits - 1))
 }
 
-func (r *record) idle() uint32 {
-	switch m := r.marks(); {
-	case r.target() == unknownTarget:
+func (r *Record) idle() uint32 {
+	switch m := r.Marks(); {
+	case r.Target() == UnknownTarget:
 		return uint32(idleUnknown / tickUnit)
-	case m&markReset != 0:
+	case m&Reset != 0:
 		return uint32(IdleReset / tickUnit)
-	case m&markFinished != 0:
+	case m&Finished != 0:
 		return uint32(IdleFinished / tickUnit)
-	case m&markUDP != 0:
+	case m&UDP != 0:
 		return uint32(IdleUDP / tickUnit)
 	}
 	return uint32(IdleTCP / tickUnit)
 }
 
-func (r *record) expired(now uint32) bool { return now-r.seen > r.idle() }
+func (r *Record) expired(now uint32) bool { return now-r.Seen > r.idle() }
 
-// policy tells a full table which records must be kept: those of flows that the
+// Policy tells a full table which records must be kept: those of flows that the
 // bucket alone does not decide.
-type policy interface {
-	needed(fingerprint uint64, target int32) bool
+type Policy interface {
+	// Needed reports whether the record of the flow must be kept.
+	Needed(fingerprint uint64, target int32) bool
 }
 
 // Table remembers the target of each flow in bounded memory; many goroutines
@@ -94,17 +104,18 @@
 	// MaxFlows bounds the records; 0 stands for DefaultMaxFlows.
 	MaxFlows int
 
-	shards [shardCount]shard
+	shards [Shards]shard
 }
 
 type shard struct {
 	mu    sync.Mutex
-	slots []record
+	slots []Record
 	used  int
 	_     [24]byte
 }
 
-func ticks(now time.Time) uint32 { return uint32(now.UnixNano() / int64(tickUnit)) }
+// Ticks returns the time in units of 100 ms; differences are right across its wrap.
+func Ticks(now time.Time) uint32 { return uint32(now.UnixNano() / int64(tickUnit)) }
 
 func (t *Table) shard(fingerprint uint64) *shard { return &t.shards[fingerprint>>(64-shardBits)] }
 
@@ -114,7 +125,7 @@
 	if n == 0 {
 		n = DefaultMaxFlows
 	}
-	return (n + shardCount - 1) / shardCount
+	return (n + Shards - 1) / Shards
 }
 
 func (s *shard) home(fingerprint uint64) int {
@@ -126,7 +137,7 @@
 		return -1
 	}
 	for i := s.home(fingerprint); ; i = (i + 1) & (len(s.slots) - 1) {
-		switch s.slots[i].fingerprint {
+		switch s.slots[i].Fingerprint {
 		case fingerprint:
 			return i
 		case 0:
@@ -135,28 +146,28 @@
 	}
 }
 
-// touch returns the record of a flow after it marked a packet of it.
-func (t *Table) touch(fingerprint uint64, now uint32, m mark) (record, bool) {
+// Touch returns the record of a flow after it marked a packet of it.
+func (t *Table) Touch(fingerprint uint64, now uint32, m Mark) (Record, bool) {
 	s := t.shard(fingerprint)
 	s.mu.Lock()
 	i := s.find(fingerprint)
 	if i < 0 || s.slots[i].expired(now) {
 		s.mu.Unlock()
-		return record{}, false
+		return Record{}, false
 	}
 	before := s.slots[i]
-	if before.target() != unknownTarget {
-		s.slots[i].seen = now
+	if before.Target() != UnknownTarget {
+		s.slots[i].Seen = now
 		s.slots[i].at |= uint32(m)
 	}
 	s.mu.Unlock()
 	return before, true
 }
 
-// put records the target of a flow, in place of what was recorded before.
-func (t *Table) put(fingerprint uint64, target int32, now uint32, m mark, p policy) {
+// Put records the target of a flow, in place of what was recorded before.
+func (t *Table) Put(fingerprint uint64, target int32, now uint32, m Mark, p Policy) {
 	s := t.shard(fingerprint)
-	r := record{fingerprint, now, uint32(target)<<8 | uint32(m)}
+	r := Record{fingerprint, now, uint32(target)<<8 | uint32(m)}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if i := s.find(fingerprint); i >= 0 {
@@ -172,9 +183,9 @@
 	s.insert(r)
 }
 
-func (s *shard) insert(r record) {
-	i := s.home(r.fingerprint)
-	for s.slots[i].fingerprint != 0 {
+func (s *shard) insert(r Record) {
+	i := s.home(r.Fingerprint)
+	for s.slots[i].Fingerprint != 0 {
 		i = (i + 1) & (len(s.slots) - 1)
 	}
 	s.slots[i] = r
@@ -183,35 +194,35 @@
 
 func (s *shard) grow() {
 	old := s.slots
-	s.slots, s.used = make([]record, max(minSlots, 2*len(old))), 0
+	s.slots, s.used = make([]Record, max(minSlots, 2*len(old))), 0
 	for _, r := range old {
-		if r.fingerprint != 0 {
+		if r.Fingerprint != 0 {
 			s.insert(r)
 		}
 	}
 }
 
 // evict removes a record near the home of r that matters less than r.
-func (s *shard) evict(r record, p policy) bool {
+func (s *shard) evict(r Record, p Policy) bool {
 	victim, spare := -1, -1
-	home := s.home(r.fingerprint)
+	home := s.home(r.Fingerprint)
 	for n := range evictWindow {
 		i := (home + n) & (len(s.slots) - 1)
 		o := &s.slots[i]
-		if o.fingerprint == 0 {
+		if o.Fingerprint == 0 {
 			continue
 		}
-		if o.expired(r.seen) {
+		if o.expired(r.Seen) {
 			victim = i
 			break
 		}
-		if !p.needed(o.fingerprint, o.target()) {
-			victim = s.older(victim, i, r.seen)
-		} else if o.marks()&(markFinished|markReset) != 0 {
-			spare = s.older(spare, i, r.seen)
+		if !p.Needed(o.Fingerprint, o.Target()) {
+			victim = s.older(victim, i, r.Seen)
+		} else if o.Marks()&(Finished|Reset) != 0 {
+			spare = s.older(spare, i, r.Seen)
 		}
 	}
-	if victim < 0 && p.needed(r.fingerprint, r.target()) {
+	if victim < 0 && p.Needed(r.Fingerprint, r.Target()) {
 		victim = spare
 	}
 	if victim < 0 {
@@ -222,7 +233,7 @@
 }
 
 func (s *shard) older(a, b int, now uint32) int {
-	if a >= 0 && now-s.slots[a].seen >= now-s.slots[b].seen {
+	if a >= 0 && now-s.slots[a].Seen >= now-s.slots[b].Seen {
 		return a
 	}
 	return b
@@ -232,42 +243,42 @@
 func (s *shard) remove(i int) {
 	mask := len(s.slots) - 1
 	s.used--
-	for j := (i + 1) & mask; s.slots[j].fingerprint != 0; j = (j + 1) & mask {
-		if home := s.home(s.slots[j].fingerprint); (j-home)&mask >= (j-i)&mask {
+	for j := (i + 1) & mask; s.slots[j].Fingerprint != 0; j = (j + 1) & mask {
+		if home := s.home(s.slots[j].Fingerprint); (j-home)&mask >= (j-i)&mask {
 			s.slots[i] = s.slots[j]
 			i = j
 		}
 	}
-	s.slots[i] = record{}
+	s.slots[i] = Record{}
 }
 
-// sweep forgets the idle flows of one shard and calls f with the others.
-func (t *Table) sweep(n int, now uint32, f func(r record)) {
-	s := &t.shards[n%shardCount]
+// Sweep forgets the idle flows of one shard and calls f with the others.
+func (t *Table) Sweep(n int, now uint32, f func(r Record)) {
+	s := &t.shards[n%Shards]
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for i := 0; i < len(s.slots); {
-		if s.slots[i].fingerprint != 0 && s.slots[i].expired(now) {
+		if s.slots[i].Fingerprint != 0 && s.slots[i].expired(now) {
 			s.remove(i)
 			continue
 		}
-		if s.slots[i].fingerprint != 0 {
+		if s.slots[i].Fingerprint != 0 {
 			f(s.slots[i])
 		}
 		i++
 	}
 }
 
-// each calls f with a copy of every record, one shard at a time.
-func (t *Table) each(f func(r record)) {
-	var records []record
+// Each calls f with a copy of every record, one shard at a time.
+func (t *Table) Each(f func(r Record)) {
+	var records []Record
 	for i := range t.shards {
 		s := &t.shards[i]
 		s.mu.Lock()
 		records = append(records[:0], s.slots...)
 		s.mu.Unlock()
 		for _, r := range records {
-			if r.fingerprint != 0 {
+			if r.Fingerprint != 0 {
 				f(r)
 			}
 		}
@@ -292,7 +303,7 @@
 	for i := range t.shards {
 		s := &t.shards[i]
 		s.mu.Lock()
-		n += len(s.slots) * int(unsafe.Sizeof(record{}))
+		n += len(s.slots) * int(unsafe.Sizeof(Record{}))
 		s.mu.Unlock()
 	}
 	return n
--- a/flow/table_test.go
+++ b/track/table_test.go
@@ -1,4 +1,4 @@
-package flow
+package track
 
 import (
 	"testing"
@@ -11,14 +11,16 @@
 // evens needs the records whose target is even.
 type evens struct{}
 
-func (evens) needed(_ uint64, target int32) bool { return target%2 == 0 }
+func (evens) Needed(_ uint64, target int32) bool { return target%2 == 0 }
 
-func ignore(record) {}
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func ignore(Record) {}
 
 func TestTableEqualsMap(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var table Table
-		model := make(map[uint64]record)
+		model := make(map[uint64]Record)
 		now := uint32(1 << 20)
 		for range 300 {
 			// Few fingerprints with one home share a shard and collide.
@@ -26,24 +28,24 @@
 			switch rapid.IntRange(0, 3).Draw(t, "step") {
 			case 0:
 				at := rapid.Int32Range(0, 1<<23).Draw(t, "target")
-				m := mark(rapid.ByteRange(0, 7).Draw(t, "mark"))
-				table.put(f, at, now, m, evens{})
-				model[f] = record{f, now, uint32(at)<<8 | uint32(m)}
+				m := Mark(rapid.ByteRange(0, 7).Draw(t, "mark"))
+				table.Put(f, at, now, m, evens{})
+				model[f] = Record{f, now, uint32(at)<<8 | uint32(m)}
 			case 1:
-				r, ok := table.touch(f, now, 0)
+				r, ok := table.Touch(f, now, 0)
 				want, has := model[f]
 				has = has && !want.expired(now)
 				if ok != has || ok && r != want {
 					t.Fatalf("got %v %v, want %v %v", r, ok, want, has)
 				}
 				if has {
-					want.seen = now
+					want.Seen = now
 					model[f] = want
 				}
 			case 2:
 				now += rapid.Uint32Range(0, uint32(IdleTCP/tickUnit)).Draw(t, "wait")
 			default:
-				table.sweep(0, now, ignore)
+				table.Sweep(0, now, ignore)
 				for f, r := range model {
 					if r.expired(now) {
 						delete(model, f)
@@ -60,51 +62,51 @@
 func TestTableKeepsNeededWhenFull(t *testing.T) {
 	is := is.New(t)
 	table := Table{MaxFlows: 1000}
-	now := ticks(epochStart)
+	now := Ticks(start)
 	flow := func(n int) uint64 { return uint64(n+1) * 0x9e3779b97f4a7c15 }
 	for n := range 2000 {
-		table.put(flow(n), 2, now, 0, evens{})
+		table.Put(flow(n), 2, now, 0, evens{})
 	}
 	full := table.Len()
 	is.True(full >= 1000)
 	for n := 2000; n < 20000; n++ {
-		table.put(flow(n), 1, now+1, 0, evens{})
+		table.Put(flow(n), 1, now+1, 0, evens{})
 	}
 	is.Equal(table.Len(), full) // records that the bucket decides give way
 	kept := 0
-	table.each(func(r record) {
-		if r.target() == 2 {
+	table.Each(func(r Record) {
+		if r.Target() == 2 {
 			kept++
 		}
 	})
 	is.Equal(kept, full)
 	later := now + uint32((IdleTCP+time.Second)/tickUnit)
-	table.put(flow(30000), 1, later, 0, evens{})
-	_, ok := table.touch(flow(30000), later, 0)
+	table.Put(flow(30000), 1, later, 0, evens{})
+	_, ok := table.Touch(flow(30000), later, 0)
 	is.True(ok) // an idle record gives way to any
 }
 
 func TestTableForgetsByProtocol(t *testing.T) {
 	tests := []struct {
 		name string
-		mark mark
+		Mark Mark
 		idle time.Duration
 	}{
 		{"tcp", 0, IdleTCP},
-		{"udp", markUDP, IdleUDP},
-		{"finished", markFinished, IdleFinished},
-		{"reset", markReset | markFinished, IdleReset},
+		{"udp", UDP, IdleUDP},
+		{"finished", Finished, IdleFinished},
+		{"reset", Reset | Finished, IdleReset},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			var table Table
-			now := ticks(epochStart)
-			table.put(1, 1, now, tt.mark, evens{})
+			now := Ticks(start)
+			table.Put(1, 1, now, tt.Mark, evens{})
 			idle := uint32(tt.idle / tickUnit)
-			table.sweep(0, now+idle, ignore)
+			table.Sweep(0, now+idle, ignore)
 			is.Equal(table.Len(), 1)
-			table.sweep(0, now+idle+1, ignore)
+			table.Sweep(0, now+idle+1, ignore)
 			is.Equal(table.Len(), 0)
 		})
 	}
