--- a/flow/control.go
+++ b/agree/control.go
@@ -1,4 +1,4 @@
-package flow
+package agree
 
 import (
 	"maps"
@@ -7,6 +7,7 @@
 
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/assign"
+	"github.com/cornelbay/cornelbay/flow"
 )
 
 // The times of the flow path's control.
@@ -18,6 +19,9 @@
 	// CutOffAfter is when a host that had no confirmation of the configuration
 	// and heard no host of another data centre sends nothing there any more.
 	CutOffAfter = 10 * time.Second
+	// BackAfter is how long a host of a data centre must be heard again before
+	// packets are sent there without a confirmation of the configuration.
+	BackAfter = 3 * time.Second
 	// DoubtAfter is the age of the last confirmation of the configuration from
 	// which a host that hears no more than half of the hosts no longer relies on
 	// its buckets for flows that it does not know.
@@ -31,11 +35,12 @@
 //
 // A host that had no confirmation of the configuration and heard no host of
 // another data centre for CutOffAfter cannot know whether that one is out: it
-// sends no packet to the targets there until it hears of either again. Their
+// sends no packet to the targets there until it has a confirmation again, or has
+// heard a host there for BackAfter. Their
 // flows at this host stall meanwhile, and other hosts may serve them.
 type Control struct {
 	Self  cornelbay.HostName
-	Plane *Plane
+	Plane *flow.Plane
 	// Generation is that of the services in force.
 	Generation uint64
 
@@ -48,19 +53,19 @@
 	members  cornelbay.Members
 	missing  map[cornelbay.HostName]time.Time
 	// serving has the other hosts that decide packets.
-	serving map[cornelbay.HostName]bool
-	// heard is when a host of a data centre was last alive.
-	heard  map[cornelbay.DataCentreName]time.Time
-	states map[cornelbay.TargetName]cornelbay.TargetState
+	serving  map[cornelbay.HostName]bool
+	contacts map[cornelbay.DataCentreName]*contact
+	states   map[cornelbay.TargetName]cornelbay.TargetState
 
 	dirty bool
 	doubt bool
 	// history is true when epochs were learnt whose flows the host may have missed.
-	history bool
-	sweep   int
-	join    join
-	handoff handoff
-	digest  digestState
+	history     bool
+	sweep       int
+	join        join
+	servedSince time.Time
+	handoff     handoff
+	digest      digestState
 }
 
 // SetServices takes the services in force and the data centres that are out.
@@ -87,7 +92,7 @@
 		c.byName = make(map[cornelbay.TargetName]int32)
 		c.serving = make(map[cornelbay.HostName]bool)
 		c.missing = make(map[cornelbay.HostName]time.Time)
-		c.heard = make(map[cornelbay.DataCentreName]time.Time)
+		c.contacts = make(map[cornelbay.DataCentreName]*contact)
 		c.states = make(map[cornelbay.TargetName]cornelbay.TargetState)
 	}
 }
@@ -157,7 +162,6 @@
 	}
 	c.members = m
 	for _, h := range m.Live {
-		c.heard[h.DataCentre] = now
 		delete(c.missing, h.Name)
 	}
 	names := make(map[cornelbay.HostName]bool)
@@ -231,6 +235,8 @@
 	case EpochsAnswer:
 		c.joinAnswered(now, from, m)
 		out = c.tickJoin(now)
+	case Clear:
+		c.cleared(now, from, m)
 	case Serving:
 		out = c.announced(from, m)
 	case Digest:
@@ -247,14 +253,13 @@
 func (c *Control) Held(now time.Time, key cornelbay.FlowKey) []cornelbay.Effect { return nil }
 
 // Suspend makes the plane decide nothing for as long as suspended is true.
-func (c *Control) Suspend(suspended bool) { c.Plane.suspended.Store(suspended) }
+func (c *Control) Suspend(suspended bool) { c.Plane.Suspend(suspended) }
 
 // Tick returns the effects that are due at now.
 func (c *Control) Tick(now time.Time) []cornelbay.Effect {
-	c.Plane.ticked.Store(now.UnixNano())
+	c.Plane.Ticked(now)
 	c.init()
-	c.Plane.Table.sweep(c.sweep, ticks(now))
-	c.sweep++
+	c.sweepTable(now)
 	out := c.tickJoin(now)
 	if !c.deciding() {
 		return out
@@ -264,18 +269,21 @@
 	out = append(out, c.propose(now)...)
 	c.publish(now)
 	out = append(out, c.tickDigest(now)...)
+	out = append(out, c.tickClear(now)...)
 	return append(out, c.tickHandoff(now)...)
 }
 
 // closeTargets notes which targets may get no new flows or no packets at all.
 func (c *Control) closeTargets(now time.Time) {
+	c.updateContacts(now)
 	for i := range c.registry {
 		r := &c.registry[i]
 		if r.retired {
 			continue
 		}
 		c.closeTarget(now, r)
-		if unreachable := c.cutOff(now, r.DataCentre); unreachable != r.unreachable {
+		k := c.contacts[r.DataCentre]
+		if unreachable := k != nil && k.cutOff; unreachable != r.unreachable {
 			r.unreachable, c.dirty = unreachable, true
 		}
 	}
@@ -321,20 +329,45 @@
 	}
 }
 
-// cutOff reports whether the host must not send to a data centre because it
-// cannot know whether that one is out.
-func (c *Control) cutOff(now time.Time, dc cornelbay.DataCentreName) bool {
-	confirmed, heard := c.members.ConfirmedAt, c.heard[dc]
-	if confirmed.IsZero() || heard.IsZero() || now.Sub(confirmed) < CutOffAfter {
-		return false
-	}
+// contact is what a host hears of a data centre.
+type contact struct {
+	// heard is when a host there was last alive, and back since when one is
+	// alive again after the data centre was cut off.
+	heard, back time.Time
+	cutOff      bool
+}
+
+// updateContacts notes which data centres the host must not send to because it
+// cannot know whether they are out.
+func (c *Control) updateContacts(now time.Time) {
+	live := make(map[cornelbay.DataCentreName]bool)
 	for _, h := range c.members.Live {
-		if h.DataCentre == dc {
-			c.heard[dc] = now
-			return false
+		live[h.DataCentre] = true
+		if c.contacts[h.DataCentre] == nil {
+			c.contacts[h.DataCentre] = &contact{}
 		}
 	}
-	return now.Sub(heard) >= CutOffAfter
+	confirmed := c.members.ConfirmedAt.IsZero() || now.Sub(c.members.ConfirmedAt) < CutOffAfter
+	for dc, k := range c.contacts {
+		k.update(now, live[dc], confirmed)
+	}
+}
+
+func (k *contact) update(now time.Time, live, confirmed bool) {
+	switch {
+	case !live:
+		k.back = time.Time{}
+		k.cutOff = k.cutOff || !confirmed && now.Sub(k.heard) >= CutOffAfter
+	case !k.cutOff:
+		k.heard = now
+	case k.back.IsZero():
+		k.back = now
+	case now.Sub(k.back) >= BackAfter:
+		k.cutOff, k.heard = false, now
+	}
+	if confirmed {
+		k.cutOff = false
+	}
 }
 
 // States returns the agreed states of a service's targets that are in force.
--- a/entry/members.go
+++ b/entry/members.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/cornelbay/cornelbay"
-	"github.com/cornelbay/cornelbay/flow"
+	"github.com/cornelbay/cornelbay/agree"
 	"github.com/cornelbay/cornelbay/member"
 )
 
@@ -42,7 +42,7 @@
 	case h.staleSince.IsZero():
 		h.staleSince = now
 	}
-	h.suspended = stale && now.Sub(h.staleSince) < flow.CutOffAfter
+	h.suspended = stale && now.Sub(h.staleSince) < agree.CutOffAfter
 	h.flows.Suspend(h.suspended)
 	return h.Requests.Suspend(now, h.suspended)
 }
