Exchange epochs with hosts that are heard again before guessing

Cause: a host that was paused or cut off and hears the others again held the epochs of before, and took buckets for unambiguous that had changed meanwhile until the next comparison of epochs a second or more later (matrix: apply/*/leaseLapsedInPause, takeOut/committed/dataCentreCutOff). Change: hosts that become live after having been missing are asked for their epochs; until they came, 1.5 s at most, a packet of an unknown flow is dropped. A target that a host learns to be closed when it wakes counts as closed since CloseAfter, so nothing more goes there. Ruled out: a shorter interval of the comparison, which costs control traffic all the time and leaves the gap.

--- a/agree/control.go
+++ b/agree/control.go
@@ -57,8 +57,9 @@
 	contacts map[cornelbay.DataCentreName]*contact
 	states   map[cornelbay.TargetName]cornelbay.TargetState
 
-	dirty bool
-	doubt bool
+	dirty     bool
+	doubt     bool
+	suspended bool
 	// history is true when epochs were learnt whose flows the host may have missed.
 	history     bool
 	sweep       int
@@ -66,6 +67,7 @@
 	servedSince time.Time
 	handoff     handoff
 	digest      digestState
+	regain      regain
 }
 
 // SetServices takes the services in force and the data centres that are out.
@@ -161,6 +163,7 @@
 		}
 	}
 	c.members = m
+	c.hearAgain(now, m.Live)
 	for _, h := range m.Live {
 		delete(c.missing, h.Name)
 	}
@@ -182,8 +185,9 @@
 			s.incomplete()
 		}
 	}
+	out := c.tickRegain(now)
 	c.publish(now)
-	return nil
+	return out
 }
 
 func sameName(a, b cornelbay.Host) bool { return a.Name == b.Name && a.Incarnation == b.Incarnation }
@@ -234,6 +238,7 @@
 		out = c.joining(from)
 	case EpochsAnswer:
 		c.joinAnswered(now, from, m)
+		c.regained(from, m)
 		out = c.tickJoin(now)
 	case Clear:
 		c.cleared(now, from, m)
@@ -252,8 +257,12 @@
 // package is Hold: a packet whose flow is not known is relayed or dropped.
 func (c *Control) Held(now time.Time, key cornelbay.FlowKey) []cornelbay.Effect { return nil }
 
-// Suspend makes the plane decide nothing for as long as suspended is true.
-func (c *Control) Suspend(suspended bool) { c.Plane.Suspend(suspended) }
+// Suspend makes the plane decide nothing for as long as suspended is true. The
+// host does not know then since when a change that it learns of is in force.
+func (c *Control) Suspend(suspended bool) {
+	c.suspended = suspended
+	c.Plane.Suspend(suspended)
+}
 
 // Tick returns the effects that are due at now.
 func (c *Control) Tick(now time.Time) []cornelbay.Effect {
@@ -264,6 +273,7 @@
 	if !c.deciding() {
 		return out
 	}
+	out = append(out, c.tickRegain(now)...)
 	c.updateDoubt(now)
 	c.closeTargets(now)
 	out = append(out, c.propose(now)...)
@@ -297,6 +307,9 @@
 	switch {
 	case !closed:
 		r.closedSince = time.Time{}
+	case r.closedSince.IsZero() && c.suspended:
+		// The target was closed before the host woke.
+		r.closedSince, c.dirty = now.Add(-CloseAfter), true
 	case r.closedSince.IsZero():
 		r.closedSince = now
 	case now.Sub(r.closedSince) >= CloseAfter && now.Sub(r.closedSince) < CloseAfter+time.Second:
--- a/agree/join.go
+++ b/agree/join.go
@@ -194,10 +194,7 @@
 
 // joinAnswered notes an answer once all the epochs that it announces are there.
 func (c *Control) joinAnswered(now time.Time, from cornelbay.HostName, m EpochsAnswer) {
-	n := 0
-	for _, s := range c.services {
-		n += len(s.epochs)
-	}
+	n := c.epochCount()
 	if c.deciding() || c.join.answered == nil || n < m.Count {
 		return
 	}
