Follow a later document's epochs at a host that has not heard of it

Cause: the fault matrix (bringBack, updateUneven) showed a host that heard late of a data centre's return: it took the returned targets of the new epoch for lost ones for good, and hosts disagreed on those buckets from then on. Change: what an outdated document excludes is placed on all the same when an epoch of a later document has it, and counts as brought back.

--- a/agree/control.go
+++ b/agree/control.go
@@ -289,7 +289,7 @@
 }
 
 func (c *Control) closeTarget(now time.Time, r *registered) {
-	closed := !r.listed || r.Drain || c.out[r.DataCentre] || r.unreachable && !c.split()
+	closed := (!r.listed || r.Drain || c.out[r.DataCentre]) && !c.readmitted(r.service, r.Name) || r.unreachable && !c.split()
 	switch {
 	case !closed:
 		r.closedSince = time.Time{}
@@ -300,6 +300,17 @@
 	}
 }
 
+// readmitted reports whether hosts with a later document place flows on a target,
+// whatever the own document says of it.
+func (c *Control) readmitted(service cornelbay.ServiceName, name cornelbay.TargetName) bool {
+	s := c.services[service]
+	if s == nil || s.newest() == nil {
+		return false
+	}
+	e := s.newest()
+	return e.generation > c.Generation && e.has(name) && !e.purged[name]
+}
+
 func (r *registered) closed(now time.Time) bool {
 	return !r.closedSince.IsZero() && now.Sub(r.closedSince) >= CloseAfter
 }
@@ -313,7 +324,7 @@
 	}
 	for _, t := range s.Targets {
 		i, ok := c.byName[t.Name]
-		if !ok || !c.out[t.DataCentre] || (current.has(t.Name) && !c.registry[i].closed(now)) {
+		if !ok || !c.out[t.DataCentre] || c.readmitted(s.Name, t.Name) || (current.has(t.Name) && !c.registry[i].closed(now)) {
 			continue
 		}
 		c.registry[i].retired = true
--- a/agree/epoch.go
+++ b/agree/epoch.go
@@ -168,7 +168,15 @@
 		return i
 	}
 	i := int32(len(c.registry))
-	c.registry = append(c.registry, registered{Target: t, service: service})
+	listed := false
+	if s := c.services[service]; s != nil {
+		for _, own := range s.Targets {
+			if own.Name == t.Name {
+				t, listed = own, true
+			}
+		}
+	}
+	c.registry = append(c.registry, registered{Target: t, service: service, listed: listed})
 	c.byName[t.Name] = i
 	return i
 }
@@ -211,6 +219,9 @@
 	}
 	for _, w := range p.Shares {
 		e.shares = append(e.shares, assign.Share{Target: w.Target, Weight: w.Weight})
+		if c.cut[w.Target] && p.Generation > c.Generation {
+			delete(c.cut, w.Target) // a later document has brought it back
+		}
 		if c.cut[w.Target] {
 			e.purged[w.Target] = true
 		}
