Compare picks with a naive rule and take queues into a package of their own

Purpose: a decision should take at most 1 us, and the choice of target needs a differential test.

Cause of the time: logarithms of constants in each pick, boxed timers in container/heap, a timer for each attempt.

Change: package queue has a generic heap and the fair queue; overdue attempts are found from the front of a list by their start; a finished request drops its body. balance is compared with a plain rule under generated attempts, states, feeders and news; the test of reports found that a report of a full target admitted two requests, now one.

--- a/balance/target.go
+++ b/balance/target.go
@@ -27,10 +27,10 @@
 const (
 	// latencyGain is the weight of a new latency in the smoothed one.
 	latencyGain = 0.2
-	// slowFactor times the pool's usual latency marks a target as slow, until its
-	// own is below wellFactor times that.
-	slowFactor = 3
-	wellFactor = 1.5
+	// logSlow above the logarithm of the pool's usual latency, a factor of 3,
+	// marks a target as slow, until it is below logWell, a factor of 1.5.
+	logSlow = 1.0986
+	logWell = 0.4055
 	// minSamples is the number of latencies before a target can be slow.
 	minSamples = 4
 	// limitStep is added to the limit, divided by it, for each answer.
@@ -137,7 +137,7 @@
 	}
 	if t.report > n && now.Sub(t.reported) < ReportLifetime {
 		// One request at a time shows whether the report is true.
-		return max(n, min(t.report, t.SlotCount()-1))
+		return n + min(t.report-n, t.SlotCount()-1)
 	}
 	return n
 }
@@ -197,9 +197,9 @@
 func (t *Target) judge(usual float64) {
 	switch above := t.logLatency - usual; {
 	case t.samples < minSamples:
-	case above > math.Log(slowFactor):
+	case above > logSlow:
 		t.slow = true
-	case above < math.Log(wellFactor):
+	case above < logWell:
 		t.slow = false
 	}
 }
--- a/request/dispatcher.go
+++ b/request/dispatcher.go
@@ -8,6 +8,7 @@
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/balance"
 	"github.com/cornelbay/cornelbay/peer"
+	"github.com/cornelbay/cornelbay/queue"
 	"github.com/cornelbay/cornelbay/ticket"
 )
 
@@ -45,7 +46,7 @@
 	waiters map[uint64][]*job
 	archive ticket.Archive[Response]
 
-	timers   timers
+	timers   queue.Heap[timer]
 	nextNews time.Time
 	told     bool
 	counters Counters
@@ -160,6 +161,7 @@
 	}
 	for _, s := range d.services {
 		s.pool.Tick(now)
+		d.lookOverdue(now, s)
 	}
 	d.pumpAll(now)
 	d.tickNews(now)
--- a/request/job.go
+++ b/request/job.go
@@ -7,6 +7,7 @@
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/balance"
 	"github.com/cornelbay/cornelbay/peer"
+	"github.com/cornelbay/cornelbay/queue"
 	"github.com/cornelbay/cornelbay/ticket"
 )
 
@@ -40,10 +41,8 @@
 
 	service *service
 	done    bool
-	// waiting is true while it is in the service's queue.
-	waiting bool
-	round   int
-	order   uint64
+	// waiting is its place in the service's queue, or nil.
+	waiting *queue.Item[*job]
 
 	tries, running int
 	// ambiguous is true when a target may have run an attempt that failed, here
@@ -96,7 +95,7 @@
 	case d.stopping:
 		d.refuse(now, j, Stopping)
 	default:
-		d.addTimer(timer{at: j.Deadline, kind: deadlineTimer, job: j})
+		d.addTimer(timer{at: j.Deadline.UnixNano(), kind: deadlineTimer, job: j})
 		d.route(now, j)
 	}
 }
@@ -120,7 +119,8 @@
 // dispatch starts a job here or queues it.
 func (d *Dispatcher) dispatch(now time.Time, j *job) {
 	s := j.service
-	if s.queue.len() == 0 && d.mayRun(s) {
+	d.lookOverdue(now, s)
+	if s.queue.Len() == 0 && d.mayRun(s) {
 		if t := s.pool.Pick(now, j.avoid, 0); t != nil {
 			d.start(now, j, t)
 			return
@@ -147,7 +147,7 @@
 	}
 	j.tries++
 	d.launch(now, j, t)
-	d.addTimer(timer{at: now.Add(d.hedgeDelay(s)), kind: hedgeTimer, job: j, attempt: d.last})
+	s.young = append(s.young, d.last)
 }
 
 func (d *Dispatcher) launch(now time.Time, j *job, t *balance.Target) {
@@ -160,6 +160,22 @@
 	d.emit(Attempt{ID: d.last, Request: j.Request, Target: t.Name, Address: t.HTTP, Deadline: j.Deadline})
 }
 
+// lookOverdue handles the attempts of a service that take unusually long.
+func (d *Dispatcher) lookOverdue(now time.Time, s *service) {
+	since := now.Add(-d.hedgeDelay(s))
+	for len(s.young) > 0 {
+		id := s.young[0]
+		a, ok := d.attempts[id]
+		if ok && a.began.After(since) {
+			return
+		}
+		s.young = s.young[1:]
+		if ok {
+			d.overdue(now, a.job, id)
+		}
+	}
+}
+
 // overdue handles an attempt that takes unusually long: a second one is started
 // beside it where there is room, or else, later on, in its place.
 func (d *Dispatcher) overdue(now time.Time, j *job, id AttemptID) {
@@ -177,7 +193,7 @@
 	if !j.Idempotent() || j.hedged || j.replaced == maxReplaced || j.running != 1 || !s.budget.has() {
 		return
 	}
-	if t := s.pool.Pick(now, a.target, 0); t != nil && t != a.target && s.queue.len() == 0 {
+	if t := s.pool.Pick(now, a.target, 0); t != nil && t != a.target && s.queue.Len() == 0 {
 		s.budget.take()
 		j.hedged = true
 		d.counters.Hedges++
@@ -192,7 +208,7 @@
 		return
 	}
 	a.again = true
-	d.addTimer(timer{at: now.Add(d.hedgeDelay(s)), kind: hedgeTimer, job: j, attempt: id})
+	d.addTimer(timer{at: now.Add(d.hedgeDelay(s)).UnixNano(), kind: hedgeTimer, job: j, id: uint64(id)})
 }
 
 // hedgeDelay is the age at which an attempt takes unusually long.
@@ -227,6 +243,7 @@
 	default:
 		d.failed(now, a, res)
 	}
+	d.lookOverdue(now, j.service)
 	d.pump(now, j.service)
 }
 
@@ -271,7 +288,7 @@
 		return
 	}
 	wait := time.Duration(d.Rand.Int64N(int64(MaxJitter)))
-	d.addTimer(timer{at: now.Add(wait), kind: retryTimer, job: j})
+	d.addTimer(timer{at: now.Add(wait).UnixNano(), kind: retryTimer, job: j})
 }
 
 // failure returns the reason that is true of a job that ends unanswered now.
@@ -332,6 +349,8 @@
 	if j.running > 0 {
 		d.cancelAttempts(j)
 	}
+	// Timers may hold the job for a while yet.
+	j.Header, j.Body = nil, nil
 	switch {
 	case j.ticket != nil:
 		d.settle(now, j, res)
--- a/request/relay.go
+++ b/request/relay.go
@@ -98,7 +98,7 @@
 	d.relays[id] = j
 	d.callPeer(h.Name, RelayArgs{ID: id, Incarnation: d.Incarnation, Request: r, Wait: wait})
 	j.relayedAt = now
-	d.addTimer(timer{at: now.Add(d.ackTimeout()), kind: ackTimer, job: j, relay: id})
+	d.addTimer(timer{at: now.Add(d.ackTimeout()).UnixNano(), kind: ackTimer, job: j, id: id})
 }
 
 func (d *Dispatcher) ackTimeout() time.Duration {
--- a/request/service.go
+++ b/request/service.go
@@ -1,11 +1,11 @@
 package request
 
 import (
-	"container/heap"
 	"time"
 
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/balance"
+	"github.com/cornelbay/cornelbay/queue"
 )
 
 // The limits of a service's queue.
@@ -16,9 +16,6 @@
 	// queueLatencies times half the usual latency.
 	MaxQueueWait   = 100 * time.Millisecond
 	queueLatencies = 3
-	// roundSize is how many requests of one caller wait before its next ones
-	// yield to those of other callers.
-	roundSize = 4
 )
 
 // The retry budget of a service.
@@ -43,101 +40,10 @@
 	cornelbay.Service
 	pool    balance.Pool
 	steward cornelbay.HostName
-	queue   queue
+	queue   queue.Fair[*job]
 	budget  budget
-}
-
-// queue holds the jobs of a service that wait for a target; its zero value works.
-type queue struct {
-	jobs    jobHeap
-	callers map[string]int
-	count   uint64
-	// gone counts jobs in the heap that wait no more.
-	gone int
-}
-
-func (q *queue) len() int { return len(q.jobs) - q.gone }
-
-func (q *queue) add(j *job) {
-	if q.callers == nil {
-		q.callers = make(map[string]int)
-	}
-	q.count++
-	j.round, j.order, j.waiting = q.callers[j.Caller]/roundSize, q.count, true
-	q.callers[j.Caller]++
-	heap.Push(&q.jobs, j)
-}
-
-// leave takes a waiting job out; its place in the heap is freed later.
-func (q *queue) leave(j *job) {
-	j.waiting = false
-	q.gone++
-	if q.callers[j.Caller]--; q.callers[j.Caller] == 0 {
-		delete(q.callers, j.Caller)
-	}
-	if q.gone > len(q.jobs)/2 {
-		q.compact()
-	}
-}
-
-func (q *queue) compact() {
-	rest := q.jobs[:0]
-	for _, j := range q.jobs {
-		if j.waiting {
-			rest = append(rest, j)
-		}
-	}
-	clear(q.jobs[len(rest):])
-	q.jobs, q.gone = rest, 0
-	heap.Init(&q.jobs)
-}
-
-// first returns the job that is served next, or nil.
-func (q *queue) first() *job {
-	for len(q.jobs) > 0 && !q.jobs[0].waiting {
-		heap.Pop(&q.jobs)
-		q.gone--
-	}
-	if len(q.jobs) == 0 {
-		return nil
-	}
-	return q.jobs[0]
-}
-
-// last returns the job without an attempt that is served after all others, or nil.
-func (q *queue) last() *job {
-	var out *job
-	for _, j := range q.jobs {
-		if j.waiting && j.tries == 0 && (out == nil || out.before(j)) {
-			out = j
-		}
-	}
-	return out
-}
-
-// before orders waiting jobs by the caller's round, then by deadline.
-func (j *job) before(k *job) bool {
-	if j.round != k.round {
-		return j.round < k.round
-	}
-	if !j.Deadline.Equal(k.Deadline) {
-		return j.Deadline.Before(k.Deadline)
-	}
-	return j.order < k.order
-}
-
-type jobHeap []*job
-
-func (h jobHeap) Len() int           { return len(h) }
-func (h jobHeap) Less(i, j int) bool { return h[i].before(h[j]) }
-func (h jobHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-func (h *jobHeap) Push(x any)        { *h = append(*h, x.(*job)) }
-func (h *jobHeap) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	return last
+	// young holds the attempts that were not overdue yet, by their start.
+	young []AttemptID
 }
 
 // enqueue admits a job to the queue of its service or refuses it early.
@@ -153,9 +59,9 @@
 		return
 	}
 	d.push(s, j)
-	if wait > min(MaxQueueWait, queueLatencies*s.pool.Latency()/2) || s.queue.len() > MaxQueue {
-		if worst := s.queue.last(); worst != nil {
-			d.refuse(now, worst, worst.failure(QueueFull, AttemptFailed))
+	if wait > min(MaxQueueWait, queueLatencies*s.pool.Latency()/2) || s.queue.Len() > MaxQueue {
+		if worst := s.queue.Last(func(j *job) bool { return j.tries == 0 }); worst != nil {
+			d.refuse(now, worst.Value, worst.Value.failure(QueueFull, AttemptFailed))
 		}
 	}
 	d.pump(now, s)
@@ -171,20 +77,21 @@
 }
 
 func (d *Dispatcher) push(s *service, j *job) {
-	s.queue.add(j)
+	j.waiting = s.queue.Add(j, j.Caller, j.Deadline)
 	d.queued++
 }
 
 func (d *Dispatcher) leaveQueue(j *job) {
-	if j.waiting {
-		j.service.queue.leave(j)
+	if j.waiting != nil {
+		j.service.queue.Remove(j.waiting)
+		j.waiting = nil
 		d.queued--
 	}
 }
 
 // wait estimates the time that a job queued now waits for a target.
 func (s *service) wait(now time.Time) time.Duration {
-	n := time.Duration(s.queue.len() + 1)
+	n := time.Duration(s.queue.Len() + 1)
 	return n * s.pool.Latency() / time.Duration(s.pool.Capacity(now))
 }
 
@@ -204,9 +111,10 @@
 
 // pump starts waiting jobs while targets have room.
 func (d *Dispatcher) pump(now time.Time, s *service) {
-	for j := s.queue.first(); j != nil && d.mayRun(s); j = s.queue.first() {
+	for i := s.queue.First(); i != nil && d.mayRun(s); i = s.queue.First() {
+		j := i.Value
 		extra := 0
-		if s.queue.len() > len(s.pool.Targets())/2 {
+		if s.queue.Len() > len(s.pool.Targets())/2 {
 			extra = extraAttempts
 		}
 		t := s.pool.Pick(now, j.avoid, extra)
@@ -226,14 +134,15 @@
 		return
 	}
 	for _, s := range d.services {
-		if s.queue.len() > 0 {
+		if s.queue.Len() > 0 {
 			d.pump(now, s)
 		}
 	}
 }
 
 func (d *Dispatcher) endQueue(s *service, r Reason) {
-	for j := s.queue.first(); j != nil; j = s.queue.first() {
+	for i := s.queue.First(); i != nil; i = s.queue.First() {
+		j := i.Value
 		d.finish(time.Time{}, j, j.failure(r, AttemptFailed).Response())
 	}
 }
--- a/request/tickets.go
+++ b/request/tickets.go
@@ -66,7 +66,7 @@
 	case !j.Deadline.After(now):
 		d.void(now, j, t, DeadlineQueued, TicketUnproven)
 	default:
-		d.addTimer(timer{at: j.Deadline, kind: deadlineTimer, job: j})
+		d.addTimer(timer{at: j.Deadline.UnixNano(), kind: deadlineTimer, job: j})
 		d.routeTicketed(now, j, t)
 	}
 }
@@ -164,7 +164,7 @@
 		d.waiters[t.Number] = []*job{j}
 		run := &job{Request: j.Request, service: j.service, ticket: &t}
 		j.run = run
-		d.addTimer(timer{at: j.Deadline, kind: deadlineTimer, job: run})
+		d.addTimer(timer{at: j.Deadline.UnixNano(), kind: deadlineTimer, job: run})
 		d.dispatch(now, run)
 	case errors.Is(err, ticket.ErrDigest):
 		d.refuse(now, j, TicketUsed)
--- a/request/timer.go
+++ b/request/timer.go
@@ -1,9 +1,6 @@
 package request
 
-import (
-	"container/heap"
-	"time"
-)
+import "time"
 
 type timerKind uint8
 
@@ -16,33 +13,24 @@
 
 // timer is something to look at when its time comes; it may be out of date.
 type timer struct {
-	at      time.Time
-	kind    timerKind
-	job     *job
-	attempt AttemptID
-	relay   uint64
+	// at is in nanoseconds since 1970.
+	at  int64
+	job *job
+	// id is the attempt of a hedgeTimer or the relay of an ackTimer.
+	id   uint64
+	kind timerKind
 }
 
-type timers []timer
-
-func (t timers) Len() int           { return len(t) }
-func (t timers) Less(i, j int) bool { return t[i].at.Before(t[j].at) }
-func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
-func (t *timers) Push(x any)        { *t = append(*t, x.(timer)) }
-func (t *timers) Pop() any {
-	old := *t
-	last := old[len(old)-1]
-	old[len(old)-1] = timer{}
-	*t = old[:len(old)-1]
-	return last
-}
+// Before orders timers by time.
+func (t timer) Before(other timer) bool { return t.at < other.at }
 
-func (d *Dispatcher) addTimer(t timer) { heap.Push(&d.timers, t) }
+func (d *Dispatcher) addTimer(t timer) { d.timers.Push(t) }
 
 // runTimers handles the timers that are due at now.
 func (d *Dispatcher) runTimers(now time.Time) {
-	for len(d.timers) > 0 && !d.timers[0].at.After(now) {
-		t := heap.Pop(&d.timers).(timer)
+	at := now.UnixNano()
+	for d.timers.Len() > 0 && d.timers.First().at <= at {
+		t := d.timers.Pop()
 		if t.job.done {
 			continue
 		}
@@ -50,11 +38,11 @@
 		case deadlineTimer:
 			d.deadline(now, t.job)
 		case hedgeTimer:
-			d.overdue(now, t.job, t.attempt)
+			d.overdue(now, t.job, AttemptID(t.id))
 		case retryTimer:
 			d.enqueueRetry(now, t.job)
 		case ackTimer:
-			d.ackMissing(now, t.job, t.relay)
+			d.ackMissing(now, t.job, t.id)
 		}
 	}
 }
