--- a/entry/config.go
+++ b/entry/config.go
@@ -38,6 +38,7 @@
 		}
 	}
 	h.judge.SetTargets(now, targets, out)
+	h.flows.Generation = h.keeper.Generation()
 	effects := h.flows.SetServices(now, services, out)
 	return append(effects, h.Requests.SetServices(now, services, out)...)
 }
@@ -70,8 +71,16 @@
 
 // heardConfig takes what a heartbeat tells of the configuration.
 func (h *Host) heardConfig(now time.Time, b member.Heartbeat) []cornelbay.Effect {
-	h.keeper.SetMembers(h.members.Live(now))
-	return h.keeper.Heard(now, b.Host.Name, b.Generation, b.ConfirmedAgeMs)
+	return h.keeper.Heard(now, b.Name, b.Generation, confirmedAgeMs(b))
+}
+
+// confirmedAgeMs returns how long ago the platform confirmed the sender's
+// generation, with what the heartbeat may have taken; 0 is never.
+func confirmedAgeMs(b member.Heartbeat) int64 {
+	if b.ConfirmedAgeMs == 0 {
+		return 0
+	}
+	return int64(b.ConfirmedAgeMs) + member.TransitAllowance.Milliseconds()
 }
 
 // adopted passes a generation that came into force on to the other concerns.
--- a/message.go
+++ b/message.go
@@ -19,6 +19,10 @@
 	KindJoin
 	KindJoinAnswer
 	KindNotice
+	KindDigest
+	KindEpochs
+	KindEpochsAnswer
+	KindServing
 )
 
 // Message is a control message from one host to another, small enough for a
