--- a/caller/server.go
+++ b/caller/server.go
@@ -121,11 +121,15 @@
 	for k, vs := range r.Header {
 		w.Header()[k] = vs
 	}
-	// The outcome is the host's own word, whatever a target says.
+	// The outcome and its reason are the host's own word, whatever a target says.
+	if r.Reason == request.NoReason {
+		w.Header().Del(request.ReasonHeader)
+	}
 	w.Header().Set(cornelbay.OutcomeHeader, r.Outcome.String())
 	if r.RetryAfter > 0 {
 		s := int((r.RetryAfter + time.Second - 1) / time.Second)
 		w.Header().Set("Retry-After", strconv.Itoa(s))
+		w.Header().Set(request.RetryAfterHeader, strconv.FormatInt(max(1, r.RetryAfter.Milliseconds()), 10))
 	}
 	if w.Header().Get("Content-Length") == "" || len(r.Body) > 0 {
 		w.Header().Set("Content-Length", strconv.Itoa(len(r.Body)))
--- a/request/request.go
+++ b/request/request.go
@@ -39,6 +39,9 @@
 	TicketHeader = "Cornelbay-Ticket"
 	// ReasonHeader carries the name of the Reason of a refusal.
 	ReasonHeader = "Cornelbay-Reason"
+	// RetryAfterHeader carries the milliseconds after which a refused request may
+	// find room; Retry-After has them in whole seconds.
+	RetryAfterHeader = "Cornelbay-Retry-After-Ms"
 	// AttemptHeader carries the id of an attempt to a target, which may repeat
 	// it in its answer.
 	AttemptHeader = "Cornelbay-Attempt"
--- a/target/whole.go
+++ b/target/whole.go
@@ -4,6 +4,8 @@
 	"crypto/sha256"
 	"crypto/sha512"
 	"encoding/base64"
+	"errors"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -13,19 +15,26 @@
 
 // Whole reports whether a body is the whole body of an answer: its length was
 // given or its chunks were ended, and the SHA-2 digests of Content-Digest
-// (RFC 9530), where given, match. A length of -1 is unknown.
-func Whole(method string, h http.Header, length int64, encoding []string, body []byte) bool {
-	if method == http.MethodHead {
+// (RFC 9530), where given, match.
+func Whole(res *http.Response, body []byte) bool {
+	if res.Request.Method == http.MethodHead || res.StatusCode == http.StatusNotModified ||
+		res.StatusCode == http.StatusNoContent {
 		return true
 	}
 	// A body that only the end of the connection ends may have been cut.
-	if length < 0 && !slices.Contains(encoding, "chunked") {
+	if res.ContentLength < 0 && !slices.Contains(res.TransferEncoding, "chunked") {
 		return false
 	}
-	if length >= 0 && int64(len(body)) != length {
+	if res.ContentLength >= 0 && int64(len(body)) != res.ContentLength {
 		return false
 	}
-	return digestMatches(h, body)
+	return digestMatches(res.Header, body)
+}
+
+// DialFailed reports whether an error proves that no connection was made.
+func DialFailed(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
 }
 
 func digestMatches(h http.Header, body []byte) bool {
