Take services in order of name and spare allocations of a decision

Change: services are kept sorted, a job knows its attempts and holds the first, effects are collected in a buffer that is kept.

--- a/request/dispatcher.go
+++ b/request/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,6 +26,8 @@
 	mu       sync.Mutex
 	out      []cornelbay.Effect
 	services map[cornelbay.ServiceName]*service
+	// sorted holds the services by name.
+	sorted   []*service
 	live     []cornelbay.Host
 	hosts    map[cornelbay.HostName]cornelbay.Host
 	avoided  map[cornelbay.HostName]avoidance
@@ -78,8 +81,12 @@
 }
 
 func (d *Dispatcher) unlock() []cornelbay.Effect {
-	out := d.out
-	d.out = nil
+	var out []cornelbay.Effect
+	if len(d.out) > 0 {
+		out = slices.Clone(d.out)
+		clear(d.out)
+		d.out = d.out[:0]
+	}
 	d.mu.Unlock()
 	return out
 }
@@ -121,9 +128,13 @@
 		d.services[conf.Name] = s
 		d.chooseSteward(now, s)
 	}
-	for name, s := range old {
+	d.sorted = nil
+	for _, name := range sortedKeys(d.services) {
+		d.sorted = append(d.sorted, d.services[name])
+	}
+	for _, name := range sortedKeys(old) {
 		if d.services[name] == nil {
-			d.endQueue(s, NoService)
+			d.endQueue(old[name], NoService)
 		}
 	}
 	d.pumpAll(now)
@@ -133,7 +144,7 @@
 // SetStates takes the agreed states of the targets.
 func (d *Dispatcher) SetStates(now time.Time, states []cornelbay.TargetState) []cornelbay.Effect {
 	d.lock(now)
-	for _, s := range d.services {
+	for _, s := range d.sorted {
 		for _, st := range states {
 			s.pool.SetState(st)
 		}
@@ -146,7 +157,7 @@
 func (d *Dispatcher) Report(now time.Time, t cornelbay.TargetName, n int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, s := range d.services {
+	for _, s := range d.sorted {
 		if t, ok := s.pool.Lookup(t); ok {
 			t.Report(now, n)
 		}
@@ -159,7 +170,7 @@
 	if len(d.avoided) > 0 {
 		d.chooseStewards(now)
 	}
-	for _, s := range d.services {
+	for _, s := range d.sorted {
 		s.pool.Tick(now)
 		d.lookOverdue(now, s)
 	}
--- a/request/job.go
+++ b/request/job.go
@@ -45,6 +45,11 @@
 	waiting *queue.Item[*job]
 
 	tries, running int
+	// attempts holds the attempts that were launched, with those that have ended.
+	attempts [MaxTries + 1]AttemptID
+	launched int
+	// first is the first of them, here to spare an allocation.
+	first attempt
 	// ambiguous is true when a target may have run an attempt that failed, here
 	// or at another host.
 	ambiguous bool
@@ -156,7 +161,14 @@
 	d.running++
 	j.running++
 	t.Begin(now)
-	d.attempts[d.last] = &attempt{job: j, target: t, began: now}
+	a := &j.first
+	if j.launched > 0 {
+		a = new(attempt)
+	}
+	*a = attempt{job: j, target: t, began: now}
+	j.attempts[j.launched] = d.last
+	j.launched++
+	d.attempts[d.last] = a
 	d.emit(Attempt{ID: d.last, Request: j.Request, Target: t.Name, Address: t.HTTP, Deadline: j.Deadline})
 }
 
@@ -362,13 +374,9 @@
 }
 
 func (d *Dispatcher) cancelAttempts(j *job) {
-	left := j.running
-	for id, a := range d.attempts {
-		if a.job == j {
+	for _, id := range j.attempts[:j.launched] {
+		if _, ok := d.attempts[id]; ok {
 			d.emit(Cancel{ID: id})
-			if left--; left == 0 {
-				return
-			}
 		}
 	}
 }
--- a/request/service.go
+++ b/request/service.go
@@ -133,7 +133,7 @@
 	if d.queued == 0 {
 		return
 	}
-	for _, s := range d.services {
+	for _, s := range d.sorted {
 		if s.queue.Len() > 0 {
 			d.pump(now, s)
 		}
--- a/request/steward.go
+++ b/request/steward.go
@@ -74,7 +74,7 @@
 }
 
 func (d *Dispatcher) chooseStewards(now time.Time) {
-	for _, s := range d.services {
+	for _, s := range d.sorted {
 		d.chooseSteward(now, s)
 	}
 }
@@ -122,8 +122,7 @@
 
 func (d *Dispatcher) news() LoadNews {
 	var n LoadNews
-	for _, name := range sortedKeys(d.services) {
-		s := d.services[name]
+	for _, s := range d.sorted {
 		if !s.Bulk && s.steward == d.Self {
 			continue
 		}
@@ -152,7 +151,7 @@
 	for _, l := range n.Loads {
 		counts[l.Target] = int(l.Count)
 	}
-	for _, s := range d.services {
+	for _, s := range d.sorted {
 		for _, t := range s.pool.Targets() {
 			s.pool.Hear(now, from, t.Name, counts[nameHash(t.Name)])
 		}
