Count a cancelled attempt as ended and discount none beside a refusal

Change: an attempt counts as ended 50 ms after its cancel or its request's deadline; a refusal beside an overdue attempt ends the discount for 10 s; the first pause after a refusal is 50 ms.

--- a/balance/target.go
+++ b/balance/target.go
@@ -12,7 +12,7 @@
 // The times of a Target's limit.
 const (
 	// MinHoldOff and MaxHoldOff bound the pause after a refusal.
-	MinHoldOff = 10 * time.Millisecond
+	MinHoldOff = 50 * time.Millisecond
 	MaxHoldOff = time.Second
 	// ProbationInterval is the time between two requests to a slow target.
 	ProbationInterval = time.Second
@@ -20,7 +20,8 @@
 	NewsLifetime = 1500 * time.Millisecond
 	// ReportLifetime is how long a target's own report counts.
 	ReportLifetime = 200 * time.Millisecond
-	// ExtraLifetime is how long a refusal above the slots forbids extra requests.
+	// ExtraLifetime is how long a refusal above the slots, or beside an overdue
+	// attempt, forbids more requests than that.
 	ExtraLifetime = 10 * time.Second
 )
 
@@ -130,7 +131,7 @@
 // believed for a short time; a report of less never is, since it may lag or lie.
 func (t *Target) load(now time.Time) int {
 	n := t.InFlight + t.others
-	if t.Overdue > 0 && t.phase == cornelbay.Warm {
+	if t.Overdue > 0 && t.phase == cornelbay.Warm && now.After(t.noExtra) {
 		// An answer may be lost: one overdue attempt does not count, and what
 		// comes of that shows whether it holds a slot.
 		n--
@@ -168,8 +169,11 @@
 
 // shed believes a refusal at once.
 func (t *Target) shed(now time.Time, retryAfter time.Duration) {
-	if t.InFlight > t.SlotCount() {
+	extra := t.InFlight > t.SlotCount()
+	if extra || t.Overdue > 0 {
 		t.noExtra = now.Add(ExtraLifetime)
+	}
+	if extra {
 		return
 	}
 	t.limit = max(1, min(t.limit, float64(t.InFlight-1)))
--- a/request/job.go
+++ b/request/job.go
@@ -19,6 +19,9 @@
 	// bulkShare of it in percent.
 	MaxRunning = 4096
 	bulkShare  = 75
+	// CancelGrace is when an attempt counts as ended that was cancelled or whose
+	// deadline has passed.
+	CancelGrace = 50 * time.Millisecond
 	// MaxJitter bounds the wait before a retry after a failure.
 	MaxJitter = 10 * time.Millisecond
 	// MinHedgeDelay is the least age of an attempt that is hedged.
@@ -216,7 +219,7 @@
 		s.budget.take()
 		j.replaced++
 		j.paid = true
-		d.emit(Cancel{ID: id})
+		d.cancel(now, j, id)
 		return
 	}
 	a.again = true
@@ -231,6 +234,9 @@
 func (d *Dispatcher) ended(now time.Time, res AttemptResult) {
 	a, ok := d.attempts[res.ID]
 	if !ok {
+		if res.Whole {
+			d.counters.Late++
+		}
 		return
 	}
 	delete(d.attempts, res.ID)
@@ -320,6 +326,9 @@
 	case j.done:
 	case j.ticket != nil && j.running > 0:
 		// The attempt ends by the same deadline and tells what became of it.
+		for _, id := range j.attempts[:j.launched] {
+			d.addTimer(timer{at: now.Add(CancelGrace).UnixNano(), kind: endTimer, job: j, id: uint64(id)})
+		}
 	case j.relay != 0 && j.ticketed():
 		d.refuse(now, j, IssuerSilent)
 	case j.relay != 0:
@@ -359,7 +368,7 @@
 	d.leaveQueue(j)
 	d.endRelay(j)
 	if j.running > 0 {
-		d.cancelAttempts(j)
+		d.cancelAttempts(now, j)
 	}
 	// Timers may hold the job for a while yet.
 	j.Header, j.Body = nil, nil
@@ -373,14 +382,21 @@
 	}
 }
 
-func (d *Dispatcher) cancelAttempts(j *job) {
+func (d *Dispatcher) cancelAttempts(now time.Time, j *job) {
 	for _, id := range j.attempts[:j.launched] {
 		if _, ok := d.attempts[id]; ok {
-			d.emit(Cancel{ID: id})
+			d.cancel(now, j, id)
 		}
 	}
 }
 
+// cancel asks for the end of an attempt, which counts as ended a little later
+// even when nothing more is heard of it.
+func (d *Dispatcher) cancel(now time.Time, j *job, id AttemptID) {
+	d.emit(Cancel{ID: id})
+	d.addTimer(timer{at: now.Add(CancelGrace).UnixNano(), kind: endTimer, job: j, id: uint64(id)})
+}
+
 // callPeer asks another host.
 func (d *Dispatcher) callPeer(to cornelbay.HostName, args peer.Args) uint64 {
 	d.lastRelay++
--- a/request/timer.go
+++ b/request/timer.go
@@ -9,6 +9,7 @@
 	hedgeTimer
 	retryTimer
 	ackTimer
+	endTimer
 )
 
 // timer is something to look at when its time comes; it may be out of date.
@@ -16,7 +17,7 @@
 	// at is in nanoseconds since 1970.
 	at  int64
 	job *job
-	// id is the attempt of a hedgeTimer or the relay of an ackTimer.
+	// id is the attempt of a hedgeTimer or endTimer, or the relay of an ackTimer.
 	id   uint64
 	kind timerKind
 }
@@ -31,6 +32,10 @@
 	at := now.UnixNano()
 	for d.timers.Len() > 0 && d.timers.First().at <= at {
 		t := d.timers.Pop()
+		if t.kind == endTimer {
+			d.ended(now, AttemptResult{ID: AttemptID(t.id)})
+			continue
+		}
 		if t.job.done {
 			continue
 		}
