--- a/request/job.go
+++ b/request/job.go
@@ -27,7 +27,7 @@
 	// MinHedgeDelay is the least age of an attempt that is hedged.
 	MinHedgeDelay = 20 * time.Millisecond
 	// hedgeDeviations is the distance from the usual latency that is hedged.
-	hedgeDeviations = 4
+	hedgeDeviations = 3
 	// maxReplaced is the most overdue attempts of a request that are cancelled.
 	maxReplaced = 2
 )
