Try to make each refusal lie in the generated histories

Purpose: every path that answers notRun should be shown true, not only the usual ones. Change: the histories also have bursts, services taken out, targets that drain, ledgers without room, tickets moved to another service, bare and large requests; the test fails unless each reason with the outcome notRun was told in some history.

--- a/request/world_test.go
+++ b/request/world_test.go
@@ -46,6 +46,9 @@
 	finished  map[ID]Response
 }
 
+// seen collects the reasons that callers were told in all histories.
+type seen map[Reason]bool
+
 // call is something on its way; once is set on what a connection delivers at
 // most once and no host sends again.
 type call struct {
@@ -65,11 +68,14 @@
 	paths       map[ID]string
 	tickets     []string
 	posts       map[string]string
+	seen        seen
+	// served is false while operators have taken the service out.
+	served bool
 }
 
-func newWorld(t *rapid.T) *world {
+func newWorld(t *rapid.T, all seen) *world {
 	w := &world{
-		t: t, now: start, ran: make(map[string]int), denied: make(map[string]int),
+		t: t, now: start, seen: all, served: true, ran: make(map[string]int), denied: make(map[string]int),
 		paths: make(map[ID]string), posts: make(map[string]string),
 	}
 	for i, name := range []cornelbay.HostName{"a", "b", "c"} {
@@ -79,10 +85,20 @@
 		w.nodes = append(w.nodes, n)
 	}
 	w.members()
+	w.configure()
+	return w
+}
+
+func (w *world) configure() {
+	services := []cornelbay.Service{{Name: "other", Targets: targets(1)}}
+	if w.served {
+		services = append(services, cornelbay.Service{Name: "s", Targets: targets(3)})
+	}
 	for _, n := range w.nodes {
-		n.do(n.SetServices(w.now, []cornelbay.Service{{Name: "s", Targets: targets(3)}}, nil))
+		if !n.dead {
+			n.do(n.SetServices(w.now, services, nil))
+		}
 	}
-	return w
 }
 
 func (w *world) members() {
@@ -135,6 +151,7 @@
 }
 
 func (w *world) finish(path string, r Response) {
+	w.seen[r.Reason] = true
 	if r.Outcome == cornelbay.NotRun {
 		w.denied[path]++
 	}
@@ -170,7 +187,10 @@
 
 func (w *world) submit(n *node, r Request) {
 	w.last++
-	r.ID, r.Service = w.last, "s"
+	r.ID = w.last
+	if r.Service == "" {
+		r.Service = "s"
+	}
 	n.submitted++
 	w.paths[r.ID] = r.Path
 	if r.Tickets > 0 {
@@ -217,6 +237,19 @@
 	}
 }
 
+// drain makes targets of the service take nothing new.
+func (w *world) drain(n *node) {
+	var states []cornelbay.TargetState
+	for _, t := range targets(3) {
+		phase := cornelbay.Draining
+		if rapid.Bool().Draw(w.t, "again") {
+			phase = cornelbay.Warm
+		}
+		states = append(states, cornelbay.TargetState{Target: t.Name, Phase: phase})
+	}
+	n.do(n.SetStates(w.now, states))
+}
+
 func (w *world) pick(what string) *node {
 	return w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(w.t, what)]
 }
@@ -225,8 +258,9 @@
 // deaths and planned stops on three hosts, and compares what callers were told
 // with what the targets ran in the end.
 func TestOutcomesAreTrue(t *testing.T) {
+	all := make(seen)
 	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(t)
+		w := newWorld(t, all)
 		t.Repeat(map[string]func(*rapid.T){
 			"get": func(t *rapid.T) {
 				w.t = t
@@ -235,6 +269,14 @@
 					w.submit(n, Request{Method: http.MethodGet, Path: fmt.Sprint("/get/", w.last), Deadline: w.now.Add(wait)})
 				}
 			},
+			"burst": func(t *rapid.T) {
+				w.t = t
+				if n := w.pick("host"); !n.dead && rapid.IntRange(0, 4).Draw(t, "burst") == 0 {
+					for range rapid.IntRange(10, 40).Draw(t, "requests") {
+						w.submit(n, Request{Method: http.MethodGet, Path: fmt.Sprint("/get/", w.last), Deadline: w.now.Add(300 * time.Millisecond)})
+					}
+				}
+			},
 			"tickets": func(t *rapid.T) {
 				w.t = t
 				if n := w.pick("host"); !n.dead {
@@ -253,13 +295,19 @@
 				}
 				wait := time.Duration(rapid.IntRange(-1, 400).Draw(t, "ms")) * time.Millisecond
 				r := Request{Method: http.MethodPost, Path: w.posts[k], Ticket: k, Caller: "c", Deadline: w.now.Add(wait)}
-				switch rapid.IntRange(0, 9).Draw(t, "kind") {
+				switch rapid.IntRange(0, 11).Draw(t, "kind") {
 				case 0:
 					r.Caller = "d" // the caller's address has changed
 				case 1:
 					r.Path = fmt.Sprint("/other/", w.last)
 				case 2:
 					r.Path, r.Ticket = fmt.Sprint("/forged/", w.last), k[:len(k)-1]+"!"
+				case 3:
+					r.Service = "other"
+				case 4:
+					r.Path, r.Ticket = fmt.Sprint("/bare/", w.last), ""
+				case 5:
+					r.Path, r.Body = fmt.Sprint("/large/", w.last), make([]byte, MaxBodyBytes+1)
 				}
 				w.submit(n, r)
 			},
@@ -310,12 +358,30 @@
 					}
 				case 3, 4, 5:
 					w.members()
+				case 6:
+					w.served = !w.served
+					w.configure()
+				case 7:
+					if !n.dead {
+						for range ticket.MaxOutstanding / ticket.MaxBatch {
+							n.ledger.Issue(w.now, "s", "c", ticket.MaxBatch)
+						}
+					}
+				case 8:
+					if !n.dead {
+						w.drain(n)
+					}
 				}
 			},
 		})
 		w.t = t
 		w.settle()
 	})
+	for r := range Reason(len(explanations)) {
+		if r.Explain().Outcome == cornelbay.NotRun && !all[r] {
+			t.Errorf("no history ended with %s", r)
+		}
+	}
 }
 
 // settle ends everything and checks what callers were told.
