Take the choice among hosts into package steward

Change: rendezvous, avoidance of silent hosts and the wait for acknowledgements move to package steward with tests of their own.

--- a/request/dispatcher.go
+++ b/request/dispatcher.go
@@ -10,6 +10,7 @@
 	"github.com/cornelbay/cornelbay/balance"
 	"github.com/cornelbay/cornelbay/peer"
 	"github.com/cornelbay/cornelbay/queue"
+	"github.com/cornelbay/cornelbay/steward"
 	"github.com/cornelbay/cornelbay/ticket"
 )
 
@@ -28,9 +29,7 @@
 	services map[cornelbay.ServiceName]*service
 	// sorted holds the services by name.
 	sorted   []*service
-	live     []cornelbay.Host
-	hosts    map[cornelbay.HostName]cornelbay.Host
-	avoided  map[cornelbay.HostName]avoidance
+	hosts    steward.Hosts
 	stopping bool
 	handover handover
 
@@ -42,8 +41,6 @@
 	relays    map[uint64]*job
 	lastRelay uint64
 	serving   map[relayKey]*job
-	// ackTime is the usual time for another host to take a relay.
-	ackTime time.Duration
 
 	ledger  ticket.Ledger[Response]
 	waiters map[uint64][]*job
@@ -102,7 +99,7 @@
 	d.relays = make(map[uint64]*job)
 	d.serving = make(map[relayKey]*job)
 	d.waiters = make(map[uint64][]*job)
-	d.avoided = make(map[cornelbay.HostName]avoidance)
+	d.hosts.Self = d.Self
 	d.ledger = ticket.Ledger[Response]{Host: d.Self, Incarnation: d.Incarnation, Size: Response.size}
 }
 
@@ -167,7 +164,7 @@
 // Tick returns the effects that are due at now.
 func (d *Dispatcher) Tick(now time.Time) []cornelbay.Effect {
 	d.lock(now)
-	if len(d.avoided) > 0 {
+	if d.hosts.Avoiding() {
 		d.chooseStewards(now)
 	}
 	for _, s := range d.sorted {
@@ -224,7 +221,7 @@
 // Stop starts the planned stop: no new request is taken.
 func (d *Dispatcher) Stop(now time.Time) []cornelbay.Effect {
 	d.lock(now)
-	d.stopping = true
+	d.stopping, d.hosts.Stopping = true, true
 	d.ledger.Close()
 	d.tickHandover(now)
 	return d.unlock()
--- a/request/job.go
+++ b/request/job.go
@@ -112,7 +112,7 @@
 func (d *Dispatcher) route(now time.Time, j *job) {
 	s := j.service
 	if j.from == "" && !s.Bulk && s.steward != d.Self && j.moves < maxMoves {
-		if h, ok := d.hosts[s.steward]; ok {
+		if h, ok := d.hosts.Lookup(s.steward); ok {
 			d.relay(now, j, h)
 			return
 		}
@@ -400,6 +400,7 @@
 // callPeer asks another host.
 func (d *Dispatcher) callPeer(to cornelbay.HostName, args peer.Args) uint64 {
 	d.lastRelay++
-	d.emit(peer.Call{ID: d.lastRelay, To: to, Address: d.hosts[to].RPC, Args: args})
+	h, _ := d.hosts.Lookup(to)
+	d.emit(peer.Call{ID: d.lastRelay, To: to, Address: h.RPC, Args: args})
 	return d.lastRelay
 }
--- a/request/relay.go
+++ b/request/relay.go
@@ -7,25 +7,8 @@
 	"github.com/cornelbay/cornelbay/peer"
 )
 
-// The times of relays between hosts.
-const (
-	// MinAckTimeout and MaxAckTimeout bound when a host that has not taken a
-	// relay is avoided: after ackFactor times the usual time.
-	MinAckTimeout = 25 * time.Millisecond
-	MaxAckTimeout = 100 * time.Millisecond
-	// AvoidTime is how long a host is avoided that did not answer; it doubles
-	// up to MaxAvoidTime while it does not.
-	AvoidTime    = 3 * time.Second
-	MaxAvoidTime = 30 * time.Second
-	// RelayMargin is kept of a deadline for the way back.
-	RelayMargin = 5 * time.Millisecond
-)
-
-const (
-	ackFactor = 8
-	// ackShare is the share of a new time in the usual one, as a divisor.
-	ackShare = 8
-)
+// RelayMargin is kept of a deadline for the way back.
+const RelayMargin = 5 * time.Millisecond
 
 // maxMoves is the most hosts that a request is relayed to.
 const maxMoves = 2
@@ -98,24 +81,14 @@
 	d.relays[id] = j
 	d.callPeer(h.Name, RelayArgs{ID: id, Incarnation: d.Incarnation, Request: r, Wait: wait})
 	j.relayedAt = now
-	d.addTimer(timer{at: now.Add(d.ackTimeout()).UnixNano(), kind: ackTimer, job: j, id: id})
-}
-
-func (d *Dispatcher) ackTimeout() time.Duration {
-	if d.ackTime == 0 {
-		return MaxAckTimeout
-	}
-	return min(MaxAckTimeout, max(MinAckTimeout, ackFactor*d.ackTime))
+	d.addTimer(timer{at: now.Add(d.hosts.AckTimeout()).UnixNano(), kind: ackTimer, job: j, id: id})
 }
 
-// acked notes the time that a host took to take a relay.
+// acked notes that a host has taken a relay.
 func (d *Dispatcher) acked(now time.Time, j *job) {
-	took := now.Sub(j.relayedAt)
-	if d.ackTime == 0 {
-		d.ackTime = took
+	if d.hosts.Acknowledged(j.relayTo, now.Sub(j.relayedAt)) {
+		d.chooseStewards(now)
 	}
-	d.ackTime += (took - d.ackTime) / ackShare
-	d.heard(now, j.relayTo)
 }
 
 // endRelay forgets the relay of a job, whose answer comes too late from now on.
@@ -153,44 +126,11 @@
 	}
 }
 
-// avoidance is the time for which a host is avoided.
-type avoidance struct {
-	until time.Time
-	span  time.Duration
-	// silent is true when the host did not answer at all.
-	silent bool
-}
-
-// silent reports whether the named host has not answered of late.
-func (d *Dispatcher) silent(now time.Time, name cornelbay.HostName) bool {
-	a := d.avoided[name]
-	return a.silent && now.Before(a.until)
-}
-
 // avoid takes a host for silent for a while and moves what it has.
 func (d *Dispatcher) avoid(now time.Time, name cornelbay.HostName) {
-	d.avoidMore(now, name, true)
-	d.moveRelays(now, name)
-}
-
-func (d *Dispatcher) avoidMore(now time.Time, name cornelbay.HostName, silent bool) {
-	a := d.avoided[name]
-	if now.Before(a.until) && (a.silent || !silent) {
-		return
-	}
-	a.silent = silent
-	a.span = min(MaxAvoidTime, max(AvoidTime, 2*a.span))
-	a.until = now.Add(a.span)
-	d.avoided[name] = a
+	d.hosts.Avoid(now, name, true)
 	d.chooseStewards(now)
-}
-
-// heard ends the avoidance of a host that answers.
-func (d *Dispatcher) heard(now time.Time, name cornelbay.HostName) {
-	if _, ok := d.avoided[name]; ok {
-		delete(d.avoided, name)
-		d.chooseStewards(now)
-	}
+	d.moveRelays(now, name)
 }
 
 // moveRelays routes the idempotent jobs again that a host was given.
@@ -322,7 +262,8 @@
 // notTaken sends a job elsewhere whose host stops; what that host has taken
 // before it finishes.
 func (d *Dispatcher) notTaken(now time.Time, j *job) {
-	d.avoidMore(now, j.relayTo, false)
+	d.hosts.Avoid(now, j.relayTo, false)
+	d.chooseStewards(now)
 	d.endRelay(j)
 	j.moves++
 	d.counters.Moves++
@@ -332,7 +273,7 @@
 // resultAnswered sends a result again that was not taken, once for each answer,
 // while its host may still wait for it.
 func (d *Dispatcher) resultAnswered(a peer.Answer, args ResultArgs) {
-	if _, live := d.hosts[a.Call.To]; a.Err != nil && live {
+	if _, live := d.hosts.Lookup(a.Call.To); a.Err != nil && live {
 		d.callPeer(a.Call.To, args)
 	}
 }
--- a/request/steward.go
+++ b/request/steward.go
@@ -6,9 +6,8 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/steward"
 )
 
 // NewsInterval is the time between two messages with the own load.
@@ -36,38 +35,14 @@
 // Kind returns KindLoad.
 func (LoadNews) Kind() cornelbay.MessageKind { return cornelbay.KindLoad }
 
-func hash(parts ...string) uint64 {
-	var h xxhash.Digest
-	h.Reset()
-	for _, p := range parts {
-		_, _ = h.WriteString(p) // never fails
-		_, _ = h.Write([]byte{0})
-	}
-	return h.Sum64()
-}
-
-// rendezvous returns the live host with the highest score for a name.
-func (d *Dispatcher) rendezvous(now time.Time, name string) cornelbay.HostName {
-	best, top := d.Self, uint64(0)
-	for _, h := range d.live {
-		if now.Before(d.avoided[h.Name].until) || (h.Name == d.Self && d.stopping) {
-			continue
-		}
-		if s := hash(name, string(h.Name)); s > top {
-			best, top = h.Name, s
-		}
-	}
-	return best
-}
-
 // chooseSteward picks the host that dispatches the requests of a service, and
 // the one that feeds each of its targets while that is cold.
 func (d *Dispatcher) chooseSteward(now time.Time, s *service) {
-	s.steward = d.rendezvous(now, string(s.Name))
+	s.steward = d.hosts.Pick(now, string(s.Name))
 	for _, t := range s.pool.Targets() {
 		feeder := s.steward
 		if s.Bulk {
-			feeder = d.rendezvous(now, string(t.Name))
+			feeder = d.hosts.Pick(now, string(t.Name))
 		}
 		t.Feeder = feeder == d.Self
 	}
@@ -82,23 +57,11 @@
 // SetMembers takes what is known of the hosts of the group.
 func (d *Dispatcher) SetMembers(now time.Time, m cornelbay.Members) []cornelbay.Effect {
 	d.lock(now)
-	d.live = m.Live
-	old := d.hosts
-	d.hosts = make(map[cornelbay.HostName]cornelbay.Host, len(m.Live))
-	for _, h := range m.Live {
-		d.hosts[h.Name] = h
-	}
-	for name := range d.avoided {
-		if h, ok := d.hosts[name]; !ok || h.Incarnation != old[name].Incarnation {
-			delete(d.avoided, name)
-		}
-	}
+	gone := d.hosts.Set(m)
 	d.chooseStewards(now)
-	for _, name := range slices.Sorted(maps.Keys(old)) {
-		if h, ok := d.hosts[name]; !ok || h.Incarnation != old[name].Incarnation {
-			d.moveRelays(now, name)
-			d.issuerEnded(now, name)
-		}
+	for _, name := range gone {
+		d.moveRelays(now, name)
+		d.issuerEnded(now, name)
 	}
 	return d.unlock()
 }
@@ -115,7 +78,7 @@
 	}
 	// An empty message ends what the last one told.
 	d.told = len(news.Loads) > 0
-	for _, h := range d.newsHosts() {
+	for _, h := range d.hosts.Others(d.Rand, maxNewsHosts) {
 		d.emit(cornelbay.Send{To: h.Name, Message: news})
 	}
 }
@@ -135,16 +98,7 @@
 	return n
 }
 
-func nameHash(t cornelbay.TargetName) uint32 { return uint32(hash(string(t))) }
-
-func (d *Dispatcher) newsHosts() []cornelbay.Host {
-	others := slices.DeleteFunc(slices.Clone(d.live), func(h cornelbay.Host) bool { return h.Name == d.Self })
-	if len(others) > maxNewsHosts {
-		d.Rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-		others = others[:maxNewsHosts]
-	}
-	return others
-}
+func nameHash(t cornelbay.TargetName) uint32 { return uint32(steward.Hash(string(t))) }
 
 func (d *Dispatcher) hear(now time.Time, from cornelbay.HostName, n LoadNews) {
 	counts := make(map[uint32]int, len(n.Loads))
--- a/request/tickets.go
+++ b/request/tickets.go
@@ -102,13 +102,13 @@
 // routeTicketed redeems a ticket here, or hands the request to its issuer.
 func (d *Dispatcher) routeTicketed(now time.Time, j *job, t ticket.Ticket) {
 	err := t.Check(j.Service, j.Caller)
-	h, live := d.hosts[t.Host]
+	h, live := d.hosts.Lookup(t.Host)
 	p, r := d.archive.Find(t)
 	switch {
 	case t.Host == d.Self && t.Incarnation == d.Incarnation && err == nil:
 		d.redeem(now, j, t)
 	case live && h.Incarnation == t.Incarnation && h.Name != d.Self && j.from == "" && p == ticket.NoProof &&
-		(j.relayed || !d.silent(now, h.Name)):
+		(j.relayed || !d.hosts.Silent(now, h.Name)):
 		d.relay(now, j, h)
 	case err != nil:
 		d.voidMoved(now, j, t, err)
@@ -254,8 +254,7 @@
 }
 
 func (d *Dispatcher) heirs() []cornelbay.Host {
-	out := d.newsHosts()
-	return out[:min(len(out), maxHeirs)]
+	return d.hosts.Others(d.Rand, maxHeirs)
 }
 
 func (d *Dispatcher) sendHandover(now time.Time) {
--- /dev/null
+++ b/steward/hosts_test.go
@@ -0,0 +1,68 @@
+package steward
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cornelbay/cornelbay"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func members(names ...cornelbay.HostName) cornelbay.Members {
+	var m cornelbay.Members
+	for _, n := range names {
+		m.Live = append(m.Live, cornelbay.Host{Name: n, Incarnation: 1})
+	}
+	return m
+}
+
+func TestHostsAgreeAndMoveLittle(t *testing.T) {
+	is := is.New(t)
+	a, b := Hosts{Self: "a"}, Hosts{Self: "b"}
+	a.Set(members("a", "b", "c"))
+	b.Set(members("c", "b", "a"))
+	names := []string{"statut", "carto", "desk", "archive", "x", "y", "z"}
+	before := make(map[string]cornelbay.HostName)
+	for _, n := range names {
+		before[n] = a.Pick(start, n)
+		is.Equal(b.Pick(start, n), before[n]) // the order of the hosts does not matter
+	}
+	is.Equal(a.Set(members("a", "b")), []cornelbay.HostName{"c"})
+	for _, n := range names {
+		if before[n] != "c" {
+			is.Equal(a.Pick(start, n), before[n]) // only what the lost host had moves
+		}
+	}
+}
+
+func TestSilentHostIsAvoidedForLongerEachTime(t *testing.T) {
+	is := is.New(t)
+	h := Hosts{Self: "a"}
+	h.Set(members("a", "b"))
+	name := "1"
+	for h.Pick(start, name) != "b" {
+		name += "1"
+	}
+	h.Avoid(start, "b", true)
+	is.True(h.Silent(start, "b"))
+	is.Equal(h.Pick(start, name), cornelbay.HostName("a"))
+	again := start.Add(AvoidTime)
+	is.Equal(h.Pick(again, name), cornelbay.HostName("b"))
+	h.Avoid(again, "b", true)
+	is.Equal(h.Pick(again.Add(2*AvoidTime-1), name), cornelbay.HostName("a"))
+	is.True(h.Acknowledged("b", 2*time.Millisecond)) // its answer ends the avoidance
+	is.Equal(h.Pick(again, name), cornelbay.HostName("b"))
+	is.Equal(h.AckTimeout(), MinAckTimeout)
+}
+
+func TestStoppingHostPicksAnother(t *testing.T) {
+	is := is.New(t)
+	h := Hosts{Self: "a", Stopping: true}
+	h.Set(members("a", "b"))
+	for _, n := range []string{"1", "2", "3", "4"} {
+		is.Equal(h.Pick(start, n), cornelbay.HostName("b"))
+	}
+}
