--- a/caller/client.go
+++ b/caller/client.go
@@ -15,6 +15,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/refusal"
 	"github.com/cornelbay/cornelbay/request"
 	"github.com/cornelbay/cornelbay/target"
 	"github.com/cornelbay/cornelbay/ticket"
@@ -143,10 +144,10 @@
 	case s.idempotent:
 		s.doubt = s.doubt || a.Outcome == cornelbay.Unknown
 		return wait(ctx, a.RetryAfter)
-	case a.Status == 0 || a.Reason == request.IssuerSilent.String():
+	case a.Status == 0 || a.Reason == refusal.IssuerSilent.String():
 		return true // with the same ticket: it runs at most once
 	case a.Outcome == cornelbay.NotRun,
-		a.Reason == request.IssuerUnreached.String() && s.reached == 1:
+		a.Reason == refusal.IssuerUnreached.String() && s.reached == 1:
 		s.dropTicket()
 		return wait(ctx, a.RetryAfter)
 	}
--- a/caller/server.go
+++ b/caller/server.go
@@ -16,6 +16,7 @@
 	kithttp "github.com/go-kit/kit/transport/http"
 
 	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/refusal"
 	"github.com/cornelbay/cornelbay/request"
 	"github.com/cornelbay/cornelbay/target"
 	"github.com/cornelbay/cornelbay/ticket"
@@ -122,7 +123,7 @@
 		w.Header()[k] = vs
 	}
 	// The outcome and its reason are the host's own word, whatever a target says.
-	if r.Reason == request.NoReason {
+	if r.Reason == refusal.None {
 		w.Header().Del(request.ReasonHeader)
 	}
 	w.Header().Set(cornelbay.OutcomeHeader, r.Outcome.String())
--- a/measure/requests_callers.go
+++ b/measure/requests_callers.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/refusal"
 	"github.com/cornelbay/cornelbay/request"
 )
 
@@ -147,9 +148,9 @@
 // another host and ticket do not share.
 func again(c *call, res request.Response) bool {
 	switch res.Reason {
-	case request.Stopping, request.TicketHandedOver, request.TicketExpired:
+	case refusal.Stopping, refusal.TicketHandedOver, refusal.TicketExpired:
 		return true
-	case request.IssuerUnreached:
+	case refusal.IssuerUnreached:
 		return c.ticketSends == 1
 	}
 	return false
--- a/request/reason.go
+++ b/refusal/refusal.go
@@ -1,4 +1,6 @@
-package request
+// Package refusal lists why a request may end without the answer of a target,
+// with the outcome that each reason proves or leaves open.
+package refusal
 
 import (
 	"net/http"
@@ -11,8 +13,8 @@
 
 // The reasons. Each has one outcome, status and proof in Explain.
 const (
-	// NoReason goes with an answer of a target.
-	NoReason Reason = iota
+	// None goes with an answer of a target.
+	None Reason = iota
 	NoService
 	NoTarget
 	BodyTooLarge
@@ -55,6 +57,9 @@
 	Proof string
 }
 
+// ticketHeader is the field that a fault of a ticket is in.
+const ticketHeader = "Cornelbay-Ticket"
+
 const (
 	notRun  = cornelbay.NotRun
 	unknown = cornelbay.Unknown
@@ -62,7 +67,7 @@
 
 // explanations is the only place that gives a refusal its outcome.
 var explanations = [...]Explanation{
-	NoReason: {"", http.StatusOK, cornelbay.Answered, "", "", ""},
+	None: {"", http.StatusOK, cornelbay.Answered, "", "", ""},
 	NoService: {
 		"noService", http.StatusNotFound, notRun, "service",
 		"no such service here", "the request was refused before any attempt",
@@ -76,12 +81,12 @@
 		"the body is over the limit", "the request was refused before any attempt",
 	},
 	NoTicket: {
-		"noTicket", http.StatusPreconditionRequired, notRun, TicketHeader,
-		"a request that is not idempotent needs a ticket: GET /tickets?service=NAME&count=N and send one in " + TicketHeader,
+		"noTicket", http.StatusPreconditionRequired, notRun, ticketHeader,
+		"a request that is not idempotent needs a ticket: GET /tickets?service=NAME&count=N and send one in " + ticketHeader,
 		"the request was refused before any attempt",
 	},
 	TicketMalformed: {
-		"ticketMalformed", http.StatusBadRequest, notRun, TicketHeader,
+		"ticketMalformed", http.StatusBadRequest, notRun, ticketHeader,
 		"the ticket cannot be read", "no host runs a request with a ticket that cannot be read",
 	},
 	TicketExpired: {
@@ -97,7 +102,7 @@
 		"the ticket is for another caller; it is void now", "the issuer had no redemption of this ticket and made it void",
 	},
 	TicketUsed: {
-		"ticketUsed", http.StatusUnprocessableEntity, notRun, TicketHeader,
+		"ticketUsed", http.StatusUnprocessableEntity, notRun, ticketHeader,
 		"the ticket was redeemed for another request; fetch another", "the ticket's one run had other content",
 	},
 	TicketsOut: {
@@ -105,7 +110,7 @@
 		"too many tickets are out; try again", "no ticket was issued",
 	},
 	TicketHandedOver: {
-		"ticketHandedOver", http.StatusConflict, notRun, TicketHeader,
+		"ticketHandedOver", http.StatusConflict, notRun, ticketHeader,
 		"the ticket's host has stopped; fetch another", "the closed ledger of the issuer, or its handover, has no redemption of this ticket and takes none",
 	},
 	Stopping: {
@@ -133,11 +138,11 @@
 		"the ticket is not authentic", "its key may have been retired since it was redeemed",
 	},
 	TicketMoved: {
-		"ticketMoved", http.StatusForbidden, unknown, TicketHeader,
+		"ticketMoved", http.StatusForbidden, unknown, ticketHeader,
 		"the ticket is for another caller or service", "its own caller may have redeemed it",
 	},
 	TicketUnproven: {
-		"ticketUnproven", http.StatusServiceUnavailable, unknown, TicketHeader,
+		"ticketUnproven", http.StatusServiceUnavailable, unknown, ticketHeader,
 		"the request was refused now; an earlier one with the same ticket may have run",
 		"only the ticket's issuer can tell",
 	},
@@ -146,20 +151,20 @@
 		"the ticket has expired long ago", "redemptions are no longer remembered",
 	},
 	AnswerForgotten: {
-		"answerForgotten", http.StatusGone, unknown, TicketHeader,
+		"answerForgotten", http.StatusGone, unknown, ticketHeader,
 		"the request was taken before and its answer is no longer remembered", "the answer was dropped to bound the memory",
 	},
 	IssuerGone: {
-		"issuerGone", http.StatusBadGateway, unknown, TicketHeader,
+		"issuerGone", http.StatusBadGateway, unknown, ticketHeader,
 		"the ticket's host is gone", "only that host knew whether the ticket was redeemed",
 	},
 	IssuerUnreached: {
-		"issuerUnreached", http.StatusBadGateway, unknown, TicketHeader,
+		"issuerUnreached", http.StatusBadGateway, unknown, ticketHeader,
 		"the ticket's host is gone; this request was not handed to it, so that a ticket sent only once is not redeemed",
 		"an earlier request with the ticket may have reached that host",
 	},
 	IssuerSilent: {
-		"issuerSilent", http.StatusGatewayTimeout, unknown, TicketHeader,
+		"issuerSilent", http.StatusGatewayTimeout, unknown, ticketHeader,
 		"the ticket's host did not answer in time", "that host may have run the request; send it again with the same ticket",
 	},
 	AttemptFailed: {
@@ -184,16 +189,14 @@
 	return Explanation{Name: "invalid", Status: http.StatusInternalServerError}
 }
 
-// String returns the reason's name as ReasonHeader carries it.
+// String returns the reason's name as request.ReasonHeader carries it.
 func (r Reason) String() string { return r.Explain().Name }
 
-// Response returns the response that tells a caller the reason.
-func (r Reason) Response() Response {
-	e := r.Explain()
-	body := e.Name + ": " + e.Text + "\n"
-	if e.Field != "" {
-		body = e.Name + " (" + e.Field + "): " + e.Text + "\n"
+// All returns every reason but None.
+func All() []Reason {
+	var out []Reason
+	for r := None + 1; int(r) < len(explanations); r++ {
+		out = append(out, r)
 	}
-	h := http.Header{"Content-Type": {"text/plain; charset=utf-8"}, ReasonHeader: {e.Name}}
-	return Response{Status: e.Status, Header: h, Body: []byte(body), Outcome: e.Outcome, Reason: r}
+	return out
 }
--- a/request/dispatcher.go
+++ b/request/dispatcher.go
@@ -10,6 +10,7 @@
 	"github.com/cornelbay/cornelbay/balance"
 	"github.com/cornelbay/cornelbay/peer"
 	"github.com/cornelbay/cornelbay/queue"
+	"github.com/cornelbay/cornelbay/refusal"
 	"github.com/cornelbay/cornelbay/steward"
 	"github.com/cornelbay/cornelbay/ticket"
 )
@@ -60,7 +61,7 @@
 	// Silent counts connections to targets that went silent.
 	Silent uint64
 	// Reasons counts the requests that ended with each reason.
-	Reasons [DeadlineRelayed + 1]uint64
+	Reasons [refusal.DeadlineRelayed + 1]uint64
 }
 
 // Counters returns what the dispatcher did so far.
@@ -131,7 +132,7 @@
 	}
 	for _, name := range sortedKeys(old) {
 		if d.services[name] == nil {
-			d.endQueue(old[name], NoService)
+			d.endQueue(old[name], refusal.NoService)
 		}
 	}
 	d.pumpAll(now)
--- a/request/job.go
+++ b/request/job.go
@@ -8,6 +8,7 @@
 	"github.com/cornelbay/cornelbay/balance"
 	"github.com/cornelbay/cornelbay/peer"
 	"github.com/cornelbay/cornelbay/queue"
+	"github.com/cornelbay/cornelbay/refusal"
 	"github.com/cornelbay/cornelbay/ticket"
 )
 
@@ -95,13 +96,13 @@
 	}
 	switch {
 	case !ok:
-		d.refuse(now, j, NoService)
+		d.refuse(now, j, refusal.NoService)
 	case len(j.Body) > MaxBodyBytes:
-		d.refuse(now, j, BodyTooLarge)
+		d.refuse(now, j, refusal.BodyTooLarge)
 	case !j.Deadline.After(now):
-		d.refuse(now, j, DeadlineQueued)
+		d.refuse(now, j, refusal.DeadlineQueued)
 	case d.stopping:
-		d.refuse(now, j, Stopping)
+		d.refuse(now, j, refusal.Stopping)
 	default:
 		d.addTimer(timer{at: j.Deadline.UnixNano(), kind: deadlineTimer, job: j})
 		d.route(now, j)
@@ -146,7 +147,7 @@
 
 func (d *Dispatcher) start(now time.Time, j *job, t *balance.Target) {
 	if j.ticket != nil && now.After(j.ticket.Expiry()) {
-		d.refuse(now, j, TicketExpired)
+		d.refuse(now, j, refusal.TicketExpired)
 		return
 	}
 	s := j.service
@@ -292,7 +293,7 @@
 	s := j.service
 	mayRepeat := j.Idempotent() || !j.ambiguous
 	if !mayRepeat || j.tries >= MaxTries || !now.Before(j.Deadline) || (!j.paid && !s.budget.has()) {
-		d.refuse(now, j, j.failure(TargetsRefused, AttemptFailed))
+		d.refuse(now, j, j.failure(refusal.TargetsRefused, refusal.AttemptFailed))
 		return
 	}
 	if !j.paid {
@@ -310,10 +311,10 @@
 }
 
 // failure returns the reason that is true of a job that ends unanswered now.
-func (j *job) failure(proved, notProved Reason) Reason {
+func (j *job) failure(proved, notProved refusal.Reason) refusal.Reason {
 	switch {
 	case j.running > 0:
-		return DeadlineRunning
+		return refusal.DeadlineRunning
 	case j.ambiguous:
 		return notProved
 	}
@@ -330,25 +331,25 @@
 			d.addTimer(timer{at: now.Add(CancelGrace).UnixNano(), kind: endTimer, job: j, id: uint64(id)})
 		}
 	case j.relay != 0 && j.ticketed():
-		d.refuse(now, j, IssuerSilent)
+		d.refuse(now, j, refusal.IssuerSilent)
 	case j.relay != 0:
 		d.withdraw(j)
-		d.refuse(now, j, DeadlineRelayed)
+		d.refuse(now, j, refusal.DeadlineRelayed)
 	case j.run != nil:
 		// What waited until the same deadline and never started has its proof.
 		if !j.run.done && !now.Before(j.run.Deadline) {
 			d.deadline(now, j.run)
 		}
 		if !j.done {
-			d.refuse(now, j, DeadlineRunning)
+			d.refuse(now, j, refusal.DeadlineRunning)
 		}
 	default:
-		d.refuse(now, j, j.failure(DeadlineQueued, AttemptFailed))
+		d.refuse(now, j, j.failure(refusal.DeadlineQueued, refusal.AttemptFailed))
 	}
 }
 
-func (d *Dispatcher) refuse(now time.Time, j *job, r Reason) {
-	res := r.Response()
+func (d *Dispatcher) refuse(now time.Time, j *job, r refusal.Reason) {
+	res := refusalResponse(r)
 	if res.Outcome == cornelbay.NotRun && j.service != nil && res.Status == http.StatusServiceUnavailable {
 		res.RetryAfter = d.retryAfter(now, j.service)
 	}
@@ -361,7 +362,7 @@
 		return
 	}
 	if res.Outcome == cornelbay.NotRun && (j.ambiguous || j.running > 0) {
-		res = j.failure(AttemptFailed, AttemptFailed).Response()
+		res = refusalResponse(j.failure(refusal.AttemptFailed, refusal.AttemptFailed))
 	}
 	j.done = true
 	d.counters.Reasons[res.Reason]++
--- a/request/relay.go
+++ b/request/relay.go
@@ -5,6 +5,7 @@
 
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/peer"
+	"github.com/cornelbay/cornelbay/refusal"
 )
 
 // RelayMargin is kept of a deadline for the way back.
@@ -197,7 +198,7 @@
 			return r.Response
 		}
 	}
-	return AttemptFailed.Response()
+	return refusalResponse(refusal.AttemptFailed)
 }
 
 func (d *Dispatcher) answerRelay(j *job, res Response) {
@@ -221,7 +222,7 @@
 	if !ok || j.ticketed() {
 		return
 	}
-	d.finish(now, j, j.failure(DeadlineQueued, AttemptFailed).Response())
+	d.finish(now, j, refusalResponse(j.failure(refusal.DeadlineQueued, refusal.AttemptFailed)))
 }
 
 // peerAnswer takes another host's answer to a call.
--- a/request/request.go
+++ b/request/request.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/refusal"
 )
 
 // ID numbers a request within one start of a host.
@@ -72,7 +73,7 @@
 	// RetryAfter tells the caller when to come back; 0 says nothing.
 	RetryAfter time.Duration
 	// Reason tells why there is no answer of a target.
-	Reason Reason
+	Reason refusal.Reason
 }
 
 // Attempt asks the shell to send a request to a target.
@@ -128,3 +129,14 @@
 	// RetryAfter is the target's own word with a refusal, or 0.
 	RetryAfter time.Duration
 }
+
+// refusalResponse returns the response that tells a caller the reason.
+func refusalResponse(r refusal.Reason) Response {
+	e := r.Explain()
+	body := e.Name + ": " + e.Text + "\n"
+	if e.Field != "" {
+		body = e.Name + " (" + e.Field + "): " + e.Text + "\n"
+	}
+	h := http.Header{"Content-Type": {"text/plain; charset=utf-8"}, ReasonHeader: {e.Name}}
+	return Response{Status: e.Status, Header: h, Body: []byte(body), Outcome: e.Outcome, Reason: r}
+}
--- a/request/service.go
+++ b/request/service.go
@@ -6,6 +6,7 @@
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/balance"
 	"github.com/cornelbay/cornelbay/queue"
+	"github.com/cornelbay/cornelbay/refusal"
 )
 
 // The limits of a service's queue.
@@ -50,18 +51,18 @@
 func (d *Dispatcher) enqueue(now time.Time, j *job) {
 	s := j.service
 	if _, ok := s.pool.OpenIn(now); !ok {
-		d.refuse(now, j, j.failure(NoTarget, AttemptFailed))
+		d.refuse(now, j, j.failure(refusal.NoTarget, refusal.AttemptFailed))
 		return
 	}
 	wait := s.wait(now)
 	if now.Add(wait + s.pool.Latency()).After(j.Deadline) {
-		d.refuse(now, j, j.failure(TooLate, AttemptFailed))
+		d.refuse(now, j, j.failure(refusal.TooLate, refusal.AttemptFailed))
 		return
 	}
 	d.push(s, j)
 	if wait > min(MaxQueueWait, queueLatencies*s.pool.Latency()/2) || s.queue.Len() > MaxQueue {
 		if worst := s.queue.Last(func(j *job) bool { return j.tries == 0 }); worst != nil {
-			d.refuse(now, worst.Value, worst.Value.failure(QueueFull, AttemptFailed))
+			d.refuse(now, worst.Value, worst.Value.failure(refusal.QueueFull, refusal.AttemptFailed))
 		}
 	}
 	d.pump(now, s)
@@ -140,9 +141,9 @@
 	}
 }
 
-func (d *Dispatcher) endQueue(s *service, r Reason) {
+func (d *Dispatcher) endQueue(s *service, r refusal.Reason) {
 	for i := s.queue.First(); i != nil; i = s.queue.First() {
 		j := i.Value
-		d.finish(time.Time{}, j, j.failure(r, AttemptFailed).Response())
+		d.finish(time.Time{}, j, refusalResponse(j.failure(r, refusal.AttemptFailed)))
 	}
 }
--- a/request/tickets.go
+++ b/request/tickets.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/refusal"
 	"github.com/cornelbay/cornelbay/ticket"
 )
 
@@ -35,13 +36,13 @@
 	for _, t := range d.ledger.Issue(now, j.Service, j.Caller, j.Tickets) {
 		s, err := d.Keys.Seal(t)
 		if err != nil {
-			return NoTarget.Response()
+			return refusalResponse(refusal.NoTarget)
 		}
 		list.Tickets = append(list.Tickets, s)
 	}
 	b, err := json.Marshal(list)
 	if err != nil || len(list.Tickets) == 0 {
-		return TicketsOut.Response()
+		return refusalResponse(refusal.TicketsOut)
 	}
 	h := http.Header{"Content-Type": {"application/json"}}
 	return Response{Status: http.StatusOK, Header: h, Body: b, Outcome: cornelbay.Answered}
@@ -50,21 +51,21 @@
 // admitTicketed takes a request that may run once only.
 func (d *Dispatcher) admitTicketed(now time.Time, j *job, served bool) {
 	if j.Ticket == "" {
-		d.refuse(now, j, NoTicket)
+		d.refuse(now, j, refusal.NoTicket)
 		return
 	}
 	t, err := d.Keys.Open(j.Ticket)
 	switch {
 	case errors.Is(err, ticket.ErrMAC):
-		d.refuse(now, j, TicketMAC)
+		d.refuse(now, j, refusal.TicketMAC)
 	case err != nil:
-		d.refuse(now, j, TicketMalformed)
+		d.refuse(now, j, refusal.TicketMalformed)
 	case len(j.Body) > MaxBodyBytes:
-		d.refuse(now, j, BodyTooLarge)
+		d.refuse(now, j, refusal.BodyTooLarge)
 	case !served:
-		d.void(now, j, t, NoService, TicketUnproven)
+		d.void(now, j, t, refusal.NoService, refusal.TicketUnproven)
 	case !j.Deadline.After(now):
-		d.void(now, j, t, DeadlineQueued, TicketUnproven)
+		d.void(now, j, t, refusal.DeadlineQueued, refusal.TicketUnproven)
 	default:
 		d.addTimer(timer{at: j.Deadline.UnixNano(), kind: deadlineTimer, job: j})
 		d.routeTicketed(now, j, t)
@@ -74,12 +75,12 @@
 // void refuses a request and makes its ticket void, since a delayed copy of the
 // request may still be on its way. Where that is impossible the refusal cannot
 // be proved, and unproven is its reason.
-func (d *Dispatcher) void(now time.Time, j *job, t ticket.Ticket, proved, unproven Reason) {
+func (d *Dispatcher) void(now time.Time, j *job, t ticket.Ticket, proved, unproven refusal.Reason) {
 	_, first, err := d.ledger.Redeem(now, t, j.digest())
 	p, _ := d.archive.Find(t)
 	switch {
 	case first:
-		d.ledger.Settle(t.Number, proved.Response())
+		d.ledger.Settle(t.Number, refusalResponse(proved))
 		d.refuse(now, j, proved)
 	case errors.Is(err, ticket.ErrClosed), p == ticket.NeverRedeemed:
 		d.refuse(now, j, proved)
@@ -92,11 +93,11 @@
 
 // voidMoved refuses a ticket of another caller or service.
 func (d *Dispatcher) voidMoved(now time.Time, j *job, t ticket.Ticket, err error) {
-	proved := TicketCaller
+	proved := refusal.TicketCaller
 	if errors.Is(err, ticket.ErrService) {
-		proved = TicketService
+		proved = refusal.TicketService
 	}
-	d.void(now, j, t, proved, TicketMoved)
+	d.void(now, j, t, proved, refusal.TicketMoved)
 }
 
 // routeTicketed redeems a ticket here, or hands the request to its issuer.
@@ -115,9 +116,9 @@
 	case p != ticket.NoProof:
 		d.finish(now, j, d.recorded(p, r, j))
 	case j.relayed || j.from != "":
-		d.refuse(now, j, IssuerGone)
+		d.refuse(now, j, refusal.IssuerGone)
 	default:
-		d.refuse(now, j, IssuerUnreached)
+		d.refuse(now, j, refusal.IssuerUnreached)
 	}
 }
 
@@ -126,7 +127,7 @@
 	d.endRelay(j)
 	t, err := d.Keys.Open(j.Ticket)
 	if err != nil {
-		d.refuse(now, j, TicketMAC)
+		d.refuse(now, j, refusal.TicketMAC)
 		return
 	}
 	d.routeTicketed(now, j, t)
@@ -136,13 +137,13 @@
 func (d *Dispatcher) recorded(p ticket.Proof, r ticket.Record[Response], j *job) Response {
 	switch {
 	case p == ticket.NeverRedeemed:
-		return TicketHandedOver.Response()
+		return refusalResponse(refusal.TicketHandedOver)
 	case r.Digest != j.digest():
-		return TicketUsed.Response()
+		return refusalResponse(refusal.TicketUsed)
 	case r.Kept:
 		return r.Answer
 	}
-	return AnswerForgotten.Response()
+	return refusalResponse(refusal.AnswerForgotten)
 }
 
 // digest identifies what a ticket was redeemed for.
@@ -167,19 +168,19 @@
 		d.addTimer(timer{at: j.Deadline.UnixNano(), kind: deadlineTimer, job: run})
 		d.dispatch(now, run)
 	case errors.Is(err, ticket.ErrDigest):
-		d.refuse(now, j, TicketUsed)
+		d.refuse(now, j, refusal.TicketUsed)
 	case errors.Is(err, ticket.ErrExpired) && d.ledger.Remembers(now, t):
-		d.refuse(now, j, TicketExpired)
+		d.refuse(now, j, refusal.TicketExpired)
 	case errors.Is(err, ticket.ErrExpired):
-		d.refuse(now, j, TicketForgotten)
+		d.refuse(now, j, refusal.TicketForgotten)
 	case errors.Is(err, ticket.ErrClosed):
-		d.refuse(now, j, TicketHandedOver)
+		d.refuse(now, j, refusal.TicketHandedOver)
 	case err != nil:
-		d.refuse(now, j, IssuerGone)
+		d.refuse(now, j, refusal.IssuerGone)
 	case r.Kept:
 		d.finish(now, j, r.Answer)
 	case r.Settled:
-		d.refuse(now, j, AnswerForgotten)
+		d.refuse(now, j, refusal.AnswerForgotten)
 	default:
 		ws := d.waiters[t.Number]
 		j.run = ws[0].run
--- a/request/world_test.go
+++ b/request/world_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/peer"
+	"github.com/cornelbay/cornelbay/refusal"
 	"github.com/cornelbay/cornelbay/ticket"
 )
 
@@ -47,7 +48,7 @@
 }
 
 // seen collects the reasons that callers were told in all histories.
-type seen map[Reason]bool
+type seen map[refusal.Reason]bool
 
 // call is something on its way; once is set on what a connection delivers at
 // most once and no host sends again.
@@ -377,7 +378,7 @@
 		w.t = t
 		w.settle()
 	})
-	for r := range Reason(len(explanations)) {
+	for _, r := range refusal.All() {
 		if r.Explain().Outcome == cornelbay.NotRun && !all[r] {
 			t.Errorf("no history ended with %s", r)
 		}
