Hand tickets over in parts that each prove only their own numbers

Cause: the final state of a busy host may exceed the largest call between hosts, and a cut list would have proved redeemed tickets unredeemed.

--- a/request/relay.go
+++ b/request/relay.go
@@ -161,7 +161,7 @@
 		d.serveWithdraw(now, relayKey{from, a.Incarnation, a.ID})
 		return WithdrawReply{}, true
 	case HandOverArgs:
-		d.takeHandovers(now, a)
+		d.takeHandover(now, a.Handover)
 		return HandOverReply{}, true
 	}
 	return nil, false
@@ -233,7 +233,7 @@
 	case ResultArgs:
 		d.resultAnswered(a, args)
 	case HandOverArgs:
-		d.handover.answered(a.Err)
+		d.handover.answered(a.Call.To, args, a.Err)
 	}
 }
 
--- a/request/tickets.go
+++ b/request/tickets.go
@@ -12,16 +12,6 @@
 	"github.com/cornelbay/cornelbay/ticket"
 )
 
-// The limits of a handover at a planned stop.
-const (
-	// MaxHandoverBytes bounds the remembered answers that are handed over.
-	MaxHandoverBytes = 256 << 10
-	// maxHeirs is the most hosts that a handover is sent to.
-	maxHeirs = 8
-	// handoverPatience is how long a stopping host waits for an heir.
-	handoverPatience = 3 * time.Second
-)
-
 // TicketList is the body of the answer to a request for tickets.
 type TicketList struct {
 	Tickets []string `json:"tickets"`
@@ -208,72 +198,3 @@
 		}
 	}
 }
-
-// HandOverArgs hands the final state of a stopping host's tickets, and of those
-// that it was handed itself, to another host.
-type HandOverArgs struct {
-	Handovers []ticket.Handover[Response]
-}
-
-// Method returns the name of the net/rpc method.
-func (HandOverArgs) Method() string { return "request.handOver" }
-
-// HandOverReply acknowledges HandOverArgs.
-type HandOverReply struct{}
-
-// handover is the progress of handing the tickets on at a planned stop.
-type handover struct {
-	began         time.Time
-	sent          bool
-	waiting, took int
-	done          bool
-}
-
-func (h *handover) answered(err error) {
-	h.waiting--
-	if err == nil {
-		h.took++
-	}
-}
-
-// tickHandover hands the tickets on once nothing runs any more.
-func (d *Dispatcher) tickHandover(now time.Time) {
-	h := &d.handover
-	if !d.stopping || h.done || !d.quiet() {
-		return
-	}
-	if h.began.IsZero() {
-		h.began = now
-	}
-	switch {
-	case h.sent && h.waiting > 0 && now.Sub(h.began) < handoverPatience:
-	case h.took > 0 || now.Sub(h.began) >= handoverPatience || len(d.heirs()) == 0:
-		h.done = true
-	default:
-		d.sendHandover(now)
-	}
-}
-
-func (d *Dispatcher) heirs() []cornelbay.Host {
-	return d.hosts.Others(d.Rand, maxHeirs)
-}
-
-func (d *Dispatcher) sendHandover(now time.Time) {
-	all := append(d.archive.All(now), d.ledger.HandOver(now, MaxHandoverBytes))
-	d.handover.sent, d.handover.waiting = true, 0
-	for _, h := range d.heirs() {
-		d.handover.waiting++
-		d.callPeer(h.Name, HandOverArgs{Handovers: all})
-	}
-}
-
-// takeHandovers keeps what other hosts hand on and answers who waits for them.
-func (d *Dispatcher) takeHandovers(now time.Time, a HandOverArgs) {
-	for _, h := range a.Handovers {
-		if h.Host == d.Self && h.Incarnation == d.Incarnation {
-			continue
-		}
-		d.archive.Add(h)
-		d.issuerEnded(now, h.Host)
-	}
-}
--- a/request/wire_test.go
+++ b/request/wire_test.go
@@ -28,10 +28,10 @@
 		RelayReply{Taken: true, Ended: true, Response: res},
 		ResultArgs{ID: 1, Incarnation: 2, Response: res},
 		WithdrawArgs{ID: 1, Incarnation: 2},
-		HandOverArgs{Handovers: []ticket.Handover[Response]{{
-			Host: "a", Incarnation: 1, Issued: 9, UntilMs: 7,
+		HandOverArgs{Handover: ticket.Handover[Response]{
+			Host: "a", Incarnation: 1, First: 1, Last: 9, UntilMs: 7,
 			Records: []ticket.Record[Response]{{Number: 3, Digest: ticket.Digest{1, 2}, ExpiryMs: 8, Settled: true, Kept: true, Answer: res}},
-		}}},
+		}},
 		LoadNews{Loads: []TargetLoad{{Target: 1 << 31, Count: 2}}},
 	}
 	for _, want := range tests {
--- a/ticket/archive.go
+++ b/ticket/archive.go
@@ -1,9 +1,8 @@
 package ticket
 
 import (
+	"slices"
 	"time"
-
-	"github.com/cornelbay/cornelbay"
 )
 
 // Proof tells what a handover proves of a ticket.
@@ -19,61 +18,60 @@
 	Redeemed
 )
 
-type issuer struct {
-	host        cornelbay.HostName
-	incarnation cornelbay.Incarnation
+// Archive keeps the handovers of hosts that have stopped; its zero value works.
+type Archive[A any] struct {
+	parts []archived[A]
 }
 
 type archived[A any] struct {
-	handover Handover[A]
-	records  map[uint64]Record[A]
-}
-
-// Archive keeps the handovers of hosts that have stopped; its zero value works.
-type Archive[A any] struct {
-	issuers map[issuer]archived[A]
+	Handover[A]
+	byNumber map[uint64]Record[A]
 }
 
 // Add keeps a handover until its last ticket is past its grace.
 func (a *Archive[A]) Add(h Handover[A]) {
-	if a.issuers == nil {
-		a.issuers = make(map[issuer]archived[A])
+	if slices.ContainsFunc(a.parts, func(p archived[A]) bool { return p.same(h) }) {
+		return
 	}
 	records := make(map[uint64]Record[A], len(h.Records))
 	for _, r := range h.Records {
 		records[r.Number] = r
 	}
-	a.issuers[issuer{h.Host, h.Incarnation}] = archived[A]{h, records}
+	a.parts = append(a.parts, archived[A]{h, records})
+}
+
+func (h Handover[A]) same(other Handover[A]) bool {
+	return h.Host == other.Host && h.Incarnation == other.Incarnation && h.First == other.First
 }
 
 // All returns the handovers that are kept at now, for handing them on.
 func (a *Archive[A]) All(now time.Time) []Handover[A] {
+	a.parts = slices.DeleteFunc(a.parts, func(p archived[A]) bool { return now.UnixMilli() > p.UntilMs })
 	var out []Handover[A]
-	for k, v := range a.issuers {
-		if now.UnixMilli() > v.handover.UntilMs {
-			delete(a.issuers, k)
-			continue
-		}
-		out = append(out, v.handover)
+	for _, p := range a.parts {
+		out = append(out, p.Handover)
 	}
 	return out
 }
 
 // Find returns what is proved of a ticket, and its record when it was redeemed.
 func (a *Archive[A]) Find(t Ticket) (Proof, Record[A]) {
-	v, ok := a.issuers[issuer{t.Host, t.Incarnation}]
-	if !ok || t.Number > v.handover.Issued || !v.handover.covers(t) {
-		return NoProof, Record[A]{}
-	}
-	if r, ok := v.records[t.Number]; ok {
-		return Redeemed, r
+	for _, p := range a.parts {
+		if !p.covers(t) {
+			continue
+		}
+		if r, ok := p.byNumber[t.Number]; ok {
+			return Redeemed, r
+		}
+		return NeverRedeemed, Record[A]{}
 	}
-	return NeverRedeemed, Record[A]{}
+	return NoProof, Record[A]{}
 }
 
-// covers reports whether the closing ledger still remembered the redemption of
-// the ticket, had there been one.
+// covers reports whether the handover would have a record of the ticket, had it
+// been redeemed: the closing ledger still remembered it then.
 func (h Handover[A]) covers(t Ticket) bool {
 	closed := time.UnixMilli(h.UntilMs).Add(-Lifetime - Grace)
-	return !closed.After(t.Expiry().Add(Grace))
+	return t.Host == h.Host && t.Incarnation == h.Incarnation && t.Number >= h.First &&
+		t.Number <= h.Last && !closed.After(t.Expiry().Add(Grace))
 }
--- a/ticket/ledger.go
+++ b/ticket/ledger.go
@@ -1,6 +1,7 @@
 package ticket
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -193,33 +194,60 @@
 // Close ends issue and redemption for good.
 func (l *Ledger[A]) Close() { l.closed = true }
 
-// Handover is the final state of a closed ledger: every ticket up to Issued
-// that has no record was never redeemed and never will be.
+// Handover is a part of the final state of a closed ledger: every ticket with a
+// number from First to Last that has no record was never redeemed and never
+// will be.
 type Handover[A any] struct {
 	Host        cornelbay.HostName
 	Incarnation cornelbay.Incarnation
-	Issued      uint64
+	First, Last uint64
 	// UntilMs is when the last ticket's grace ends, in milliseconds since 1970.
 	UntilMs int64
 	Records []Record[A]
 }
 
-// HandOver closes the ledger and returns its final state, without the answers
-// that exceed maxBytes together.
-func (l *Ledger[A]) HandOver(now time.Time, maxBytes int) Handover[A] {
+// HandoverRecords is the most records of one Handover.
+const HandoverRecords = 4096
+
+// HandOver closes the ledger and returns its final state in parts, without the
+// oldest answers that exceed maxBytes together.
+func (l *Ledger[A]) HandOver(now time.Time, maxBytes int) []Handover[A] {
 	l.Close()
 	l.advance(now)
-	h := Handover[A]{
-		Host: l.Host, Incarnation: l.Incarnation, Issued: l.issued,
-		UntilMs: l.latest.Add(Lifetime + Grace).UnixMilli(),
+	records := l.final(maxBytes)
+	var out []Handover[A]
+	first := uint64(1)
+	for {
+		h := Handover[A]{
+			Host: l.Host, Incarnation: l.Incarnation, First: first, Last: l.issued,
+			UntilMs: l.latest.Add(Lifetime + Grace).UnixMilli(),
+		}
+		if len(records) > HandoverRecords {
+			h.Records, records = records[:HandoverRecords], records[HandoverRecords:]
+			h.Last = h.Records[HandoverRecords-1].Number
+			first = h.Last + 1
+			out = append(out, h)
+			continue
+		}
+		h.Records = records
+		return append(out, h)
 	}
+}
+
+// final returns the records by number, with the newest answers up to maxBytes.
+func (l *Ledger[A]) final(maxBytes int) []Record[A] {
+	var out []Record[A]
 	for _, n := range slices.Backward(l.order) {
 		r := *l.records[n]
-		if maxBytes -= l.size(r.Answer); maxBytes < 0 {
+		if r.Kept {
+			maxBytes -= l.size(r.Answer)
+		}
+		if maxBytes < 0 {
 			var none A
 			r.Kept, r.Answer = false, none
 		}
-		h.Records = append(h.Records, r)
+		out = append(out, r)
 	}
-	return h
+	slices.SortFunc(out, func(a, b Record[A]) int { return cmp.Compare(a.Number, b.Number) })
+	return out
 }
--- a/ticket/ticket_test.go
+++ b/ticket/ticket_test.go
@@ -102,7 +102,9 @@
 			},
 		})
 		var a Archive[string]
-		a.Add(l.HandOver(now, 16))
+		for _, h := range l.HandOver(now, 16) {
+			a.Add(h)
+		}
 		for _, k := range tickets {
 			if p, _ := a.Find(k); p == NeverRedeemed && ran[k.Number] {
 				t.Fatal("handover denies a run")
@@ -114,6 +116,38 @@
 	})
 }
 
+func TestHandoverInPartsCoversAll(t *testing.T) {
+	is := is.New(t)
+	l := Ledger[int]{Host: "a", Incarnation: 1}
+	var all []Ticket
+	for range 3 * HandoverRecords / MaxBatch {
+		all = append(all, l.Issue(start, "s", "c", MaxBatch)...)
+	}
+	for i, k := range all {
+		if i%8 != 0 {
+			_, _, err := l.Redeem(start, k, Digest{})
+			is.NoErr(err)
+		}
+	}
+	parts := l.HandOver(start, 0)
+	is.Equal(len(parts), 3)
+	var a Archive[int]
+	for _, h := range parts[1:] {
+		a.Add(h)
+	}
+	for i, k := range all {
+		p, _ := a.Find(k)
+		switch {
+		case k.Number <= parts[0].Last:
+			is.Equal(p, NoProof) // a part that was not handed over proves nothing
+		case i%8 == 0:
+			is.Equal(p, NeverRedeemed)
+		default:
+			is.Equal(p, Redeemed)
+		}
+	}
+}
+
 func TestLedgerBoundsOutstanding(t *testing.T) {
 	is := is.New(t)
 	l := Ledger[int]{Host: "a", Incarnation: 1}
