--- a/request/dispatcher.go
+++ b/request/dispatcher.go
@@ -2,12 +2,16 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/balance"
 	"github.com/cornelbay/cornelbay/peer"
+	"github.com/cornelbay/cornelbay/queue"
+	"github.com/cornelbay/cornelbay/refusal"
+	"github.com/cornelbay/cornelbay/steward"
 	"github.com/cornelbay/cornelbay/ticket"
 )
 
@@ -28,9 +32,9 @@
 
 	out      []cornelbay.Effect
 	services map[cornelbay.ServiceName]*service
-	live     []cornelbay.Host
-	hosts    map[cornelbay.HostName]cornelbay.Host
-	avoided  map[cornelbay.HostName]avoidance
+	// sorted holds the services by name.
+	sorted   []*service
+	hosts    steward.Hosts
 	stopping bool
 	handover handover
 
@@ -42,14 +46,12 @@
 	relays    map[uint64]*job
 	lastRelay uint64
 	serving   map[relayKey]*job
-	// ackTime is the usual time for another host to take a relay.
-	ackTime time.Duration
 
 	ledger  ticket.Ledger[Response]
 	waiters map[uint64][]*job
 	archive ticket.Archive[Response]
 
-	timers   timers
+	timers   queue.Heap[timer]
 	nextNews time.Time
 	told     bool
 	counters Counters
@@ -63,7 +65,7 @@
 	// Silent counts connections to targets that went silent.
 	Silent uint64
 	// Reasons counts the requests that ended with each reason.
-	Reasons [DeadlineRelayed + 1]uint64
+	Reasons [refusal.DeadlineRelayed + 1]uint64
 }
 
 // Counters returns what the dispatcher did so far.
@@ -103,8 +105,12 @@
 }
 
 func (d *Dispatcher) unlock() []cornelbay.Effect {
-	out := d.out
-	d.out = nil
+	var out []cornelbay.Effect
+	if len(d.out) > 0 {
+		out = slices.Clone(d.out)
+		clear(d.out)
+		d.out = d.out[:0]
+	}
 	d.mu.Unlock()
 	return out
 }
@@ -120,7 +126,7 @@
 	d.relays = make(map[uint64]*job)
 	d.serving = make(map[relayKey]*job)
 	d.waiters = make(map[uint64][]*job)
-	d.avoided = make(map[cornelbay.HostName]avoidance)
+	d.hosts.Self = d.Self
 	d.ledger = ticket.Ledger[Response]{Host: d.Self, Incarnation: d.Incarnation, Size: Response.size}
 }
 
@@ -146,9 +152,13 @@
 		d.services[conf.Name] = s
 		d.chooseSteward(now, s)
 	}
-	for name, s := range old {
+	d.sorted = nil
+	for _, name := range sortedKeys(d.services) {
+		d.sorted = append(d.sorted, d.services[name])
+	}
+	for _, name := range sortedKeys(old) {
 		if d.services[name] == nil {
-			d.endQueue(s, NoService)
+			d.endQueue(old[name], refusal.NoService)
 		}
 	}
 	d.pumpAll(now)
@@ -158,7 +168,7 @@
 // SetStates takes the agreed states of the targets.
 func (d *Dispatcher) SetStates(now time.Time, states []cornelbay.TargetState) []cornelbay.Effect {
 	d.lock(now)
-	for _, s := range d.services {
+	for _, s := range d.sorted {
 		for _, st := range states {
 			s.pool.SetState(st)
 		}
@@ -171,7 +181,7 @@
 func (d *Dispatcher) Report(now time.Time, t cornelbay.TargetName, n int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, s := range d.services {
+	for _, s := range d.sorted {
 		if t, ok := s.pool.Lookup(t); ok {
 			t.Report(now, n)
 		}
@@ -181,11 +191,12 @@
 // Tick returns the effects that are due at now.
 func (d *Dispatcher) Tick(now time.Time) []cornelbay.Effect {
 	d.lock(now)
-	if len(d.avoided) > 0 {
+	if d.hosts.Avoiding() {
 		d.chooseStewards(now)
 	}
-	for _, s := range d.services {
+	for _, s := range d.sorted {
 		s.pool.Tick(now)
+		d.lookOverdue(now, s)
 	}
 	d.pumpAll(now)
 	d.tickNews(now)
@@ -237,7 +248,7 @@
 // Stop starts the planned stop: no new request is taken.
 func (d *Dispatcher) Stop(now time.Time) []cornelbay.Effect {
 	d.lock(now)
-	d.stopping = true
+	d.stopping, d.hosts.Stopping = true, true
 	d.ledger.Close()
 	d.tickHandover(now)
 	return d.unlock()
