--- a/cmd/cornelbay/main.go
+++ b/cmd/cornelbay/main.go
@@ -20,6 +20,7 @@
 	Keys     keysCmd     `cmd:"" help:"Write certificates and a datagram key for a trial."`
 	Burn     burnCmd     `cmd:"" help:"Report how requests meet their service levels."`
 	Demo     demoCmd     `cmd:"" help:"Run a deployment with stand-ins under load and faults."`
+	Measure  measureCmd  `cmd:"" help:"Run an experiment and print its figures."`
 	Standin  standinCmd  `cmd:"" help:"Run stand-ins for the platform and the targets of a document."`
 }
 
--- a/daemon/admin.go
+++ b/daemon/admin.go
@@ -43,6 +43,22 @@
 // Generation returns the generation of the configuration in force, or 0.
 func (d *Daemon) Generation() uint64 { return d.view.Load().generation }
 
+// Ready reports whether the host takes packets, as /readyz does.
+func (d *Daemon) Ready() bool { return d.unready() == "" }
+
+// unready returns why the host is not ready, or "".
+func (d *Daemon) unready() string {
+	switch v := d.view.Load(); {
+	case d.stopping.Load():
+		return "stopping"
+	case v.generation == 0:
+		return "no configuration in force"
+	case !v.ready:
+		return "not ready"
+	}
+	return ""
+}
+
 func (d *Daemon) snapshot(ctx context.Context) (Status, bool) {
 	ch := make(chan Status, 1)
 	d.input(ctx, func(now time.Time) []cornelbay.Effect {
@@ -70,16 +86,11 @@
 
 // readyz tells the fabric whether to send packets here.
 func (d *Daemon) readyz(w http.ResponseWriter, r *http.Request) {
-	switch v := d.view.Load(); {
-	case d.stopping.Load():
-		http.Error(w, "stopping", http.StatusServiceUnavailable)
-	case v.generation == 0:
-		http.Error(w, "no configuration in force", http.StatusServiceUnavailable)
-	case !v.ready:
-		http.Error(w, "not ready", http.StatusServiceUnavailable)
-	default:
-		d.healthz(w, r)
+	if why := d.unready(); why != "" {
+		http.Error(w, why, http.StatusServiceUnavailable)
+		return
 	}
+	d.healthz(w, r)
 }
 
 func (d *Daemon) status(w http.ResponseWriter, r *http.Request) {
