--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -20,7 +20,7 @@
 
 	sendErrors, sentDatagrams, sentBytes, receivedDatagrams, receivedBytes,
 	refusedDatagrams, refusedConnections, controlSeconds prometheus.Counter
-	droppedReports, storeCalls, peerCalls, probes, requests, levelGood, levelTotal *prometheus.CounterVec
+	droppedReports, storeCalls, peerCalls, probes, requests, refusals, levelGood, levelTotal *prometheus.CounterVec
 
 	requestSeconds            *prometheus.HistogramVec
 	generation, live, missing prometheus.Gauge
@@ -84,6 +84,7 @@
 
 func (m *metrics) initRequests() {
 	m.requests = m.counters("requests_total", "Callers' requests by outcome.", "service", "outcome")
+	m.refusals = m.counters("refusals_total", "Requests that ended without the answer of a target, by reason.", "service", "reason")
 	m.levelGood = m.counters("level_good_total", "Requests that met their service's level.", "service")
 	m.levelTotal = m.counters("level_requests_total", "Requests that count against their service's level.", "service")
 	m.requestSeconds = prometheus.NewHistogramVec(prometheus.HistogramOpts{
--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -79,7 +79,9 @@
 	d.handOver(d.ctx, d.host.Requests.Submit(start, r))
 	select {
 	case res := <-ch:
-		d.count(r.Service, res, time.Since(start))
+		if r.Tickets == 0 {
+			d.count(r.Service, res, time.Since(start))
+		}
 		return res, nil
 	case <-ctx.Done():
 		d.requests.forget(id)
@@ -91,6 +93,9 @@
 func (d *Daemon) count(name cornelbay.ServiceName, res request.Response, took time.Duration) {
 	d.metrics.requests.WithLabelValues(string(name), res.Outcome.String()).Inc()
 	d.metrics.requestSeconds.WithLabelValues(string(name)).Observe(took.Seconds())
+	if res.Reason != request.NoReason {
+		d.metrics.refusals.WithLabelValues(string(name), res.Reason.String()).Inc()
+	}
 	level, ok := d.view.Load().levels[name]
 	if !ok {
 		return
