--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -55,9 +55,17 @@
 		m.drops[r] = drops.WithLabelValues(cornelbay.DropReason(r).String())
 	}
 	m.sendErrors = m.counter("send_errors_total", "Packets that the socket refused to send.")
-	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Namespace: namespace, Name: "held_packets", Help: "Packets held until a question about their flow is answered.",
-	}, func() float64 { return float64(d.holds.count()) }))
+	m.measured("held_packets", "Packets held until a question about their flow is answered.", d.holds.count)
+	m.measured("flows", "Flows in the flow table.", d.host.Plane.Table.Len)
+	m.measured("flow_table_bytes", "Memory of the flow table.", d.host.Plane.Table.Bytes)
+}
+
+// measured registers a gauge whose value is taken when it is read.
+func (m *metrics) measured(name, help string, value func() int) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(
+		prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help},
+		func() float64 { return float64(value()) },
+	))
 }
 
 func (m *metrics) initControl() {
--- a/demo/flows.go
+++ b/demo/flows.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
@@ -199,7 +200,9 @@
 func (l *flowLoad) figures() flowFigures {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.flowFigures
+	f := l.flowFigures
+	f.lastPacket, f.lastOpening, f.openings = maps.Clone(f.lastPacket), maps.Clone(f.lastOpening), maps.Clone(f.openings)
+	return f
 }
 
 // open returns the number of flows that a target has taken on, and of all.
--- a/demo/requests.go
+++ b/demo/requests.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -219,7 +220,9 @@
 func (l *requestLoad) figures() requestFigures {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.requestFigures
+	f := l.requestFigures
+	f.lastRequest = maps.Clone(f.lastRequest)
+	return f
 }
 
 // reports returns how many reports ran twice, ran in spite of the word that
