Take the packet path of a host into a package of its own

Purpose: daemon had grown to twice the size that a package should have, and the holding and releasing of packets could not be tested without a whole host.

traffic.Forwarder owns the fabric's sockets, its goroutines, held packets and their metrics; the verdict comes from an interface, so that tests choose it.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -20,9 +20,7 @@
 type view struct {
 	generation uint64
 	ready      bool
-	// fabric holds the fabric address of every host that may be alive.
-	fabric map[cornelbay.HostName]netip.AddrPort
-	levels map[cornelbay.ServiceName]cornelbay.ServiceLevel
+	levels     map[cornelbay.ServiceName]cornelbay.ServiceLevel
 }
 
 // control is the one goroutine that owns the control state.
@@ -62,16 +60,8 @@
 // publish renews what other goroutines read of the control state.
 func (d *Daemon) publish(now time.Time) {
 	m := d.host.Members(now)
-	v := &view{
-		generation: d.host.Head().Generation, ready: d.host.Ready(),
-		fabric: make(map[cornelbay.HostName]netip.AddrPort, len(m.Live)+len(m.Missing)),
-	}
-	for _, h := range m.Live {
-		v.fabric[h.Name] = h.Fabric
-	}
-	for _, h := range m.Missing {
-		v.fabric[h.Name] = h.Fabric
-	}
+	v := &view{generation: d.host.Head().Generation, ready: d.host.Ready()}
+	d.traffic.SetHosts(addresses(m))
 	old := d.view.Load()
 	v.levels = old.levels
 	if v.generation != old.generation {
@@ -84,6 +74,18 @@
 	d.metrics.publish(d.host.Head(), m, d.host.States(now), v.ready && !d.stopping.Load())
 }
 
+// addresses returns the fabric address of every host that may be alive.
+func addresses(m cornelbay.Members) map[cornelbay.HostName]netip.AddrPort {
+	out := make(map[cornelbay.HostName]netip.AddrPort, len(m.Live)+len(m.Missing))
+	for _, h := range m.Live {
+		out[h.Name] = h.Fabric
+	}
+	for _, h := range m.Missing {
+		out[h.Name] = h.Fabric
+	}
+	return out
+}
+
 func (d *Daemon) levels() map[cornelbay.ServiceName]cornelbay.ServiceLevel {
 	out := make(map[cornelbay.ServiceName]cornelbay.ServiceLevel)
 	doc := d.host.Document()
@@ -117,6 +119,11 @@
 	}
 }
 
+// held asks the control goroutine about a flow; it never waits.
+func (d *Daemon) held(key cornelbay.FlowKey) bool {
+	return d.tryInput(func(now time.Time) []cornelbay.Effect { return d.host.Held(now, key) })
+}
+
 // signal reports evidence about a target; it never waits.
 func (d *Daemon) signal(s warmth.Signal) {
 	select {
@@ -134,7 +141,7 @@
 		case cornelbay.Send:
 			d.send(e)
 		case cornelbay.Release:
-			d.queueRelease(e.Key)
+			d.traffic.Release(e.Key)
 		case platform.Call:
 			d.goes(func() { d.call(ctx, e) })
 		case peer.Call:
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -20,18 +20,17 @@
 	"github.com/cornelbay/cornelbay/burn"
 	"github.com/cornelbay/cornelbay/caller"
 	"github.com/cornelbay/cornelbay/entry"
-	"github.com/cornelbay/cornelbay/fabric"
 	"github.com/cornelbay/cornelbay/peer"
 	"github.com/cornelbay/cornelbay/platform"
 	"github.com/cornelbay/cornelbay/target"
+	"github.com/cornelbay/cornelbay/traffic"
 	"github.com/cornelbay/cornelbay/warmth"
 )
 
 // The lengths of the daemon's queues.
 const (
-	inputBacklog   = 1024
-	signalBacklog  = 4096
-	releaseBacklog = 4096
+	inputBacklog  = 1024
+	signalBacklog = 4096
 )
 
 // headerTimeout bounds the time in which a client sends a request's header.
@@ -71,21 +70,18 @@
 	targets  target.Client
 	inputs   chan func(now time.Time) []cornelbay.Effect
 	signals  chan warmth.Signal
-	released chan cornelbay.FlowKey
+	traffic  traffic.Forwarder
 	requests requests
-	holds    holds
 	metrics  metrics
 	burn     burn.Ring
 	peers    peers
 
-	relayKeys atomic.Pointer[fabric.RelayKeys]
-	view      atomic.Pointer[view]
-	stopping  atomic.Bool
-	lastTick  atomic.Int64
-	stopOnce  sync.Once
-	stopErr   error
+	view     atomic.Pointer[view]
+	stopping atomic.Bool
+	lastTick atomic.Int64
+	stopOnce sync.Once
+	stopErr  error
 
-	fabric           []*net.UDPConn
 	datagram         *net.UDPConn
 	rpc, http, admin net.Listener
 	httpServer       *http.Server
@@ -108,7 +104,6 @@
 		Settings: s,
 		inputs:   make(chan func(time.Time) []cornelbay.Effect, inputBacklog),
 		signals:  make(chan warmth.Signal, signalBacklog),
-		released: make(chan cornelbay.FlowKey, releaseBacklog),
 		done:     make(chan struct{}),
 	}
 	if d.Log == nil {
@@ -122,9 +117,11 @@
 	d.codec.Codec = peer.Codec{Self: s.Self.Name, Incarnation: s.Self.Incarnation, Keys: s.Keys}
 	d.toPlatform = &http.Transport{IdleConnTimeout: platformIdle}
 	d.store = &platform.Client{Base: s.Platform, HTTP: &http.Client{Transport: d.toPlatform}}
-	d.relayKeys.Store(fabric.NewRelayKeys(s.Keys...))
+	d.traffic.Plane, d.traffic.OnHeld = &d.host.Plane, d.held
+	d.traffic.SetKeys(s.Keys...)
 	d.view.Store(&view{})
-	d.metrics.init(d)
+	d.metrics.init(d.host)
+	d.traffic.Register(d.metrics.registry)
 	d.initPeers()
 	d.ctx, d.cancel = context.WithCancel(ctx)
 	d.run(d.ctx)
@@ -135,10 +132,7 @@
 func (d *Daemon) run(ctx context.Context) {
 	d.goes(func() { d.control(ctx) })
 	d.goes(func() { d.receiveDatagrams(ctx) })
-	for _, c := range d.fabric {
-		d.goes(newWorker(d, c).run)
-	}
-	d.goes(func() { d.release(ctx) })
+	d.traffic.Run(ctx, d.goes)
 	d.goes(func() { d.servePeers(ctx) })
 	d.httpServer = d.serve(ctx, d.http, caller.NewServer(d.do))
 	if c := d.peers.credentials; c != nil {
@@ -189,10 +183,9 @@
 func (d *Daemon) bind() error {
 	var err error
 	self := &d.Settings.Self
-	if d.fabric, err = fabric.Listen(self.Fabric, max(d.TrafficWorkers, 1)); err != nil {
+	if self.Fabric, err = d.traffic.Listen(self.Fabric, d.TrafficWorkers); err != nil {
 		return merry.Prepend(err, "fabric")
 	}
-	self.Fabric = d.fabric[0].LocalAddr().(*net.UDPAddr).AddrPort()
 	if d.datagram, err = listenUDP("datagram", &self.Datagram); err != nil {
 		return err
 	}
@@ -225,10 +218,9 @@
 }
 
 func (d *Daemon) close() {
-	for _, c := range append(d.fabric, d.datagram) {
-		if c != nil {
-			_ = c.Close() // nothing is buffered
-		}
+	d.traffic.Close()
+	if d.datagram != nil {
+		_ = d.datagram.Close() // nothing is buffered
 	}
 	for _, l := range []net.Listener{d.rpc, d.http, d.admin} {
 		if l != nil {
--- a/daemon/datagram.go
+++ b/daemon/datagram.go
@@ -8,14 +8,12 @@
 	"time"
 
 	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/traffic"
 )
 
 // datagramHeaderBytes is the length of the IPv4 and UDP headers of a datagram.
 const datagramHeaderBytes = 28
 
-// readPause is the wait after a failed read of a socket that is still open.
-const readPause = 10 * time.Millisecond
-
 func (d *Daemon) send(s cornelbay.Send) {
 	h, ok := d.host.Lookup(s.To)
 	if !ok {
@@ -46,7 +44,7 @@
 			return
 		}
 		if err != nil {
-			time.Sleep(readPause)
+			time.Sleep(traffic.ReadPause)
 			continue
 		}
 		d.metrics.receivedDatagrams.Inc()
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -8,17 +8,14 @@
 
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/config"
+	"github.com/cornelbay/cornelbay/entry"
 )
 
 // metrics are what a daemon exports under /metrics.
 type metrics struct {
 	registry *prometheus.Registry
 
-	// packets and drops are indexed by cornelbay.Action and cornelbay.DropReason.
-	packets [cornelbay.Hold + 1]prometheus.Counter
-	drops   [cornelbay.DropReasons]prometheus.Counter
-
-	sendErrors, sentDatagrams, sentBytes, receivedDatagrams, receivedBytes,
+	sentDatagrams, sentBytes, receivedDatagrams, receivedBytes,
 	refusedDatagrams, refusedConnections, controlSeconds prometheus.Counter
 	droppedReports, storeCalls, peerCalls, probes, requests, refusals, levelGood, levelTotal *prometheus.CounterVec
 
@@ -28,46 +25,20 @@
 	targets                   *prometheus.GaugeVec
 }
 
-var actionNames = [...]string{
-	cornelbay.Drop: "drop", cornelbay.Forward: "forward", cornelbay.Relay: "relay", cornelbay.Hold: "hold",
-}
-
 // requestBuckets are the bounds in seconds of the request histogram.
 var requestBuckets = []float64{.001, .0025, .005, .01, .025, .05, .1, .25, .5, 1, 2.5, 5, 10}
 
 const namespace = "cornelbay"
 
-func (m *metrics) init(d *Daemon) {
+func (m *metrics) init(h *entry.Host) {
 	m.registry = prometheus.NewRegistry()
 	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	m.initTraffic(d)
+	m.measured("flows", "Flows in the flow table.", h.Plane.Table.Len)
+	m.measured("flow_table_bytes", "Memory of the flow table.", h.Plane.Table.Bytes)
 	m.initControl()
 	m.initRequests()
 }
 
-func (m *metrics) initTraffic(d *Daemon) {
-	packets := m.counters("packets_total", "Packets by verdict.", "verdict")
-	for a := cornelbay.Forward; a <= cornelbay.Hold; a++ {
-		m.packets[a] = packets.WithLabelValues(actionNames[a])
-	}
-	drops := m.counters("dropped_packets_total", "Packets dropped, by reason.", "reason")
-	for r := range m.drops {
-		m.drops[r] = drops.WithLabelValues(cornelbay.DropReason(r).String())
-	}
-	m.sendErrors = m.counter("send_errors_total", "Packets that the socket refused to send.")
-	m.measured("held_packets", "Packets held until a question about their flow is answered.", d.holds.count)
-	m.measured("flows", "Flows in the flow table.", d.host.Plane.Table.Len)
-	m.measured("flow_table_bytes", "Memory of the flow table.", d.host.Plane.Table.Bytes)
-}
-
-// measured registers a gauge whose value is taken when it is read.
-func (m *metrics) measured(name, help string, value func() int) {
-	m.registry.MustRegister(prometheus.NewGaugeFunc(
-		prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help},
-		func() float64 { return float64(value()) },
-	))
-}
-
 func (m *metrics) initControl() {
 	m.sentDatagrams = m.counter("sent_datagrams_total", "Control datagrams sent.")
 	m.sentBytes = m.counter("sent_datagram_bytes_total", "Bytes of control datagrams sent, IP and UDP headers included.")
@@ -136,3 +107,11 @@
 		m.targets.WithLabelValues(strings.ToLower(cornelbay.TargetPhase(p).String())).Set(float64(n))
 	}
 }
+
+// measured registers a gauge whose value is taken when it is read.
+func (m *metrics) measured(name, help string, value func() int) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(
+		prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help},
+		func() float64 { return float64(value()) },
+	))
+}
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -7,7 +7,6 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/cornelbay/cornelbay"
-	"github.com/cornelbay/cornelbay/fabric"
 )
 
 // DefaultStopTimeout bounds a planned stop that has no bound of its own.
@@ -85,7 +84,7 @@
 
 // Reload takes the keys of s; the other settings need a new start.
 func (d *Daemon) Reload(s Settings) {
-	d.relayKeys.Store(fabric.NewRelayKeys(s.Keys...))
+	d.traffic.SetKeys(s.Keys...)
 	d.codec.SetKeys(s.Keys)
 	if s.KeyPair != nil && d.peers.credentials != nil {
 		d.peers.credentials.Set(*s.KeyPair)
--- a/daemon/hold.go
+++ b/traffic/hold.go
@@ -1,8 +1,7 @@
-package daemon
+package traffic
 
 import (
 	"bytes"
-	"context"
 	"sync"
 	"time"
 
@@ -16,8 +15,6 @@
 	maxHoldAge     = time.Second
 )
 
-const expireInterval = 100 * time.Millisecond
-
 // held is a packet that waits for an answer about its flow.
 type held struct {
 	since  time.Time
@@ -89,38 +86,3 @@
 	defer h.mu.Unlock()
 	return h.total
 }
-
-// queueRelease asks for the packets of a flow to be decided again; when the
-// queue is full they wait until they expire.
-func (d *Daemon) queueRelease(key cornelbay.FlowKey) {
-	select {
-	case d.released <- key:
-	default:
-		d.metrics.droppedReports.WithLabelValues("release").Inc()
-	}
-}
-
-// release decides released packets again and drops those that waited too long.
-func (d *Daemon) release(ctx context.Context) {
-	w := newReleaser(d)
-	tick := time.NewTicker(expireInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-tick.C:
-			d.metrics.drops[cornelbay.Unanswered].Add(float64(d.holds.expire(now)))
-		case key := <-d.released:
-			w.again(time.Now(), d.holds.take(key))
-		}
-	}
-}
-
-func (w *worker) again(now time.Time, packets []held) {
-	w.begin()
-	for i := range packets {
-		w.decide(now, packets[i].since, &packets[i].packet)
-	}
-	w.end()
-}
--- /dev/null
+++ b/traffic/metrics.go
@@ -0,0 +1,46 @@
+package traffic
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/cornelbay/cornelbay"
+)
+
+const namespace = "cornelbay"
+
+// metrics are indexed by cornelbay.Action and cornelbay.DropReason.
+type metrics struct {
+	packets                     [cornelbay.Hold + 1]prometheus.Counter
+	drops                       [cornelbay.DropReasons]prometheus.Counter
+	sendErrors, droppedReleases prometheus.Counter
+}
+
+var actionNames = [...]string{
+	cornelbay.Drop: "drop", cornelbay.Forward: "forward", cornelbay.Relay: "relay", cornelbay.Hold: "hold",
+}
+
+// Register creates the forwarder's metrics and registers them; it is called
+// before Run.
+func (f *Forwarder) Register(r prometheus.Registerer) {
+	m := &f.metrics
+	packets := prometheus.NewCounterVec(opts("packets_total", "Packets by verdict."), []string{"verdict"})
+	for a := cornelbay.Forward; a <= cornelbay.Hold; a++ {
+		m.packets[a] = packets.WithLabelValues(actionNames[a])
+	}
+	drops := prometheus.NewCounterVec(opts("dropped_packets_total", "Packets dropped, by reason."), []string{"reason"})
+	for i := range m.drops {
+		m.drops[i] = drops.WithLabelValues(cornelbay.DropReason(i).String())
+	}
+	m.sendErrors = prometheus.NewCounter(opts("send_errors_total", "Packets that the socket refused to send."))
+	m.droppedReleases = prometheus.NewCounter(opts("dropped_releases_total", "Releases of held packets dropped because their queue was full."))
+	r.MustRegister(
+		packets, drops, m.sendErrors, m.droppedReleases,
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "held_packets", Help: "Packets held until a question about their flow is answered.",
+		}, func() float64 { return float64(f.holds.count()) }),
+	)
+}
+
+func opts(name, help string) prometheus.CounterOpts {
+	return prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}
+}
--- a/daemon/traffic.go
+++ b/traffic/worker.go
@@ -1,4 +1,4 @@
-package daemon
+package traffic
 
 import (
 	"errors"
@@ -11,7 +11,7 @@
 
 // worker decides and sends the packets of one socket; one goroutine uses it.
 type worker struct {
-	d   *Daemon
+	f   *Forwarder
 	r   *fabric.Reader
 	w   *fabric.Writer
 	dec fabric.Decoder
@@ -20,13 +20,13 @@
 	drops    [cornelbay.DropReasons]int
 }
 
-func newWorker(d *Daemon, c *net.UDPConn) *worker {
-	return &worker{d: d, r: fabric.NewReader(c), w: fabric.NewWriter(c)}
+func newWorker(f *Forwarder, c *net.UDPConn) *worker {
+	return &worker{f: f, r: fabric.NewReader(c), w: fabric.NewWriter(c)}
 }
 
 // newReleaser returns a worker that sends on the first socket and reads none.
-func newReleaser(d *Daemon) *worker {
-	return &worker{d: d, w: fabric.NewWriter(d.fabric[0])}
+func newReleaser(f *Forwarder) *worker {
+	return &worker{f: f, w: fabric.NewWriter(f.conns[0])}
 }
 
 // run forwards until the socket is closed.
@@ -37,7 +37,7 @@
 			return
 		}
 		if err != nil {
-			time.Sleep(readPause)
+			time.Sleep(ReadPause)
 			continue
 		}
 		w.batch(time.Now(), n)
@@ -64,14 +64,14 @@
 
 // begin takes the keys in force.
 func (w *worker) begin() {
-	keys := w.d.relayKeys.Load()
+	keys := w.f.keys.Load()
 	w.dec.Keys, w.w.Keys = keys, keys
 }
 
 // end sends what was decided and counts it.
 func (w *worker) end() {
 	w.w.Flush()
-	m := &w.d.metrics
+	m := &w.f.metrics
 	for a, n := range w.verdicts {
 		if n > 0 && cornelbay.Action(a) != cornelbay.Drop {
 			m.packets[a].Add(float64(n))
@@ -92,7 +92,7 @@
 
 // decide takes and carries out the verdict for pk, which came at since.
 func (w *worker) decide(now, since time.Time, pk *cornelbay.Packet) {
-	v := w.d.host.Plane.Decide(now, pk)
+	v := w.f.Plane.Decide(now, pk)
 	switch v.Action {
 	case cornelbay.Forward:
 		w.w.Forward(pk.Inner, v.Tunnel)
@@ -113,19 +113,31 @@
 }
 
 func (w *worker) relay(inner []byte, v cornelbay.Verdict) bool {
-	to, ok := w.d.view.Load().fabric[v.Host]
+	hosts := w.f.hosts.Load()
+	if hosts == nil {
+		return false
+	}
+	to, ok := (*hosts)[v.Host]
 	return ok && w.w.Relay(inner, v.Relay, to) == nil
 }
 
 func (w *worker) hold(since time.Time, pk *cornelbay.Packet) bool {
-	first, ok := w.d.holds.add(since, pk)
+	first, ok := w.f.holds.add(since, pk)
 	if !ok || !first {
 		return ok
 	}
-	key := pk.Key
-	if w.d.tryInput(func(now time.Time) []cornelbay.Effect { return w.d.host.Held(now, key) }) {
+	if w.f.OnHeld != nil && w.f.OnHeld(pk.Key) {
 		return true
 	}
-	w.d.holds.take(key)
+	w.f.holds.take(pk.Key)
 	return false
 }
+
+// again decides released packets in the order of their coming.
+func (w *worker) again(now time.Time, packets []held) {
+	w.begin()
+	for i := range packets {
+		w.decide(now, packets[i].since, &packets[i].packet)
+	}
+	w.end()
+}
