demo: name each broken flow and keep targets' faults apart

Purpose: a run that breaks a flow tells which, and a target's own answer that tells of a fault is neither a foreign answer nor a lost report.

--- a/demo/demo.go
+++ b/demo/demo.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -55,6 +56,7 @@
 	requests *requestLoad
 	began    time.Time
 	steps    steps
+	saying   sync.Mutex
 }
 
 // Run runs the deployment for about 20 seconds.
@@ -70,6 +72,7 @@
 	defer w.close()
 	r.world = w
 	r.flows = newFlowLoad(w, s.Seed)
+	r.flows.say = r.say
 	r.requests = newRequestLoad(w, s.Seed)
 	w.onPacket, w.onRequest = r.flows.arrived, r.requests.arrived
 	if err := r.script(ctx); err != nil {
@@ -78,7 +81,9 @@
 	return &Report{Deployment: s.Document.Deployment, Seed: s.Seed, Promises: r.promises()}, nil
 }
 
-// say shows a line of progress.
+// say shows a line of progress; many goroutines may use it.
 func (r *run) say(format string, args ...any) {
+	r.saying.Lock()
+	defer r.saying.Unlock()
 	_, _ = fmt.Fprintf(r.Progress, "%5.1f s  %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...)) // only shown
 }
--- a/demo/flows.go
+++ b/demo/flows.go
@@ -45,6 +45,8 @@
 type flowLoad struct {
 	world *world
 	rand  *rand.Rand
+	// say shows a line of progress.
+	say func(format string, args ...any)
 
 	mu      sync.Mutex
 	streams map[cornelbay.FlowKey]*stream
@@ -67,7 +69,7 @@
 
 func newFlowLoad(w *world, seed uint64) *flowLoad {
 	return &flowLoad{
-		world: w, rand: rand.New(rand.NewPCG(seed, 1)),
+		world: w, rand: rand.New(rand.NewPCG(seed, 1)), say: func(string, ...any) {},
 		streams: make(map[cornelbay.FlowKey]*stream), out: make(targetNames),
 		flowFigures: flowFigures{
 			lastPacket:  make(map[cornelbay.TargetName]time.Time),
@@ -141,17 +143,20 @@
 		panic(err) // the key is the load's own
 	}
 	if s.target != "" && now.Sub(s.heard) > stalledAfter {
-		l.breakFlow(s, &l.stalled)
+		l.breakFlow(s, &l.stalled, "arrived nowhere")
 	}
 	return inner
 }
 
 // breakFlow counts a flow once, unless its target's data centre is out.
-func (l *flowLoad) breakFlow(s *stream, n *int) {
-	if !s.broken && !l.out[s.target] {
-		s.broken = true
-		*n++
+func (l *flowLoad) breakFlow(s *stream, n *int, how string) {
+	if s.broken || l.out[s.target] {
+		return
 	}
+	s.broken = true
+	*n++
+	l.say("  flow %s of %s, %d packets, last heard %v ago, %s",
+		s.key.Source, s.target, s.sent, time.Since(s.heard).Round(time.Millisecond), how)
 }
 
 // arrived checks a packet that a target got.
@@ -169,7 +174,7 @@
 	if !ok {
 		return
 	}
-	s.heard = now
+	defer func() { s.heard = now }()
 	switch {
 	case s.target == "":
 		if pk.Flags&cornelbay.Opening != 0 {
@@ -179,7 +184,7 @@
 			l.lastOpening[p.Name] = now
 		}
 	case s.target != p.Name && pk.Flags&cornelbay.Opening == 0:
-		l.breakFlow(s, &l.moved)
+		l.breakFlow(s, &l.moved, "met "+string(p.Name))
 	}
 }
 
--- a/demo/requests.go
+++ b/demo/requests.go
@@ -35,6 +35,8 @@
 // requestFigures is what the load counts.
 type requestFigures struct {
 	answered, notRun, unknown, failed int
+	// faults counts targets' own answers that tell of a fault.
+	faults int
 	// foreign counts answers that were not whole or belong to another request.
 	foreign int
 	// cutByStop counts requests that a host in its planned stop left without an
@@ -175,9 +177,20 @@
 	if err == nil {
 		outcome = cornelbay.ParseOutcome(res.Header.Get(cornelbay.OutcomeHeader))
 	}
+	if outcome == cornelbay.Answered && res.StatusCode != http.StatusOK {
+		c.load.faulted()
+		return
+	}
 	c.load.ended(h, method, path, outcome, string(body), err)
 }
 
+// faulted notes that a target answered with a fault of its own.
+func (l *requestLoad) faulted() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults++
+}
+
 func (l *requestLoad) ended(h *host, method, path string, outcome cornelbay.Outcome, body string, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/demo/script.go
+++ b/demo/script.go
@@ -242,6 +242,6 @@
 func (r *run) progress() {
 	f, q := r.flows.figures(), r.requests.figures()
 	open, all := r.flows.open()
-	r.say("  flows %d of %d open, %d moved, %d stalled; packets %d sent, %d arrived; requests %d answered, %d not run, %d unknown, %d failed",
-		open, all, f.moved, f.stalled, f.sent, f.received, q.answered, q.notRun, q.unknown, q.failed)
+	r.say("  flows %d of %d open, %d moved, %d stalled; packets %d sent, %d arrived; requests %d answered, %d faults, %d not run, %d unknown, %d failed",
+		open, all, f.moved, f.stalled, f.sent, f.received, q.answered, q.faults, q.notRun, q.unknown, q.failed)
 }
