Take the loads of the demo into a package of their own

Purpose: demo had outgrown its size, and tests over processes can use the loads. No change of behaviour.

--- a/demo/config.go
+++ b/demo/config.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/daemon"
 )
 
@@ -104,6 +103,3 @@
 	}
 	return false
 }
-
-// targetNames is a set of targets.
-type targetNames map[cornelbay.TargetName]bool
--- /dev/null
+++ b/demo/config_test.go
@@ -0,0 +1,24 @@
+package demo
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestConfigWatchWaitsForEveryHost(t *testing.T) {
+	is := is.New(t)
+	var c configWatch
+	now := time.Now()
+	c.commit(1, now)
+	_, all := c.slowest()
+	is.True(!all) // not in force anywhere
+	c.inForce[1] = now.Add(300 * time.Millisecond)
+	took, all := c.slowest()
+	is.True(all)
+	is.Equal(took, 300*time.Millisecond)
+	c.commit(2, now)
+	_, all = c.slowest()
+	is.True(!all) // a later change is not in force
+}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -12,6 +12,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/cornelbay/cornelbay/config"
+	"github.com/cornelbay/cornelbay/load"
 )
 
 // Settings are what a run is started with.
@@ -52,8 +53,8 @@
 type run struct {
 	Settings
 	world    *world
-	flows    *flowLoad
-	requests *requestLoad
+	flows    *load.Flows
+	requests *load.Requests
 	began    time.Time
 	steps    steps
 	saying   sync.Mutex
@@ -71,10 +72,11 @@
 	}
 	defer w.close()
 	r.world = w
-	r.flows = newFlowLoad(w, s.Seed)
-	r.flows.say = r.say
-	r.requests = newRequestLoad(w, s.Seed)
-	w.onPacket, w.onRequest = r.flows.arrived, r.requests.arrived
+	r.flows = load.NewFlows(s.Seed, s.Document.Services)
+	r.flows.Say, r.flows.Send = r.say, w.fabric.Send
+	r.requests = load.NewRequests(s.Seed, s.Document.Services)
+	r.requests.Ready = w.readyAddresses
+	w.onPacket, w.onRequest = r.flows.Arrived, r.requests.Arrived
 	if err := r.script(ctx); err != nil {
 		return nil, merry.Prepend(err, "demo")
 	}
--- a/demo/script.go
+++ b/demo/script.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/config"
+	"github.com/cornelbay/cornelbay/load"
 	"github.com/cornelbay/cornelbay/operator"
 	"github.com/cornelbay/cornelbay/platform"
 	"github.com/cornelbay/cornelbay/standin"
@@ -44,9 +46,9 @@
 	}
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	defer stopLoad()
-	var load sync.WaitGroup
-	load.Go(func() { r.flows.run(loadCtx) })
-	load.Go(func() { r.requests.run(loadCtx) })
+	var wg sync.WaitGroup
+	wg.Go(func() { r.flows.Run(loadCtx) })
+	wg.Go(func() { r.requests.Run(loadCtx) })
 	for _, s := range r.plan() {
 		r.say("%s", s.what)
 		began := time.Now()
@@ -59,7 +61,7 @@
 		r.progress()
 	}
 	stopLoad()
-	load.Wait()
+	wg.Wait()
 	return nil
 }
 
@@ -167,7 +169,7 @@
 	r.steps.cold.standin.TurnCold(time.Now(), coldness)
 	return r.edit(ctx, "new target", func(doc *config.Document) error {
 		for i := range doc.Services {
-			if s := &doc.Services[i]; s.Name == r.steps.cold.service.Name {
+			if s := &doc.Services[i]; s.Name == r.steps.cold.Service.Name {
 				s.Targets = append(s.Targets, r.steps.cold.Target)
 			}
 		}
@@ -188,8 +190,8 @@
 }
 
 func (r *run) stopHost(ctx context.Context, h *host) error {
-	r.requests.stop(h)
-	defer r.requests.stop(nil)
+	r.requests.Stop(h.daemon.Load().Self().HTTP)
+	defer r.requests.Stop(netip.AddrPort{})
 	return h.daemon.Load().Stop(ctx)
 }
 
@@ -205,27 +207,27 @@
 }
 
 func (r *run) takeOut(ctx context.Context) error {
-	names := make(targetNames)
+	names := make(load.TargetNames)
 	for _, p := range r.world.places {
 		if p.DataCentre == r.steps.outName {
 			names[p.Name] = true
 		}
 	}
 	r.steps.outAt = time.Now()
-	r.flows.giveUp(r.steps.outAt, names)
+	r.flows.GiveUp(r.steps.outAt, names)
 	return r.setOut(ctx, true)
 }
 
 // bringIn notes first what has arrived while the data centre was out.
 func (r *run) bringIn(ctx context.Context) error {
-	f, q := r.flows.figures(), r.requests.figures()
+	f, q := r.flows.Figures(), r.requests.Figures()
 	for _, p := range r.world.places {
 		if p.DataCentre == r.steps.outName {
-			r.steps.openingsAtOut += f.openings[p.Name]
-			r.steps.lastPacketAtOut = latest(r.steps.lastPacketAtOut, f.lastPacket[p.Name], q.lastRequest[p.Name])
+			r.steps.openingsAtOut += f.Openings[p.Name]
+			r.steps.lastPacketAtOut = latest(r.steps.lastPacketAtOut, f.LastPacket[p.Name], q.LastRequest[p.Name])
 		}
 	}
-	r.flows.giveUp(time.Now(), nil)
+	r.flows.GiveUp(time.Now(), nil)
 	return r.setOut(ctx, false)
 }
 
@@ -240,8 +242,8 @@
 }
 
 func (r *run) progress() {
-	f, q := r.flows.figures(), r.requests.figures()
-	open, all := r.flows.open()
+	f, q := r.flows.Figures(), r.requests.Figures()
+	open, all := r.flows.Open()
 	r.say("  flows %d of %d open, %d moved, %d stalled; packets %d sent, %d arrived; requests %d answered, %d faults, %d not run, %d unknown, %d failed",
-		open, all, f.moved, f.stalled, f.sent, f.received, q.answered, q.faults, q.notRun, q.unknown, q.failed)
+		open, all, f.Moved, f.Stalled, f.Sent, f.Received, q.Answered, q.Faults, q.NotRun, q.Unknown, q.Failed)
 }
--- a/demo/world.go
+++ b/demo/world.go
@@ -16,6 +16,7 @@
 	"github.com/cornelbay/cornelbay/config"
 	"github.com/cornelbay/cornelbay/daemon"
 	"github.com/cornelbay/cornelbay/entry"
+	"github.com/cornelbay/cornelbay/load"
 	"github.com/cornelbay/cornelbay/operator"
 	"github.com/cornelbay/cornelbay/platform"
 	"github.com/cornelbay/cornelbay/standin"
@@ -27,14 +28,15 @@
 	stopNotice   = 500 * time.Millisecond
 	readyPoll    = 100 * time.Millisecond
 	startTimeout = 15 * time.Second
+	// cutEvery is how many answers of a target are whole for one that is cut.
+	cutEvery = 97
 )
 
 var anyPort = netip.MustParseAddrPort("127.0.0.1:0")
 
 // place is a target stand-in with what the document says of it.
 type place struct {
-	cornelbay.Target
-	service cornelbay.Service
+	load.Place
 	standin *standin.Target
 }
 
@@ -61,8 +63,8 @@
 	hosts    []*host
 	places   map[cornelbay.TargetName]*place
 
-	onPacket  func(p *place, pk *cornelbay.Packet)
-	onRequest func(p *place, r *http.Request)
+	onPacket  func(p load.Place, pk *cornelbay.Packet)
+	onRequest func(p load.Place, r *http.Request)
 
 	config   configWatch
 	stops    []func()
@@ -117,15 +119,15 @@
 		s := &w.doc.Services[i]
 		for j := range s.Targets {
 			t := &s.Targets[j]
-			p := &place{service: *s, standin: &standin.Target{Name: t.Name, Slots: t.SlotCount(), CutEvery: cutEvery}}
-			p.standin.OnPacket = func(pk *cornelbay.Packet) { w.onPacket(p, pk) }
-			p.standin.OnRequest = func(r *http.Request) { w.onRequest(p, r) }
+			p := &place{standin: &standin.Target{Name: t.Name, Slots: t.SlotCount(), CutEvery: cutEvery}}
+			p.standin.OnPacket = func(pk *cornelbay.Packet) { w.onPacket(p.Place, pk) }
+			p.standin.OnRequest = func(r *http.Request) { w.onRequest(p.Place, r) }
 			if err := p.standin.Start(anyPort, anyPort); err != nil {
 				return err
 			}
 			w.stops = append(w.stops, p.standin.Close)
 			t.Tunnel, t.HTTP = p.standin.Tunnel(), p.standin.HTTP()
-			p.Target = *t
+			p.Place = load.Place{Target: *t, Service: *s}
 			w.places[t.Name] = p
 		}
 	}
@@ -197,6 +199,15 @@
 	return out
 }
 
+// readyAddresses returns the HTTP addresses of those hosts.
+func (w *world) readyAddresses() []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, h := range w.readyHosts() {
+		out = append(out, h.daemon.Load().Self().HTTP)
+	}
+	return out
+}
+
 func (w *world) close() {
 	w.cancel()
 	w.watchers.Wait()
--- a/demo/flows.go
+++ b/load/flows.go
@@ -1,4 +1,6 @@
-package demo
+// Package load plays callers towards hosts: it opens flows and sends requests, and
+// checks what becomes of them.
+package load
 
 import (
 	"context"
@@ -41,54 +43,68 @@
 	broken     bool
 }
 
-// flowLoad opens flows, sends their packets and checks where they arrive.
-type flowLoad struct {
-	world *world
-	rand  *rand.Rand
-	// say shows a line of progress.
-	say func(format string, args ...any)
+// TargetNames is a set of targets.
+type TargetNames map[cornelbay.TargetName]bool
 
+// Place is a target with the service that it belongs to.
+type Place struct {
+	cornelbay.Target
+	Service cornelbay.Service
+}
+
+// Flows opens flows, sends their packets and checks where they arrive.
+type Flows struct {
+	// Services are what flows are opened to.
+	Services []cornelbay.Service
+	// Send hands a packet to any host.
+	Send func(inner []byte) error
+	// Say shows a line about a broken flow.
+	Say func(format string, args ...any)
+
+	rand    *rand.Rand
 	mu      sync.Mutex
 	streams map[cornelbay.FlowKey]*stream
 	port    uint16
 	// out names the targets whose flows are given up.
-	out   targetNames
+	out   TargetNames
 	outAt time.Time
-	flowFigures
+	FlowFigures
 }
 
-// flowFigures is what the load counts.
-type flowFigures struct {
-	opened, sent, received, misplaced int
-	// moved flows met a second target, stalled ones none any more.
-	moved, stalled int
-	// lastPacket and lastOpening are the times of arrivals at each target.
-	lastPacket, lastOpening map[cornelbay.TargetName]time.Time
-	openings                map[cornelbay.TargetName]int
+// FlowFigures is what the load counts.
+type FlowFigures struct {
+	Opened, Sent, Received, Misplaced int
+	// Moved flows met a second target, Stalled ones none any more.
+	Moved, Stalled int
+	// LastPacket and LastOpening are the times of arrivals at each target.
+	LastPacket, LastOpening map[cornelbay.TargetName]time.Time
+	Openings                map[cornelbay.TargetName]int
 }
 
-func newFlowLoad(w *world, seed uint64) *flowLoad {
-	return &flowLoad{
-		world: w, rand: rand.New(rand.NewPCG(seed, 1)), say: func(string, ...any) {},
-		streams: make(map[cornelbay.FlowKey]*stream), out: make(targetNames),
-		flowFigures: flowFigures{
-			lastPacket:  make(map[cornelbay.TargetName]time.Time),
-			lastOpening: make(map[cornelbay.TargetName]time.Time),
-			openings:    make(map[cornelbay.TargetName]int),
+// NewFlows returns a load whose flows follow from the seed.
+func NewFlows(seed uint64, services []cornelbay.Service) *Flows {
+	return &Flows{
+		Services: services, Send: func([]byte) error { return nil }, Say: func(string, ...any) {},
+		rand: rand.New(rand.NewPCG(seed, 1)), streams: make(map[cornelbay.FlowKey]*stream),
+		FlowFigures: FlowFigures{
+			LastPacket:  make(map[cornelbay.TargetName]time.Time),
+			LastOpening: make(map[cornelbay.TargetName]time.Time),
+			Openings:    make(map[cornelbay.TargetName]int),
 		},
 	}
 }
 
-func (l *flowLoad) run(ctx context.Context) {
+// Run sends until ctx ends.
+func (l *Flows) Run(ctx context.Context) {
 	for wait(ctx, sendInterval) {
 		for _, inner := range l.due(time.Now()) {
-			_ = l.world.fabric.Send(inner) // a lost packet is sent again
+			_ = l.Send(inner) // a lost packet is sent again
 		}
 	}
 }
 
 // due renews the flows that ended and returns the packets to send now.
-func (l *flowLoad) due(now time.Time) [][]byte {
+func (l *Flows) due(now time.Time) [][]byte {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for len(l.streams) < flowCount {
@@ -108,8 +124,8 @@
 	return out
 }
 
-func (l *flowLoad) add(now time.Time) {
-	services := l.world.doc.Services
+func (l *Flows) add(now time.Time) {
+	services := l.Services
 	svc := services[l.rand.IntN(len(services))]
 	l.port++
 	s := &stream{
@@ -128,7 +144,7 @@
 }
 
 // packet returns the next packet of a flow: the opening one until it arrived.
-func (l *flowLoad) packet(now time.Time, s *stream) []byte {
+func (l *Flows) packet(now time.Time, s *stream) []byte {
 	var fl cornelbay.PacketFlags
 	s.next = now.Add(packetPause/2 + time.Duration(l.rand.Int64N(int64(packetPause))))
 	if s.target == "" {
@@ -136,38 +152,38 @@
 		s.next = now.Add(openingPause)
 	}
 	s.sent++
-	l.sent++
+	l.Sent++
 	payload := binary.BigEndian.AppendUint64(make([]byte, 0, payloadBytes), s.sent)
 	inner, err := standin.Segment(s.key, fl, payload)
 	if err != nil {
 		panic(err) // the key is the load's own
 	}
 	if s.target != "" && now.Sub(s.heard) > stalledAfter {
-		l.breakFlow(s, &l.stalled, "arrived nowhere")
+		l.breakFlow(s, &l.Stalled, "arrived nowhere")
 	}
 	return inner
 }
 
 // breakFlow counts a flow once, unless its target's data centre is out.
-func (l *flowLoad) breakFlow(s *stream, n *int, how string) {
+func (l *Flows) breakFlow(s *stream, n *int, how string) {
 	if s.broken || l.out[s.target] {
 		return
 	}
 	s.broken = true
 	*n++
-	l.say("  flow %s of %s, %d packets, last heard %v ago, %s",
+	l.Say("  flow %s of %s, %d packets, last heard %v ago, %s",
 		s.key.Source, s.target, s.sent, time.Since(s.heard).Round(time.Millisecond), how)
 }
 
-// arrived checks a packet that a target got.
-func (l *flowLoad) arrived(p *place, pk *cornelbay.Packet) {
+// Arrived checks a packet that a target got.
+func (l *Flows) Arrived(p Place, pk *cornelbay.Packet) {
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.received++
-	l.lastPacket[p.Name] = now
-	if pk.Key.Destination != netip.AddrPortFrom(p.service.Address, p.service.Port) || pk.Key.Protocol != p.service.Protocol.Number() {
-		l.misplaced++
+	l.Received++
+	l.LastPacket[p.Name] = now
+	if pk.Key.Destination != netip.AddrPortFrom(p.Service.Address, p.Service.Port) || pk.Key.Protocol != p.Service.Protocol.Number() {
+		l.Misplaced++
 		return
 	}
 	s, ok := l.streams[pk.Key]
@@ -179,18 +195,18 @@
 	case s.target == "":
 		if pk.Flags&cornelbay.Opening != 0 {
 			s.target = p.Name
-			l.opened++
-			l.openings[p.Name]++
-			l.lastOpening[p.Name] = now
+			l.Opened++
+			l.Openings[p.Name]++
+			l.LastOpening[p.Name] = now
 		}
 	case s.target != p.Name && pk.Flags&cornelbay.Opening == 0:
-		l.breakFlow(s, &l.moved, "met "+string(p.Name))
+		l.breakFlow(s, &l.Moved, "met "+string(p.Name))
 	}
 }
 
-// giveUp gives up the flows of targets whose data centre is taken out; without
+// GiveUp gives up the flows of targets whose data centre is taken out; without
 // names the data centre comes back.
-func (l *flowLoad) giveUp(now time.Time, names targetNames) {
+func (l *Flows) GiveUp(now time.Time, names TargetNames) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for key, s := range l.streams {
@@ -201,17 +217,17 @@
 	l.out, l.outAt = names, now
 }
 
-// figures returns a copy of what was counted.
-func (l *flowLoad) figures() flowFigures {
+// Figures returns a copy of what was counted.
+func (l *Flows) Figures() FlowFigures {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	f := l.flowFigures
-	f.lastPacket, f.lastOpening, f.openings = maps.Clone(f.lastPacket), maps.Clone(f.lastOpening), maps.Clone(f.openings)
+	f := l.FlowFigures
+	f.LastPacket, f.LastOpening, f.Openings = maps.Clone(f.LastPacket), maps.Clone(f.LastOpening), maps.Clone(f.Openings)
 	return f
 }
 
-// open returns the number of flows that a target has taken on, and of all.
-func (l *flowLoad) open() (established, all int) {
+// Open returns the number of flows that a target has taken on, and of all.
+func (l *Flows) Open() (established, all int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, s := range l.streams {
@@ -221,3 +237,13 @@
 	}
 	return established, len(l.streams)
 }
+
+// wait waits for d or the end of ctx and reports whether ctx goes on.
+func wait(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- /dev/null
+++ b/load/load_test.go
@@ -0,0 +1,106 @@
+package load
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/config"
+	"github.com/cornelbay/cornelbay/examples"
+	"github.com/cornelbay/cornelbay/standin"
+)
+
+func places(t *testing.T) (services []cornelbay.Service, first, second Place) {
+	t.Helper()
+	doc, err := config.Parse(examples.Agence)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := doc.Services[0]
+	return []cornelbay.Service{s}, Place{s.Targets[0], s}, Place{s.Targets[1], s}
+}
+
+// open opens the only flow of a load at a target.
+func open(l *Flows, p Place) *stream {
+	l.add(time.Now())
+	for key, s := range l.streams {
+		l.Arrived(p, &cornelbay.Packet{Key: key, Flags: cornelbay.Opening})
+		return s
+	}
+	return nil
+}
+
+func TestFlowLoadSeesWhatBreaks(t *testing.T) {
+	for _, c := range []struct {
+		name                      string
+		do                        func(l *Flows, s *stream, first, second Place)
+		moved, stalled, misplaced int
+	}{
+		{"same target", func(l *Flows, s *stream, first, _ Place) {
+			l.Arrived(first, &cornelbay.Packet{Key: s.key})
+		}, 0, 0, 0},
+		{"second target, twice", func(l *Flows, s *stream, _, second Place) {
+			l.Arrived(second, &cornelbay.Packet{Key: s.key})
+			l.Arrived(second, &cornelbay.Packet{Key: s.key})
+		}, 1, 0, 0},
+		{"repeated opening at a second target", func(l *Flows, s *stream, _, second Place) {
+			l.Arrived(second, &cornelbay.Packet{Key: s.key, Flags: cornelbay.Opening})
+		}, 0, 0, 0},
+		{"second target while the first is out", func(l *Flows, s *stream, first, second Place) {
+			l.GiveUp(time.Now(), TargetNames{first.Name: true})
+			l.Arrived(second, &cornelbay.Packet{Key: s.key})
+		}, 0, 0, 0},
+		{"nothing arrives any more", func(l *Flows, s *stream, _, _ Place) {
+			l.packet(s.heard.Add(stalledAfter+time.Millisecond), s)
+		}, 0, 1, 0},
+		{"target of another service", func(l *Flows, s *stream, first, _ Place) {
+			other := first
+			other.Service.Port++
+			l.Arrived(other, &cornelbay.Packet{Key: s.key})
+		}, 0, 0, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			services, first, second := places(t)
+			l := NewFlows(1, services)
+			c.do(l, open(l, first), first, second)
+			f := l.Figures()
+			is.Equal(f.Moved, c.moved)
+			is.Equal(f.Stalled, c.stalled)
+			is.Equal(f.Misplaced, c.misplaced)
+		})
+	}
+}
+
+func TestRequestLoadSeesWhatBreaks(t *testing.T) {
+	is := is.New(t)
+	services, p, _ := places(t)
+	l := NewRequests(1, services)
+	run := func(path string) { l.Arrived(p, httptest.NewRequest(http.MethodPost, path, nil)) }
+	at := netip.MustParseAddrPort("127.0.0.1:80")
+	end := func(path string, o cornelbay.Outcome, body string) {
+		l.ended(at, http.MethodPost, path, o, body, nil)
+	}
+	run("/once")
+	end("/once", cornelbay.Answered, standin.AnswerTo(p.Name, "/once"))
+	doubled, falselyRefused, lost := l.Reports()
+	is.Equal([]int{doubled, falselyRefused, lost, l.Figures().Foreign}, []int{0, 0, 0, 0})
+
+	run("/twice")
+	run("/twice")
+	end("/twice", cornelbay.Unknown, "")
+	run("/refused")
+	end("/refused", cornelbay.NotRun, "")
+	end("/lost", cornelbay.Answered, standin.AnswerTo(p.Name, "/other"))
+	l.Stop(at)
+	l.ended(at, http.MethodGet, "/cut", cornelbay.Unknown, "", http.ErrServerClosed)
+	doubled, falselyRefused, lost = l.Reports()
+	is.Equal([]int{doubled, falselyRefused, lost}, []int{1, 1, 1})
+	is.Equal(l.Figures().Foreign, 1)
+	is.Equal(l.Figures().CutByStop, 1)
+}
--- a/demo/requests.go
+++ b/load/requests.go
@@ -1,4 +1,4 @@
-package demo
+package load
 
 import (
 	"context"
@@ -8,6 +8,7 @@
 	"maps"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"sync"
@@ -27,52 +28,55 @@
 	serviceTime   = 4 * time.Millisecond
 	lateShare     = 0.02 // of requests that a target answers late
 	lateTime      = 150 * time.Millisecond
-	cutEvery      = 97
 	ticketBatch   = 8
 	clientTimeout = 3 * time.Second
 )
 
-// requestFigures is what the load counts.
-type requestFigures struct {
-	answered, notRun, unknown, failed int
-	// faults counts targets' own answers that tell of a fault.
-	faults int
-	// foreign counts answers that were not whole or belong to another request.
-	foreign int
-	// cutByStop counts requests that a host in its planned stop left without an
+// RequestFigures is what the load counts.
+type RequestFigures struct {
+	Answered, NotRun, Unknown, Failed int
+	// Faults counts targets' own answers that tell of a fault.
+	Faults int
+	// Foreign counts answers that were not whole or belong to another request.
+	Foreign int
+	// CutByStop counts requests that a host in its planned stop left without an
 	// answer.
-	cutByStop int
-	// lastRequest is the time of the last request at each target.
-	lastRequest map[cornelbay.TargetName]time.Time
+	CutByStop int
+	// LastRequest is the time of the last request at each target.
+	LastRequest map[cornelbay.TargetName]time.Time
 }
 
-// requestLoad asks lookups and files reports, and checks what became of them.
-type requestLoad struct {
-	world *world
-	seed  uint64
-	http  http.Client
+// Requests asks lookups and files reports, and checks what became of them.
+type Requests struct {
+	Services []cornelbay.Service
+	// Ready returns the HTTP addresses of the hosts to use now.
+	Ready func() []netip.AddrPort
+
+	seed uint64
+	http http.Client
 
 	mu sync.Mutex
 	// runs counts how often targets ran each report.
 	runs map[string]int
 	// outcomes holds what the callers were told of each report.
 	outcomes map[string]cornelbay.Outcome
-	stopping *host
-	requestFigures
+	stopping netip.AddrPort
+	RequestFigures
 }
 
-func newRequestLoad(w *world, seed uint64) *requestLoad {
-	l := &requestLoad{
-		world: w, seed: seed, runs: make(map[string]int), outcomes: make(map[string]cornelbay.Outcome),
-		requestFigures: requestFigures{lastRequest: make(map[cornelbay.TargetName]time.Time)},
+// NewRequests returns a load whose requests follow from the seed.
+func NewRequests(seed uint64, services []cornelbay.Service) *Requests {
+	l := &Requests{
+		Services: services, seed: seed, runs: make(map[string]int), outcomes: make(map[string]cornelbay.Outcome),
+		RequestFigures: RequestFigures{LastRequest: make(map[cornelbay.TargetName]time.Time)},
 	}
 	l.http.Transport = &http.Transport{MaxIdleConnsPerHost: callerCount}
 	l.http.Timeout = clientTimeout
 	return l
 }
 
-// run asks until ctx ends; requests that run then are finished.
-func (l *requestLoad) run(ctx context.Context) {
+// Run asks until ctx ends; requests that run then are finished.
+func (l *Requests) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	for i := range callerCount {
 		c := &client{load: l, number: i, rand: rand.New(rand.NewPCG(l.seed, uint64(i)+2))}
@@ -82,10 +86,10 @@
 	l.http.CloseIdleConnections()
 }
 
-// arrived notes a request that a target starts to run, and takes its time.
-func (l *requestLoad) arrived(p *place, r *http.Request) {
+// Arrived notes a request that a target starts to run, and takes its time.
+func (l *Requests) Arrived(p Place, r *http.Request) {
 	l.mu.Lock()
-	l.lastRequest[p.Name] = time.Now()
+	l.LastRequest[p.Name] = time.Now()
 	if r.Method == http.MethodPost {
 		l.runs[r.URL.Path]++
 	}
@@ -98,7 +102,7 @@
 
 // client is one caller.
 type client struct {
-	load    *requestLoad
+	load    *Requests
 	number  int
 	count   int
 	rand    *rand.Rand
@@ -108,7 +112,7 @@
 func (c *client) run(ctx context.Context) {
 	c.tickets = make(map[cornelbay.ServiceName][]string)
 	for wait(ctx, time.Duration(c.rand.Int64N(int64(2*thinkTime)))) {
-		hosts := c.load.world.readyHosts()
+		hosts := c.load.Ready()
 		if len(hosts) == 0 {
 			continue
 		}
@@ -117,19 +121,19 @@
 }
 
 // one asks or files one thing at a host.
-func (c *client) one(h *host) {
-	services := c.load.world.doc.Services
+func (c *client) one(at netip.AddrPort) {
+	services := c.load.Services
 	svc := services[c.rand.IntN(len(services))].Name
-	base := "http://" + h.daemon.Load().Self().HTTP.String()
+	base := "http://" + at.String()
 	c.count++
 	path := fmt.Sprintf("/lookups/%d-%d", c.number, c.count)
 	if c.rand.Float64() >= reportShare {
-		c.send(h, base, svc, http.MethodGet, path, "")
+		c.send(at, base, svc, http.MethodGet, path, "")
 		return
 	}
 	if ticket, ok := c.ticket(base, svc); ok {
 		path = fmt.Sprintf("/reports/%d-%d", c.number, c.count)
-		c.send(h, base, svc, http.MethodPost, path, ticket)
+		c.send(at, base, svc, http.MethodPost, path, ticket)
 	}
 }
 
@@ -160,7 +164,7 @@
 }
 
 // send sends one request and counts what became of it.
-func (c *client) send(h *host, base string, svc cornelbay.ServiceName, method, path, ticket string) {
+func (c *client) send(at netip.AddrPort, base string, svc cornelbay.ServiceName, method, path, ticket string) {
 	r, err := http.NewRequest(method, base+"/services/"+string(svc)+path, nil)
 	if err != nil {
 		panic(err) // the URL is the load's own
@@ -181,66 +185,67 @@
 		c.load.faulted()
 		return
 	}
-	c.load.ended(h, method, path, outcome, string(body), err)
+	c.load.ended(at, method, path, outcome, string(body), err)
 }
 
 // faulted notes that a target answered with a fault of its own.
-func (l *requestLoad) faulted() {
+func (l *Requests) faulted() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.faults++
+	l.Faults++
 }
 
-func (l *requestLoad) ended(h *host, method, path string, outcome cornelbay.Outcome, body string, err error) {
+func (l *Requests) ended(at netip.AddrPort, method, path string, outcome cornelbay.Outcome, body string, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
 	case err != nil:
-		l.failed++
+		l.Failed++
 	case outcome == cornelbay.Answered:
-		l.answered++
+		l.Answered++
 		if !l.wholeAnswer(path, body) {
-			l.foreign++
+			l.Foreign++
 		}
 	case outcome == cornelbay.NotRun:
-		l.notRun++
+		l.NotRun++
 	default:
-		l.unknown++
+		l.Unknown++
 	}
 	if method == http.MethodPost {
 		l.outcomes[path] = outcome
 	}
 	// A lookup may be cut by its target; a report that ran into a cut answer is
 	// unknown whatever the host does.
-	if h == l.stopping && err != nil {
-		l.cutByStop++
+	if at == l.stopping && err != nil {
+		l.CutByStop++
 	}
 }
 
 // wholeAnswer checks that the body is that of a target's answer to path.
-func (l *requestLoad) wholeAnswer(path, body string) bool {
+func (l *Requests) wholeAnswer(path, body string) bool {
 	name, _, ok := strings.Cut(strings.TrimPrefix(body, "answer of "), " to ")
 	return ok && body == standin.AnswerTo(cornelbay.TargetName(name), path)
 }
 
-// stop tells which host is in its planned stop; nil is none.
-func (l *requestLoad) stop(h *host) {
+// Stop tells at which address a host is in its planned stop; the zero value is none.
+func (l *Requests) Stop(at netip.AddrPort) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.stopping = h
+	l.stopping = at
 }
 
-func (l *requestLoad) figures() requestFigures {
+// Figures returns a copy of what was counted.
+func (l *Requests) Figures() RequestFigures {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	f := l.requestFigures
-	f.lastRequest = maps.Clone(f.lastRequest)
+	f := l.RequestFigures
+	f.LastRequest = maps.Clone(f.LastRequest)
 	return f
 }
 
-// reports returns how many reports ran twice, ran in spite of the word that
+// Reports returns how many reports ran twice, ran in spite of the word that
 // they did not, and did not run in spite of an answer.
-func (l *requestLoad) reports() (doubled, falselyRefused, lost int) {
+func (l *Requests) Reports() (doubled, falselyRefused, lost int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for path, n := range l.runs {
@@ -259,8 +264,8 @@
 	return doubled, falselyRefused, lost
 }
 
-// filed returns the number of reports that callers sent.
-func (l *requestLoad) filed() int {
+// Filed returns the number of reports that callers sent.
+func (l *Requests) Filed() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return len(l.outcomes)
