--- a/demo/demo.go
+++ b/demo/demo.go
@@ -6,11 +6,13 @@
 	"context"
 	"fmt"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 
 	"github.com/cornelbay/cornelbay/config"
+	"github.com/cornelbay/cornelbay/load"
 )
 
 // Settings are what a run is started with.
@@ -51,10 +53,11 @@
 type run struct {
 	Settings
 	world    *world
-	flows    *flowLoad
-	requests *requestLoad
+	flows    *load.Flows
+	requests *load.Requests
 	began    time.Time
 	steps    steps
+	saying   sync.Mutex
 }
 
 // Run runs the deployment for about 20 seconds.
@@ -69,16 +72,20 @@
 	}
 	defer w.close()
 	r.world = w
-	r.flows = newFlowLoad(w, s.Seed)
-	r.requests = newRequestLoad(w, s.Seed)
-	w.onPacket, w.onRequest = r.flows.arrived, r.requests.arrived
+	r.flows = load.NewFlows(s.Seed, s.Document.Services)
+	r.flows.Say, r.flows.Send = r.say, w.fabric.Send
+	r.requests = load.NewRequests(s.Seed, s.Document.Services)
+	r.requests.Ready = w.readyAddresses
+	w.onPacket, w.onRequest = r.flows.Arrived, r.requests.Arrived
 	if err := r.script(ctx); err != nil {
 		return nil, merry.Prepend(err, "demo")
 	}
 	return &Report{Deployment: s.Document.Deployment, Seed: s.Seed, Promises: r.promises()}, nil
 }
 
-// say shows a line of progress.
+// say shows a line of progress; many goroutines may use it.
 func (r *run) say(format string, args ...any) {
+	r.saying.Lock()
+	defer r.saying.Unlock()
 	_, _ = fmt.Fprintf(r.Progress, "%5.1f s  %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...)) // only shown
 }
