--- a/cmd/cornelbay/main.go
+++ b/cmd/cornelbay/main.go
@@ -18,6 +18,9 @@
 	Validate validateCmd `cmd:"" help:"Check a document."`
 	Apply    applyCmd    `cmd:"" help:"Commit a document as the next generation."`
 	Keys     keysCmd     `cmd:"" help:"Write certificates and a datagram key for a trial."`
+	Measure  measureCmd  `cmd:"" help:"Run an experiment."`
+	Burn     burnCmd     `cmd:"" help:"Report how requests meet their service levels."`
+	Demo     demoCmd     `cmd:"" help:"Run a deployment with stand-ins under load and faults."`
 	Standin  standinCmd  `cmd:"" help:"Run stand-ins for the platform and the targets of a document."`
 }
 
@@ -49,6 +52,7 @@
 	Platform string `help:"URL of the platform's service." required:"" env:"CORNELBAY_PLATFORM"`
 	Author   string `help:"Who makes the change." required:"" env:"CORNELBAY_AUTHOR"`
 	Reason   string `help:"Why the change is made." required:""`
+	Force    bool   `help:"Allow the removal of targets that still take new work."`
 }
 
 func (c *applyCmd) Run() error {
@@ -57,7 +61,7 @@
 		return err
 	}
 	s := &platform.Client{Base: c.Platform}
-	h, err := operator.Apply(context.Background(), s, doc, operator.Change{Author: c.Author, Reason: c.Reason})
+	h, err := operator.Apply(context.Background(), s, doc, operator.Change{Author: c.Author, Reason: c.Reason, Force: c.Force})
 	if err != nil {
 		return err
 	}
--- a/entry/members.go
+++ b/entry/members.go
@@ -16,7 +16,11 @@
 }
 
 // Members returns what is known of the group at now.
-func (h *Host) Members(now time.Time) cornelbay.Members { return h.members.Members(now) }
+func (h *Host) Members(now time.Time) cornelbay.Members {
+	m := h.members.Members(now)
+	m.ConfirmedAt = h.keeper.ConfirmedAt()
+	return m
+}
 
 // Lookup returns what is known of the named host.
 func (h *Host) Lookup(name cornelbay.HostName) (cornelbay.Host, bool) {
@@ -27,6 +31,8 @@
 func (h *Host) Introduce(hosts ...cornelbay.Host) { h.members.Introduce(hosts...) }
 
 func (h *Host) tickMembers(now time.Time) []cornelbay.Effect {
+	h.members.Generation = h.keeper.Generation()
+	h.members.Confirm(h.keeper.ConfirmedAt())
 	out := h.members.Tick(now)
 	if h.members.Leaving && h.Requests.Idle() {
 		out = append(out, h.members.Leave(now)...)
@@ -54,16 +60,20 @@
 }
 
 func (h *Host) heartbeat(now time.Time, b member.Heartbeat) []cornelbay.Effect {
-	h.members.Receive(now, b)
-	return nil
+	if !h.members.Receive(now, b) {
+		return nil
+	}
+	out := h.membersChanged(now)
+	return append(out, h.heardConfig(now, b)...)
 }
 
 // membersChanged hands on what is known of the group when it has changed.
 func (h *Host) membersChanged(now time.Time) []cornelbay.Effect {
-	m := h.members.Members(now)
-	if m.ConfirmedAt.Sub(h.known.ConfirmedAt) < confirmedStep && h.version == h.members.Version() {
+	m := h.Members(now)
+	if confirmed := m.ConfirmedAt; !confirmed.Before(h.known.ConfirmedAt) && confirmed.Sub(h.known.ConfirmedAt) < confirmedStep && h.version == h.members.Version() {
 		return nil
 	}
 	h.known, h.version = m, h.members.Version()
+	h.keeper.SetMembers(m.Live)
 	return append(h.flows.SetMembers(now, m), h.Requests.SetMembers(now, m)...)
 }
--- a/member/protocol.go
+++ b/member/protocol.go
@@ -24,7 +24,9 @@
 	if !v.heard(now, Item{b.Name, b.Incarnation, b.Counter, Alive, b.Record}) {
 		return false
 	}
-	v.Confirm(confirmedAt(now, b.ConfirmedAgeMs))
+	if b.Generation <= v.Generation {
+		v.Confirm(confirmedAt(now, b.ConfirmedAgeMs))
+	}
 	for _, i := range b.Items {
 		v.learn(now, i, true)
 	}
--- a/member/view.go
+++ b/member/view.go
@@ -40,6 +40,9 @@
 	Seed uint64
 	// Fill adds what other concerns piggyback on a heartbeat; nil adds nothing.
 	Fill func(*Heartbeat)
+	// Generation is that of the configuration in force; the confirmation of a
+	// higher one says nothing of it.
+	Generation uint64
 	// Leaving marks the own heartbeats during a planned stop.
 	Leaving bool
 
