warmth: judge targets from several weak signals

Purpose: a target gets no more than it can bear, though probes lag or lie, and no signal alone can empty a service.

A target has one of four steps (100, 250, 500, 1000 thousandths). It falls to the first after two bad windows of its own traffic, or one that another host confirms: sheds, failures, openings sent again, or answers 3.5 times slower than usual. It rises a step on good traffic after 4 s or on healthy probes after 8 s, as far as the probes' latency beside the service's median allows. It is gone only when probes fail, no traffic succeeds, and traffic or another host agrees. When more than half of a service looks bad or dead at once, all stay as they are. Two hosts probe each target, by rendezvous; opinions go out when they change and while a target is not warm, so that steady state sends none.

Targets of the first configuration that a host takes count as warm: all cold together would share evenly as well, and a host that joins late learns from the others' reports. Later ones and those of a data centre that returns are cold.

Ruled out: a first step of 125 thousandths, since the target that the users describe bears about a tenth.

Judge.SetServices takes the place of SetTargets, for the panic threshold is one of a service; entry and target.Client.Probe (latency as Value) get the smallest edits.

--- a/entry/config.go
+++ b/entry/config.go
@@ -30,14 +30,12 @@
 		out[dc.Name] = dc.Out
 	}
 	var services []cornelbay.Service
-	var targets []cornelbay.Target
 	for _, s := range doc.Services {
 		if s.Group == h.Group {
 			services = append(services, s)
-			targets = append(targets, s.Targets...)
 		}
 	}
-	h.judge.SetTargets(now, targets, out)
+	h.judge.SetServices(now, services, out)
 	h.flows.Generation = h.keeper.Generation()
 	effects := h.flows.SetServices(now, services, out)
 	return append(effects, h.Requests.SetServices(now, services, out)...)
--- a/entry/host.go
+++ b/entry/host.go
@@ -58,6 +58,7 @@
 	h.members.Introduce(s.Introduce...)
 	h.keeper = config.Keeper{Self: s.Self, Group: s.Group, Poll: s.Poll}
 	h.flows = flow.Control{Self: s.Self.Name, Plane: &h.Plane}
+	h.judge.Self = s.Self.Name
 	h.startRequests()
 	return h
 }
--- a/entry/members.go
+++ b/entry/members.go
@@ -74,6 +74,11 @@
 		return nil
 	}
 	h.known, h.version = m, h.members.Version()
+	names := make([]cornelbay.HostName, len(m.Live))
+	for i, l := range m.Live {
+		names[i] = l.Name
+	}
+	h.judge.SetHosts(names)
 	h.keeper.SetMembers(m.Live)
 	return append(h.flows.SetMembers(now, m), h.Requests.SetMembers(now, m)...)
 }
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -4,6 +4,7 @@
 	"github.com/cornelbay/cornelbay/flow"
 	"github.com/cornelbay/cornelbay/member"
 	"github.com/cornelbay/cornelbay/peer"
+	"github.com/cornelbay/cornelbay/warmth"
 )
 
 func init() {
@@ -19,4 +20,5 @@
 	peer.Register(member.Leave{})
 	peer.Register(member.JoinRequest{})
 	peer.Register(member.JoinAnswer{})
+	peer.Register(warmth.Reports{})
 }
--- a/target/client.go
+++ b/target/client.go
@@ -176,13 +176,14 @@
 	if err != nil {
 		return s
 	}
+	start := time.Now()
 	res, err := c.single.RoundTrip(r)
 	if err != nil {
 		return s
 	}
 	defer res.Body.Close()
 	if res.StatusCode == http.StatusOK {
-		s.Kind = warmth.ProbeOK
+		s.Kind, s.Value = warmth.ProbeOK, float64(time.Since(start))/float64(time.Millisecond)
 	}
 	return s
 }
--- /dev/null
+++ b/warmth/judge_test.go
@@ -0,0 +1,327 @@
+package warmth
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/cornelbay/cornelbay"
+)
+
+// Generated inputs come from a fixed seed unless the command line gives one.
+func init() {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+}
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// bench runs the judges of some hosts on a virtual clock over one service.
+type bench struct {
+	now     time.Time
+	service cornelbay.Service
+	out     map[cornelbay.DataCentreName]bool
+	judges  []*Judge
+	// probe answers a probe, traffic gives what each host sees in a second.
+	probe   func(t cornelbay.TargetName) Signal
+	traffic func(t cornelbay.TargetName) []Signal
+}
+
+func newBench(hosts, targets int) *bench {
+	b := &bench{now: epoch, out: map[cornelbay.DataCentreName]bool{}}
+	b.service.Name = "statut"
+	for i := range targets {
+		b.addTarget(i)
+	}
+	b.probe = func(cornelbay.TargetName) Signal { return Signal{Kind: ProbeOK, Value: 2} }
+	for range hosts {
+		b.join()
+	}
+	return b
+}
+
+func (b *bench) addTarget(i int) {
+	dc := cornelbay.DataCentreName(fmt.Sprintf("dc-%d", i%2))
+	b.service.Targets = append(b.service.Targets, cornelbay.Target{Name: nameOf(i), DataCentre: dc})
+}
+
+func (b *bench) join() {
+	b.judges = append(b.judges, &Judge{Self: cornelbay.HostName(fmt.Sprint("host-", len(b.judges)))})
+	var names []cornelbay.HostName
+	for _, j := range b.judges {
+		names = append(names, j.Self)
+	}
+	for _, j := range b.judges {
+		j.SetHosts(names)
+	}
+	b.configure()
+}
+
+func (b *bench) configure() {
+	for _, j := range b.judges {
+		out := map[cornelbay.DataCentreName]bool{}
+		for dc, is := range b.out {
+			out[dc] = is
+		}
+		j.SetServices(b.now, []cornelbay.Service{b.service}, out)
+	}
+}
+
+func (b *bench) run(seconds int) {
+	for i := range seconds * 10 {
+		for _, j := range b.judges {
+			if i%10 == 0 && b.traffic != nil {
+				for _, t := range b.service.Targets {
+					b.observe(j, t.Name, b.traffic(t.Name)...)
+				}
+			}
+			for _, e := range j.Tick(b.now) {
+				b.carry(j, e)
+			}
+		}
+		b.now = b.now.Add(100 * time.Millisecond)
+	}
+}
+
+func (b *bench) observe(j *Judge, t cornelbay.TargetName, signals ...Signal) {
+	for _, s := range signals {
+		s.Target = t
+		j.Observe(b.now, s)
+	}
+}
+
+func (b *bench) carry(from *Judge, e cornelbay.Effect) {
+	switch e := e.(type) {
+	case Probe:
+		b.observe(from, e.Target, b.probe(e.Target))
+	case cornelbay.Send:
+		for _, j := range b.judges {
+			if j.Self == e.To {
+				j.Receive(b.now, from.Self, e.Message)
+			}
+		}
+	}
+}
+
+func nameOf(i int) cornelbay.TargetName { return cornelbay.TargetName(fmt.Sprintf("t-%02d", i)) }
+
+// states returns what every judge says of a target.
+func (b *bench) states(t cornelbay.TargetName) []cornelbay.TargetState {
+	var out []cornelbay.TargetState
+	for _, j := range b.judges {
+		out = append(out, j.state(j.targets[t]))
+	}
+	return out
+}
+
+func repeat(n int, s Signal) []Signal {
+	out := make([]Signal, n)
+	for i := range out {
+		out[i] = s
+	}
+	return out
+}
+
+// onFirst gives the first target its own signals and the others quick answers.
+func onFirst(first ...Signal) func(cornelbay.TargetName) []Signal {
+	return func(t cornelbay.TargetName) []Signal {
+		if t == nameOf(0) {
+			return first
+		}
+		return repeat(10, Signal{Kind: AnswerOK, Value: 5})
+	}
+}
+
+// TestMisleadingSignals holds, for each way to be misled, what the first of six
+// targets and the others come to within some seconds at all of six hosts.
+func TestMisleadingSignals(t *testing.T) {
+	well := repeat(10, Signal{Kind: AnswerOK, Value: 5})
+	failed := func(only bool) func(cornelbay.TargetName) Signal {
+		return func(t cornelbay.TargetName) Signal {
+			if t == nameOf(0) || !only {
+				return Signal{Kind: ProbeFailed}
+			}
+			return Signal{Kind: ProbeOK, Value: 2}
+		}
+	}
+	slowProbe := func(t cornelbay.TargetName) Signal {
+		if t == nameOf(0) {
+			return Signal{Kind: ProbeOK, Value: 20}
+		}
+		return Signal{Kind: ProbeOK, Value: 2}
+	}
+	all := func(s ...Signal) func(cornelbay.TargetName) []Signal {
+		return func(cornelbay.TargetName) []Signal { return s }
+	}
+	tests := []struct {
+		name    string
+		traffic func(cornelbay.TargetName) []Signal
+		probe   func(cornelbay.TargetName) Signal
+		seconds int
+		first   cornelbay.TargetPhase
+		rest    cornelbay.TargetPhase
+	}{
+		{"all well", onFirst(well...), nil, 20, cornelbay.Warm, cornelbay.Warm},
+		{"cold though probes are well: slow to a fifth", onFirst(repeat(10, Signal{Kind: AnswerOK, Value: 25})...), nil, 4, cornelbay.Cold, cornelbay.Warm},
+		{"cold though probes are well: sheds", onFirst(repeat(5, Signal{Kind: Shed})...), nil, 4, cornelbay.Cold, cornelbay.Warm},
+		{"cold though probes are well: openings repeated", onFirst(repeat(5, Signal{Kind: OpeningRepeated})...), nil, 4, cornelbay.Cold, cornelbay.Warm},
+		{"a lying probe does not fill it", onFirst(repeat(5, Signal{Kind: Shed})...), nil, 60, cornelbay.Cold, cornelbay.Warm},
+		{"a lying probe does not end it", onFirst(well...), failed(true), 30, cornelbay.Warm, cornelbay.Warm},
+		{"dead", onFirst(repeat(5, Signal{Kind: AnswerFailed})...), failed(true), 10, cornelbay.Gone, cornelbay.Warm},
+		{"all probes fail without traffic", nil, failed(false), 30, cornelbay.Warm, cornelbay.Warm},
+		{"all fail in every way", all(repeat(5, Signal{Kind: AnswerFailed})...), failed(false), 30, cornelbay.Warm, cornelbay.Warm},
+		{"slow probes against good traffic", onFirst(well...), slowProbe, 30, cornelbay.Warm, cornelbay.Warm},
+		{"slow probes without traffic", nil, slowProbe, 20, cornelbay.Cold, cornelbay.Warm},
+		{"a few failures among many answers", onFirst(append(repeat(4, Signal{Kind: AnswerFailed}), well...)...), nil, 30, cornelbay.Warm, cornelbay.Warm},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(6, 6)
+			b.traffic = onFirst(well...)
+			b.run(15)
+			b.traffic = tt.traffic
+			if tt.probe != nil {
+				b.probe = tt.probe
+			}
+			b.run(tt.seconds)
+			for i := range 6 {
+				want := tt.rest
+				if i == 0 {
+					want = tt.first
+				}
+				for _, s := range b.states(nameOf(i)) {
+					is.Equal(s.Phase, want)
+				}
+			}
+		})
+	}
+}
+
+func TestNewTargetRisesByStepsOnEvidence(t *testing.T) {
+	is := is.New(t)
+	b := newBench(6, 6)
+	b.traffic = func(cornelbay.TargetName) []Signal { return repeat(10, Signal{Kind: AnswerOK, Value: 5}) }
+	b.run(15)
+	b.addTarget(6)
+	b.configure()
+	last := uint16(0)
+	for range 30 {
+		for _, s := range b.states(nameOf(6)) {
+			is.True(s.Permille <= 1000)
+		}
+		s := b.states(nameOf(6))[0]
+		is.True(s.Permille >= last) // it never falls back
+		last = s.Permille
+		b.run(1)
+	}
+	for _, s := range b.states(nameOf(6)) {
+		is.Equal(s.Phase, cornelbay.Warm)
+	}
+	b.addTarget(7)
+	b.probe = func(t cornelbay.TargetName) Signal { return Signal{Kind: ProbeFailed} }
+	b.traffic = nil
+	b.configure()
+	b.run(30)
+	for _, s := range b.states(nameOf(7)) {
+		is.True(s.Permille <= levels[0]) // no evidence, no rise
+	}
+}
+
+func TestIntentIsObeyedAtOnce(t *testing.T) {
+	is := is.New(t)
+	b := newBench(3, 6)
+	b.run(15)
+	b.service.Targets[1].Drain = true
+	b.out["dc-0"] = true
+	b.configure()
+	for i, want := range []cornelbay.TargetPhase{cornelbay.Gone, cornelbay.Draining, cornelbay.Gone, cornelbay.Warm} {
+		for _, s := range b.states(nameOf(i)) {
+			is.Equal(s.Phase, want)
+			is.Equal(s.Permille == 0, want >= cornelbay.Draining)
+		}
+	}
+	b.run(5)
+	b.out["dc-0"] = false
+	b.configure()
+	for _, s := range b.states(nameOf(0)) {
+		is.Equal(s.Phase, cornelbay.Cold) // a data centre that returns is cold
+	}
+}
+
+func TestLateHostLearnsFromPeers(t *testing.T) {
+	is := is.New(t)
+	b := newBench(5, 6)
+	b.traffic = onFirst(repeat(5, Signal{Kind: Shed})...)
+	b.run(20)
+	b.traffic = nil // the new host sees no traffic of its own
+	b.probe = func(t cornelbay.TargetName) Signal { return Signal{Kind: ProbeOK} }
+	b.join()
+	b.run(4)
+	s := b.states(nameOf(0))
+	is.True(s[5].Permille < cornelbay.FullPermille)
+	is.Equal(b.states(nameOf(1))[5].Phase, cornelbay.Warm)
+}
+
+// TestOneServiceAlwaysServes checks that no signals empty a service.
+func TestOneServiceAlwaysServes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newBench(rapid.IntRange(1, 4).Draw(t, "hosts"), rapid.IntRange(1, 5).Draw(t, "targets"))
+		signal := rapid.Custom(func(t *rapid.T) Signal {
+			return Signal{
+				Kind:  SignalKind(rapid.IntRange(int(ProbeOK), int(LoadReported)).Draw(t, "kind")),
+				Value: rapid.Float64Range(0, 1000).Draw(t, "value"),
+			}
+		})
+		for range rapid.IntRange(1, 8).Draw(t, "spells") {
+			spell := rapid.MapOf(rapid.IntRange(0, 4), rapid.SliceOfN(signal, 0, 12)).Draw(t, "spell")
+			probes := rapid.MapOf(rapid.IntRange(0, 4), signal).Draw(t, "probes")
+			b.traffic = func(t cornelbay.TargetName) []Signal {
+				var i int
+				_, _ = fmt.Sscanf(string(t), "t-%d", &i) // names are of this form
+				return spell[i]
+			}
+			b.probe = func(t cornelbay.TargetName) Signal {
+				var i int
+				_, _ = fmt.Sscanf(string(t), "t-%d", &i) // names are of this form
+				return probes[i]
+			}
+			b.run(rapid.IntRange(1, 10).Draw(t, "seconds"))
+			for _, j := range b.judges {
+				total := 0
+				for _, s := range j.States(b.now) {
+					total += int(s.Permille)
+				}
+				if total == 0 {
+					t.Fatalf("%s serves by no target", j.Self)
+				}
+			}
+		}
+	})
+}
+
+func TestProbesAreBounded(t *testing.T) {
+	is := is.New(t)
+	j := &Judge{Self: "a"}
+	b := newBench(0, 400)
+	b.judges = []*Judge{j}
+	j.SetHosts([]cornelbay.HostName{"a"})
+	b.configure()
+	seen := map[cornelbay.TargetName]bool{}
+	probes := 0
+	b.probe = func(t cornelbay.TargetName) Signal {
+		seen[t] = true
+		probes++
+		return Signal{Kind: ProbeOK}
+	}
+	b.run(30)
+	is.True(probes <= 31*maxProbesPerSecond)
+	is.Equal(len(seen), 400) // each has its turn
+}
--- a/warmth/warmth.go
+++ b/warmth/warmth.go
@@ -4,7 +4,6 @@
 
 import (
 	"net/netip"
-	"time"
 
 	"github.com/cornelbay/cornelbay"
 )
@@ -14,7 +13,8 @@
 
 // The kinds of signals.
 const (
-	// ProbeOK is a health probe that the target answered as healthy.
+	// ProbeOK is a health probe that the target answered as healthy, in the
+	// latency that Value gives in ms; 0 is unknown.
 	ProbeOK SignalKind = iota
 	// ProbeFailed is a health probe that failed or was answered as unhealthy.
 	ProbeFailed
@@ -50,38 +50,21 @@
 // Effect marks Probe as an effect.
 func (Probe) Effect() {}
 
-// Judge keeps the evidence about targets; one goroutine uses it.
-type Judge struct {
-	targets []cornelbay.Target
-	out     map[cornelbay.DataCentreName]bool
+// Report is one host's opinion of a target.
+type Report struct {
+	Target cornelbay.TargetName `cbor:"1,keyasint"`
+	// Level is the index of the step that the target has at the sender.
+	Level uint8 `cbor:"2,keyasint,omitempty"`
+	// Bad is true when the sender's traffic to the target went badly lately.
+	Bad bool `cbor:"3,keyasint,omitempty"`
+	// Unreachable is true when the sender's probes fail.
+	Unreachable bool `cbor:"4,keyasint,omitempty"`
 }
 
-// SetTargets takes the targets in force and the data centres that are out.
-func (j *Judge) SetTargets(now time.Time, targets []cornelbay.Target, out map[cornelbay.DataCentreName]bool) {
-	j.targets, j.out = targets, out
+// Reports carries opinions of targets from one host to another.
+type Reports struct {
+	Reports []Report `cbor:"1,keyasint"`
 }
 
-// Observe takes a signal.
-func (j *Judge) Observe(now time.Time, s Signal) {}
-
-// Receive takes a control message about targets from another host.
-func (j *Judge) Receive(now time.Time, from cornelbay.HostName, m cornelbay.Message) {}
-
-// Tick returns the effects that are due at now.
-func (j *Judge) Tick(now time.Time) []cornelbay.Effect { return nil }
-
-// States returns the state of every target, by name.
-func (j *Judge) States(now time.Time) []cornelbay.TargetState {
-	var out []cornelbay.TargetState
-	for _, t := range j.targets {
-		s := cornelbay.TargetState{Target: t.Name, Phase: cornelbay.Warm, Permille: cornelbay.FullPermille}
-		if t.Drain {
-			s = cornelbay.TargetState{Target: t.Name, Phase: cornelbay.Draining}
-		}
-		if j.out[t.DataCentre] {
-			s = cornelbay.TargetState{Target: t.Name, Phase: cornelbay.Gone}
-		}
-		out = append(out, s)
-	}
-	return out
-}
+// Kind returns KindReports.
+func (Reports) Kind() cornelbay.MessageKind { return cornelbay.KindReports }
