--- a/flow/control.go
+++ b/agree/control.go
@@ -1,4 +1,4 @@
-package flow
+package agree
 
 import (
 	"maps"
@@ -7,6 +7,7 @@
 
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/assign"
+	"github.com/cornelbay/cornelbay/flow"
 )
 
 // The times of the flow path's control.
@@ -18,6 +19,9 @@
 	// CutOffAfter is when a host that had no confirmation of the configuration
 	// and heard no host of another data centre sends nothing there any more.
 	CutOffAfter = 10 * time.Second
+	// BackAfter is how long a host of a data centre must be heard again before
+	// packets are sent there without a confirmation of the configuration.
+	BackAfter = 3 * time.Second
 	// DoubtAfter is the age of the last confirmation of the configuration from
 	// which a host that hears no more than half of the hosts no longer relies on
 	// its buckets for flows that it does not know.
@@ -31,11 +35,12 @@
 //
 // A host that had no confirmation of the configuration and heard no host of
 // another data centre for CutOffAfter cannot know whether that one is out: it
-// sends no packet to the targets there until it hears of either again. Their
+// sends no packet to the targets there until it has a confirmation again, or has
+// heard a host there for BackAfter. Their
 // flows at this host stall meanwhile, and other hosts may serve them.
 type Control struct {
 	Self  cornelbay.HostName
-	Plane *Plane
+	Plane *flow.Plane
 	// Generation is that of the services in force.
 	Generation uint64
 
@@ -48,19 +53,21 @@
 	members  cornelbay.Members
 	missing  map[cornelbay.HostName]time.Time
 	// serving has the other hosts that decide packets.
-	serving map[cornelbay.HostName]bool
-	// heard is when a host of a data centre was last alive.
-	heard  map[cornelbay.DataCentreName]time.Time
-	states map[cornelbay.TargetName]cornelbay.TargetState
+	serving  map[cornelbay.HostName]bool
+	contacts map[cornelbay.DataCentreName]*contact
+	states   map[cornelbay.TargetName]cornelbay.TargetState
 
-	dirty bool
-	doubt bool
+	dirty     bool
+	doubt     bool
+	suspended bool
 	// history is true when epochs were learnt whose flows the host may have missed.
-	history bool
-	sweep   int
-	join    join
-	handoff handoff
-	digest  digestState
+	history     bool
+	sweep       int
+	join        join
+	servedSince time.Time
+	handoff     handoff
+	digest      digestState
+	regain      regain
 }
 
 // SetServices takes the services in force and the data centres that are out.
@@ -87,7 +94,7 @@
 		c.byName = make(map[cornelbay.TargetName]int32)
 		c.serving = make(map[cornelbay.HostName]bool)
 		c.missing = make(map[cornelbay.HostName]time.Time)
-		c.heard = make(map[cornelbay.DataCentreName]time.Time)
+		c.contacts = make(map[cornelbay.DataCentreName]*contact)
 		c.states = make(map[cornelbay.TargetName]cornelbay.TargetState)
 	}
 }
@@ -156,8 +163,8 @@
 		}
 	}
 	c.members = m
+	c.hearAgain(now, m.Live)
 	for _, h := range m.Live {
-		c.heard[h.DataCentre] = now
 		delete(c.missing, h.Name)
 	}
 	names := make(map[cornelbay.HostName]bool)
@@ -178,8 +185,9 @@
 			s.incomplete()
 		}
 	}
+	out := c.tickRegain(now)
 	c.publish(now)
-	return nil
+	return out
 }
 
 func sameName(a, b cornelbay.Host) bool { return a.Name == b.Name && a.Incarnation == b.Incarnation }
@@ -230,7 +238,10 @@
 		out = c.joining(from)
 	case EpochsAnswer:
 		c.joinAnswered(now, from, m)
+		c.regained(from, m)
 		out = c.tickJoin(now)
+	case Clear:
+		c.cleared(now, from, m)
 	case Serving:
 		out = c.announced(from, m)
 	case Digest:
@@ -246,32 +257,43 @@
 // package is Hold: a packet whose flow is not known is relayed or dropped.
 func (c *Control) Held(now time.Time, key cornelbay.FlowKey) []cornelbay.Effect { return nil }
 
+// Suspend makes the plane decide nothing for as long as suspended is true. The
+// host does not know then since when a change that it learns of is in force.
+func (c *Control) Suspend(suspended bool) {
+	c.suspended = suspended
+	c.Plane.Suspend(suspended)
+}
+
 // Tick returns the effects that are due at now.
 func (c *Control) Tick(now time.Time) []cornelbay.Effect {
+	c.Plane.Ticked(now)
 	c.init()
-	c.Plane.Table.sweep(c.sweep, ticks(now))
-	c.sweep++
+	c.sweepTable(now)
 	out := c.tickJoin(now)
 	if !c.deciding() {
 		return out
 	}
+	out = append(out, c.tickRegain(now)...)
 	c.updateDoubt(now)
 	c.closeTargets(now)
 	out = append(out, c.propose(now)...)
 	c.publish(now)
 	out = append(out, c.tickDigest(now)...)
+	out = append(out, c.tickClear(now)...)
 	return append(out, c.tickHandoff(now)...)
 }
 
 // closeTargets notes which targets may get no new flows or no packets at all.
 func (c *Control) closeTargets(now time.Time) {
+	c.updateContacts(now)
 	for i := range c.registry {
 		r := &c.registry[i]
 		if r.retired {
 			continue
 		}
 		c.closeTarget(now, r)
-		if unreachable := c.cutOff(now, r.DataCentre); unreachable != r.unreachable {
+		k := c.contacts[r.DataCentre]
+		if unreachable := k != nil && k.cutOff; unreachable != r.unreachable {
 			r.unreachable, c.dirty = unreachable, true
 		}
 	}
@@ -281,10 +303,13 @@
 }
 
 func (c *Control) closeTarget(now time.Time, r *registered) {
-	closed := !r.listed || r.Drain || c.out[r.DataCentre] || r.unreachable && !c.split()
+	closed := (!r.listed || r.Drain || c.out[r.DataCentre]) && !c.readmitted(r.service, r.Name) || r.unreachable && !c.split()
 	switch {
 	case !closed:
 		r.closedSince = time.Time{}
+	case r.closedSince.IsZero() && c.suspended:
+		// The target was closed before the host woke.
+		r.closedSince, c.dirty = now.Add(-CloseAfter), true
 	case r.closedSince.IsZero():
 		r.closedSince = now
 	case now.Sub(r.closedSince) >= CloseAfter && now.Sub(r.closedSince) < CloseAfter+time.Second:
@@ -292,6 +317,17 @@
 	}
 }
 
+// readmitted reports whether hosts with a later document place flows on a target,
+// whatever the own document says of it.
+func (c *Control) readmitted(service cornelbay.ServiceName, name cornelbay.TargetName) bool {
+	s := c.services[service]
+	if s == nil || s.newest() == nil {
+		return false
+	}
+	e := s.newest()
+	return e.generation > c.Generation && e.has(name) && !e.purged[name]
+}
+
 func (r *registered) closed(now time.Time) bool {
 	return !r.closedSince.IsZero() && now.Sub(r.closedSince) >= CloseAfter
 }
@@ -305,7 +341,7 @@
 	}
 	for _, t := range s.Targets {
 		i, ok := c.byName[t.Name]
-		if !ok || !c.out[t.DataCentre] || (current.has(t.Name) && !c.registry[i].closed(now)) {
+		if !ok || !c.out[t.DataCentre] || c.readmitted(s.Name, t.Name) || (current.has(t.Name) && !c.registry[i].closed(now)) {
 			continue
 		}
 		c.registry[i].retired = true
@@ -317,20 +353,45 @@
 	}
 }
 
-// cutOff reports whether the host must not send to a data centre because it
-// cannot know whether that one is out.
-func (c *Control) cutOff(now time.Time, dc cornelbay.DataCentreName) bool {
-	confirmed, heard := c.members.ConfirmedAt, c.heard[dc]
-	if confirmed.IsZero() || heard.IsZero() || now.Sub(confirmed) < CutOffAfter {
-		return false
-	}
+// contact is what a host hears of a data centre.
+type contact struct {
+	// heard is when a host there was last alive, and back since when one is
+	// alive again after the data centre was cut off.
+	heard, back time.Time
+	cutOff      bool
+}
+
+// updateContacts notes which data centres the host must not send to because it
+// cannot know whether they are out.
+func (c *Control) updateContacts(now time.Time) {
+	live := make(map[cornelbay.DataCentreName]bool)
 	for _, h := range c.members.Live {
-		if h.DataCentre == dc {
-			c.heard[dc] = now
-			return false
+		live[h.DataCentre] = true
+		if c.contacts[h.DataCentre] == nil {
+			c.contacts[h.DataCentre] = &contact{}
 		}
 	}
-	return now.Sub(heard) >= CutOffAfter
+	confirmed := c.members.ConfirmedAt.IsZero() || now.Sub(c.members.ConfirmedAt) < CutOffAfter
+	for dc, k := range c.contacts {
+		k.update(now, live[dc], confirmed)
+	}
+}
+
+func (k *contact) update(now time.Time, live, confirmed bool) {
+	switch {
+	case !live:
+		k.back = time.Time{}
+		k.cutOff = k.cutOff || !confirmed && now.Sub(k.heard) >= CutOffAfter
+	case !k.cutOff:
+		k.heard = now
+	case k.back.IsZero():
+		k.back = now
+	case now.Sub(k.back) >= BackAfter:
+		k.cutOff, k.heard = false, now
+	}
+	if confirmed {
+		k.cutOff = false
+	}
 }
 
 // States returns the agreed states of a service's targets that are in force.
--- a/flow/join.go
+++ b/agree/join.go
@@ -1,4 +1,4 @@
-package flow
+package agree
 
 import (
 	"encoding/binary"
@@ -127,7 +127,7 @@
 
 // decide makes the host decide packets by the epochs that it has.
 func (c *Control) decide(now time.Time) {
-	c.join.announcing = true
+	c.join.announcing, c.servedSince = true, now
 	c.history, c.dirty = true, true
 	for _, s := range c.services {
 		if len(s.epochs) == 0 {
@@ -194,10 +194,7 @@
 
 // joinAnswered notes an answer once all the epochs that it announces are there.
 func (c *Control) joinAnswered(now time.Time, from cornelbay.HostName, m EpochsAnswer) {
-	n := 0
-	for _, s := range c.services {
-		n += len(s.epochs)
-	}
+	n := c.epochCount()
 	if c.deciding() || c.join.answered == nil || n < m.Count {
 		return
 	}
--- a/balance/target.go
+++ b/balance/target.go
@@ -12,7 +12,7 @@
 // The times of a Target's limit.
 const (
 	// MinHoldOff and MaxHoldOff bound the pause after a refusal.
-	MinHoldOff = 10 * time.Millisecond
+	MinHoldOff = 50 * time.Millisecond
 	MaxHoldOff = time.Second
 	// ProbationInterval is the time between two requests to a slow target.
 	ProbationInterval = time.Second
@@ -20,17 +20,18 @@
 	NewsLifetime = 1500 * time.Millisecond
 	// ReportLifetime is how long a target's own report counts.
 	ReportLifetime = 200 * time.Millisecond
-	// ExtraLifetime is how long a refusal above the slots forbids extra requests.
+	// ExtraLifetime is how long a refusal above the slots, or beside an overdue
+	// attempt, forbids more requests than that.
 	ExtraLifetime = 10 * time.Second
 )
 
 const (
 	// latencyGain is the weight of a new latency in the smoothed one.
 	latencyGain = 0.2
-	// slowFactor times the pool's usual latency marks a target as slow, until its
-	// own is below wellFactor times that.
-	slowFactor = 3
-	wellFactor = 1.5
+	// logSlow above the logarithm of the pool's usual latency, a factor of 3,
+	// marks a target as slow, until it is below logWell, a factor of 1.5.
+	logSlow = 1.0986
+	logWell = 0.4055
 	// minSamples is the number of latencies before a target can be slow.
 	minSamples = 4
 	// limitStep is added to the limit, divided by it, for each answer.
@@ -130,14 +131,14 @@
 // believed for a short time; a report of less never is, since it may lag or lie.
 func (t *Target) load(now time.Time) int {
 	n := t.InFlight + t.others
-	if t.Overdue > 0 && t.phase == cornelbay.Warm {
+	if t.Overdue > 0 && t.phase == cornelbay.Warm && now.After(t.noExtra) {
 		// An answer may be lost: one overdue attempt does not count, and what
 		// comes of that shows whether it holds a slot.
 		n--
 	}
 	if t.report > n && now.Sub(t.reported) < ReportLifetime {
 		// One request at a time shows whether the report is true.
-		return max(n, min(t.report, t.SlotCount()-1))
+		return n + min(t.report-n, t.SlotCount()-1)
 	}
 	return n
 }
@@ -168,8 +169,11 @@
 
 // shed believes a refusal at once.
 func (t *Target) shed(now time.Time, retryAfter time.Duration) {
-	if t.InFlight > t.SlotCount() {
+	extra := t.InFlight > t.SlotCount()
+	if extra || t.Overdue > 0 {
 		t.noExtra = now.Add(ExtraLifetime)
+	}
+	if extra {
 		return
 	}
 	t.limit = max(1, min(t.limit, float64(t.InFlight-1)))
@@ -197,9 +201,9 @@
 func (t *Target) judge(usual float64) {
 	switch above := t.logLatency - usual; {
 	case t.samples < minSamples:
-	case above > math.Log(slowFactor):
+	case above > logSlow:
 		t.slow = true
-	case above < math.Log(wellFactor):
+	case above < logWell:
 		t.slow = false
 	}
 }
--- a/entry/host.go
+++ b/entry/host.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/agree"
 	"github.com/cornelbay/cornelbay/config"
 	"github.com/cornelbay/cornelbay/flow"
 	"github.com/cornelbay/cornelbay/member"
@@ -44,10 +45,15 @@
 
 	members member.View
 	keeper  config.Keeper
-	flows   flow.Control
+	flows   agree.Control
 	judge   warmth.Judge
 	known   cornelbay.Members
 	version uint64
+	// confirmed is the last time of which the host knows that the platform
+	// confirmed the generation in force.
+	confirmed  time.Time
+	staleSince time.Time
+	suspended  bool
 }
 
 // New returns a host that has heard of nothing yet.
@@ -57,17 +63,19 @@
 	h.members = member.View{Self: s.Self, Seed: s.Seed, Fill: h.fill}
 	h.members.Introduce(s.Introduce...)
 	h.keeper = config.Keeper{Self: s.Self, Group: s.Group, Poll: s.Poll}
-	h.flows = flow.Control{Self: s.Self.Name, Plane: &h.Plane}
+	h.flows = agree.Control{Self: s.Self.Name, Plane: &h.Plane}
+	h.judge.Self = s.Self.Name
 	h.startRequests()
 	return h
 }
 
 // Ready reports whether the host knows enough to serve.
-func (h *Host) Ready() bool { return h.keeper.Document() != nil && h.flows.Ready() }
+func (h *Host) Ready() bool { return h.keeper.Document() != nil && h.flows.Ready() && !h.suspended }
 
 // Tick advances the control state to now.
 func (h *Host) Tick(now time.Time) []cornelbay.Effect {
 	out := h.keeper.Tick(now) // first, since it notices a pause
+	out = append(out, h.suspend(now)...)
 	out = append(out, h.tickMembers(now)...)
 	out = append(out, h.tickTargets(now)...)
 	out = append(out, h.flows.Tick(now)...)
--- a/request/job.go
+++ b/request/job.go
@@ -7,6 +7,8 @@
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/balance"
 	"github.com/cornelbay/cornelbay/peer"
+	"github.com/cornelbay/cornelbay/queue"
+	"github.com/cornelbay/cornelbay/refusal"
 	"github.com/cornelbay/cornelbay/ticket"
 )
 
@@ -18,12 +20,15 @@
 	// bulkShare of it in percent.
 	MaxRunning = 4096
 	bulkShare  = 75
+	// CancelGrace is when an attempt counts as ended that was cancelled or whose
+	// deadline has passed.
+	CancelGrace = 50 * time.Millisecond
 	// MaxJitter bounds the wait before a retry after a failure.
 	MaxJitter = 10 * time.Millisecond
 	// MinHedgeDelay is the least age of an attempt that is hedged.
 	MinHedgeDelay = 20 * time.Millisecond
 	// hedgeDeviations is the distance from the usual latency that is hedged.
-	hedgeDeviations = 4
+	hedgeDeviations = 3
 	// maxReplaced is the most overdue attempts of a request that are cancelled.
 	maxReplaced = 2
 )
@@ -40,12 +45,15 @@
 
 	service *service
 	done    bool
-	// waiting is true while it is in the service's queue.
-	waiting bool
-	round   int
-	order   uint64
+	// waiting is its place in the service's queue, or nil.
+	waiting *queue.Item[*job]
 
 	tries, running int
+	// attempts holds the attempts that were launched, with those that have ended.
+	attempts [MaxTries + 1]AttemptID
+	launched int
+	// first is the first of them, here to spare an allocation.
+	first attempt
 	// ambiguous is true when a target may have run an attempt that failed, here
 	// or at another host.
 	ambiguous bool
@@ -88,15 +96,15 @@
 	}
 	switch {
 	case !ok:
-		d.refuse(now, j, NoService)
+		d.refuse(now, j, refusal.NoService)
 	case len(j.Body) > MaxBodyBytes:
-		d.refuse(now, j, BodyTooLarge)
+		d.refuse(now, j, refusal.BodyTooLarge)
 	case !j.Deadline.After(now):
-		d.refuse(now, j, DeadlineQueued)
+		d.refuse(now, j, refusal.DeadlineQueued)
 	case d.stopping:
-		d.refuse(now, j, Stopping)
+		d.refuse(now, j, refusal.Stopping)
 	default:
-		d.addTimer(timer{at: j.Deadline, kind: deadlineTimer, job: j})
+		d.addTimer(timer{at: j.Deadline.UnixNano(), kind: deadlineTimer, job: j})
 		d.route(now, j)
 	}
 }
@@ -105,7 +113,7 @@
 func (d *Dispatcher) route(now time.Time, j *job) {
 	s := j.service
 	if j.from == "" && !s.Bulk && s.steward != d.Self && j.moves < maxMoves {
-		if h, ok := d.hosts[s.steward]; ok {
+		if h, ok := d.hosts.Lookup(s.steward); ok {
 			d.relay(now, j, h)
 			return
 		}
@@ -120,7 +128,8 @@
 // dispatch starts a job here or queues it.
 func (d *Dispatcher) dispatch(now time.Time, j *job) {
 	s := j.service
-	if s.queue.len() == 0 && d.mayRun(s) {
+	d.lookOverdue(now, s)
+	if s.queue.Len() == 0 && d.mayRun(s) {
 		if t := s.pool.Pick(now, j.avoid, 0); t != nil {
 			d.start(now, j, t)
 			return
@@ -130,6 +139,9 @@
 }
 
 func (d *Dispatcher) mayRun(s *service) bool {
+	if d.suspended {
+		return false
+	}
 	if s.Bulk {
 		return d.running < MaxRunning*bulkShare/100
 	}
@@ -138,7 +150,7 @@
 
 func (d *Dispatcher) start(now time.Time, j *job, t *balance.Target) {
 	if j.ticket != nil && now.After(j.ticket.Expiry()) {
-		d.refuse(now, j, TicketExpired)
+		d.refuse(now, j, refusal.TicketExpired)
 		return
 	}
 	s := j.service
@@ -147,7 +159,7 @@
 	}
 	j.tries++
 	d.launch(now, j, t)
-	d.addTimer(timer{at: now.Add(d.hedgeDelay(s)), kind: hedgeTimer, job: j, attempt: d.last})
+	s.young = append(s.young, d.last)
 }
 
 func (d *Dispatcher) launch(now time.Time, j *job, t *balance.Target) {
@@ -156,10 +168,33 @@
 	d.running++
 	j.running++
 	t.Begin(now)
-	d.attempts[d.last] = &attempt{job: j, target: t, began: now}
+	a := &j.first
+	if j.launched > 0 {
+		a = new(attempt)
+	}
+	*a = attempt{job: j, target: t, began: now}
+	j.attempts[j.launched] = d.last
+	j.launched++
+	d.attempts[d.last] = a
 	d.emit(Attempt{ID: d.last, Request: j.Request, Target: t.Name, Address: t.HTTP, Deadline: j.Deadline})
 }
 
+// lookOverdue handles the attempts of a service that take unusually long.
+func (d *Dispatcher) lookOverdue(now time.Time, s *service) {
+	since := now.Add(-d.hedgeDelay(s))
+	for len(s.young) > 0 {
+		id := s.young[0]
+		a, ok := d.attempts[id]
+		if ok && a.began.After(since) {
+			return
+		}
+		s.young = s.young[1:]
+		if ok {
+			d.overdue(now, a.job, id)
+		}
+	}
+}
+
 // overdue handles an attempt that takes unusually long: a second one is started
 // beside it where there is room, or else, later on, in its place.
 func (d *Dispatcher) overdue(now time.Time, j *job, id AttemptID) {
@@ -177,7 +212,7 @@
 	if !j.Idempotent() || j.hedged || j.replaced == maxReplaced || j.running != 1 || !s.budget.has() {
 		return
 	}
-	if t := s.pool.Pick(now, a.target, 0); t != nil && t != a.target && s.queue.len() == 0 {
+	if t := s.pool.Pick(now, a.target, 0); t != nil && t != a.target && s.queue.Len() == 0 && !d.suspended {
 		s.budget.take()
 		j.hedged = true
 		d.counters.Hedges++
@@ -188,11 +223,11 @@
 		s.budget.take()
 		j.replaced++
 		j.paid = true
-		d.emit(Cancel{ID: id})
+		d.cancel(now, j, id)
 		return
 	}
 	a.again = true
-	d.addTimer(timer{at: now.Add(d.hedgeDelay(s)), kind: hedgeTimer, job: j, attempt: id})
+	d.addTimer(timer{at: now.Add(d.hedgeDelay(s)).UnixNano(), kind: hedgeTimer, job: j, id: uint64(id)})
 }
 
 // hedgeDelay is the age at which an attempt takes unusually long.
@@ -203,6 +238,9 @@
 func (d *Dispatcher) ended(now time.Time, res AttemptResult) {
 	a, ok := d.attempts[res.ID]
 	if !ok {
+		if res.Whole {
+			d.counters.Late++
+		}
 		return
 	}
 	delete(d.attempts, res.ID)
@@ -227,6 +265,7 @@
 	default:
 		d.failed(now, a, res)
 	}
+	d.lookOverdue(now, j.service)
 	d.pump(now, j.service)
 }
 
@@ -257,7 +296,7 @@
 	s := j.service
 	mayRepeat := j.Idempotent() || !j.ambiguous
 	if !mayRepeat || j.tries >= MaxTries || !now.Before(j.Deadline) || (!j.paid && !s.budget.has()) {
-		d.refuse(now, j, j.failure(TargetsRefused, AttemptFailed))
+		d.refuse(now, j, j.failure(refusal.TargetsRefused, refusal.AttemptFailed))
 		return
 	}
 	if !j.paid {
@@ -271,14 +310,14 @@
 		return
 	}
 	wait := time.Duration(d.Rand.Int64N(int64(MaxJitter)))
-	d.addTimer(timer{at: now.Add(wait), kind: retryTimer, job: j})
+	d.addTimer(timer{at: now.Add(wait).UnixNano(), kind: retryTimer, job: j})
 }
 
 // failure returns the reason that is true of a job that ends unanswered now.
-func (j *job) failure(proved, notProved Reason) Reason {
+func (j *job) failure(proved, notProved refusal.Reason) refusal.Reason {
 	switch {
 	case j.running > 0:
-		return DeadlineRunning
+		return refusal.DeadlineRunning
 	case j.ambiguous:
 		return notProved
 	}
@@ -291,26 +330,29 @@
 	case j.done:
 	case j.ticket != nil && j.running > 0:
 		// The attempt ends by the same deadline and tells what became of it.
+		for _, id := range j.attempts[:j.launched] {
+			d.addTimer(timer{at: now.Add(CancelGrace).UnixNano(), kind: endTimer, job: j, id: uint64(id)})
+		}
 	case j.relay != 0 && j.ticketed():
-		d.refuse(now, j, IssuerSilent)
+		d.refuse(now, j, refusal.IssuerSilent)
 	case j.relay != 0:
 		d.withdraw(j)
-		d.refuse(now, j, DeadlineRelayed)
+		d.refuse(now, j, refusal.DeadlineRelayed)
 	case j.run != nil:
 		// What waited until the same deadline and never started has its proof.
 		if !j.run.done && !now.Before(j.run.Deadline) {
 			d.deadline(now, j.run)
 		}
 		if !j.done {
-			d.refuse(now, j, DeadlineRunning)
+			d.refuse(now, j, refusal.DeadlineRunning)
 		}
 	default:
-		d.refuse(now, j, j.failure(DeadlineQueued, AttemptFailed))
+		d.refuse(now, j, j.failure(refusal.DeadlineQueued, refusal.AttemptFailed))
 	}
 }
 
-func (d *Dispatcher) refuse(now time.Time, j *job, r Reason) {
-	res := r.Response()
+func (d *Dispatcher) refuse(now time.Time, j *job, r refusal.Reason) {
+	res := refusalResponse(r)
 	if res.Outcome == cornelbay.NotRun && j.service != nil && res.Status == http.StatusServiceUnavailable {
 		res.RetryAfter = d.retryAfter(now, j.service)
 	}
@@ -323,15 +365,17 @@
 		return
 	}
 	if res.Outcome == cornelbay.NotRun && (j.ambiguous || j.running > 0) {
-		res = j.failure(AttemptFailed, AttemptFailed).Response()
+		res = refusalResponse(j.failure(refusal.AttemptFailed, refusal.AttemptFailed))
 	}
 	j.done = true
 	d.counters.Reasons[res.Reason]++
 	d.leaveQueue(j)
 	d.endRelay(j)
 	if j.running > 0 {
-		d.cancelAttempts(j)
+		d.cancelAttempts(now, j)
 	}
+	// Timers may hold the job for a while yet.
+	j.Header, j.Body = nil, nil
 	switch {
 	case j.ticket != nil:
 		d.settle(now, j, res)
@@ -342,21 +386,25 @@
 	}
 }
 
-func (d *Dispatcher) cancelAttempts(j *job) {
-	left := j.running
-	for id, a := range d.attempts {
-		if a.job == j {
-			d.emit(Cancel{ID: id})
-			if left--; left == 0 {
-				return
-			}
+func (d *Dispatcher) cancelAttempts(now time.Time, j *job) {
+	for _, id := range j.attempts[:j.launched] {
+		if _, ok := d.attempts[id]; ok {
+			d.cancel(now, j, id)
 		}
 	}
 }
 
+// cancel asks for the end of an attempt, which counts as ended a little later
+// even when nothing more is heard of it.
+func (d *Dispatcher) cancel(now time.Time, j *job, id AttemptID) {
+	d.emit(Cancel{ID: id})
+	d.addTimer(timer{at: now.Add(CancelGrace).UnixNano(), kind: endTimer, job: j, id: uint64(id)})
+}
+
 // callPeer asks another host.
 func (d *Dispatcher) callPeer(to cornelbay.HostName, args peer.Args) uint64 {
 	d.lastRelay++
-	d.emit(peer.Call{ID: d.lastRelay, To: to, Address: d.hosts[to].RPC, Args: args})
+	h, _ := d.hosts.Lookup(to)
+	d.emit(peer.Call{ID: d.lastRelay, To: to, Address: h.RPC, Args: args})
 	return d.lastRelay
 }
--- a/request/tickets.go
+++ b/request/tickets.go
@@ -8,19 +8,10 @@
 	"time"
 
 	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/refusal"
 	"github.com/cornelbay/cornelbay/ticket"
 )
 
-// The limits of a handover at a planned stop.
-const (
-	// MaxHandoverBytes bounds the remembered answers that are handed over.
-	MaxHandoverBytes = 256 << 10
-	// maxHeirs is the most hosts that a handover is sent to.
-	maxHeirs = 8
-	// handoverPatience is how long a stopping host waits for an heir.
-	handoverPatience = 3 * time.Second
-)
-
 // TicketList is the body of the answer to a request for tickets.
 type TicketList struct {
 	Tickets []string `json:"tickets"`
@@ -35,13 +26,13 @@
 	for _, t := range d.ledger.Issue(now, j.Service, j.Caller, j.Tickets) {
 		s, err := d.Keys.Seal(t)
 		if err != nil {
-			return NoTarget.Response()
+			return refusalResponse(refusal.NoTarget)
 		}
 		list.Tickets = append(list.Tickets, s)
 	}
 	b, err := json.Marshal(list)
 	if err != nil || len(list.Tickets) == 0 {
-		return TicketsOut.Response()
+		return refusalResponse(refusal.TicketsOut)
 	}
 	h := http.Header{"Content-Type": {"application/json"}}
 	return Response{Status: http.StatusOK, Header: h, Body: b, Outcome: cornelbay.Answered}
@@ -50,23 +41,23 @@
 // admitTicketed takes a request that may run once only.
 func (d *Dispatcher) admitTicketed(now time.Time, j *job, served bool) {
 	if j.Ticket == "" {
-		d.refuse(now, j, NoTicket)
+		d.refuse(now, j, refusal.NoTicket)
 		return
 	}
 	t, err := d.Keys.Open(j.Ticket)
 	switch {
 	case errors.Is(err, ticket.ErrMAC):
-		d.refuse(now, j, TicketMAC)
+		d.refuse(now, j, refusal.TicketMAC)
 	case err != nil:
-		d.refuse(now, j, TicketMalformed)
+		d.refuse(now, j, refusal.TicketMalformed)
 	case len(j.Body) > MaxBodyBytes:
-		d.refuse(now, j, BodyTooLarge)
+		d.refuse(now, j, refusal.BodyTooLarge)
 	case !served:
-		d.void(now, j, t, NoService, TicketUnproven)
+		d.void(now, j, t, refusal.NoService, refusal.TicketUnproven)
 	case !j.Deadline.After(now):
-		d.void(now, j, t, DeadlineQueued, TicketUnproven)
+		d.void(now, j, t, refusal.DeadlineQueued, refusal.TicketUnproven)
 	default:
-		d.addTimer(timer{at: j.Deadline, kind: deadlineTimer, job: j})
+		d.addTimer(timer{at: j.Deadline.UnixNano(), kind: deadlineTimer, job: j})
 		d.routeTicketed(now, j, t)
 	}
 }
@@ -74,12 +65,12 @@
 // void refuses a request and makes its ticket void, since a delayed copy of the
 // request may still be on its way. Where that is impossible the refusal cannot
 // be proved, and unproven is its reason.
-func (d *Dispatcher) void(now time.Time, j *job, t ticket.Ticket, proved, unproven Reason) {
+func (d *Dispatcher) void(now time.Time, j *job, t ticket.Ticket, proved, unproven refusal.Reason) {
 	_, first, err := d.ledger.Redeem(now, t, j.digest())
 	p, _ := d.archive.Find(t)
 	switch {
 	case first:
-		d.ledger.Settle(t.Number, proved.Response())
+		d.ledger.Settle(t.Number, refusalResponse(proved))
 		d.refuse(now, j, proved)
 	case errors.Is(err, ticket.ErrClosed), p == ticket.NeverRedeemed:
 		d.refuse(now, j, proved)
@@ -92,32 +83,32 @@
 
 // voidMoved refuses a ticket of another caller or service.
 func (d *Dispatcher) voidMoved(now time.Time, j *job, t ticket.Ticket, err error) {
-	proved := TicketCaller
+	proved := refusal.TicketCaller
 	if errors.Is(err, ticket.ErrService) {
-		proved = TicketService
+		proved = refusal.TicketService
 	}
-	d.void(now, j, t, proved, TicketMoved)
+	d.void(now, j, t, proved, refusal.TicketMoved)
 }
 
 // routeTicketed redeems a ticket here, or hands the request to its issuer.
 func (d *Dispatcher) routeTicketed(now time.Time, j *job, t ticket.Ticket) {
 	err := t.Check(j.Service, j.Caller)
-	h, live := d.hosts[t.Host]
+	h, live := d.hosts.Lookup(t.Host)
 	p, r := d.archive.Find(t)
 	switch {
 	case t.Host == d.Self && t.Incarnation == d.Incarnation && err == nil:
 		d.redeem(now, j, t)
 	case live && h.Incarnation == t.Incarnation && h.Name != d.Self && j.from == "" && p == ticket.NoProof &&
-		(j.relayed || !d.silent(now, h.Name)):
+		(j.relayed || !d.hosts.Silent(now, h.Name)):
 		d.relay(now, j, h)
 	case err != nil:
 		d.voidMoved(now, j, t, err)
 	case p != ticket.NoProof:
 		d.finish(now, j, d.recorded(p, r, j))
 	case j.relayed || j.from != "":
-		d.refuse(now, j, IssuerGone)
+		d.refuse(now, j, refusal.IssuerGone)
 	default:
-		d.refuse(now, j, IssuerUnreached)
+		d.refuse(now, j, refusal.IssuerUnreached)
 	}
 }
 
@@ -126,7 +117,7 @@
 	d.endRelay(j)
 	t, err := d.Keys.Open(j.Ticket)
 	if err != nil {
-		d.refuse(now, j, TicketMAC)
+		d.refuse(now, j, refusal.TicketMAC)
 		return
 	}
 	d.routeTicketed(now, j, t)
@@ -136,13 +127,13 @@
 func (d *Dispatcher) recorded(p ticket.Proof, r ticket.Record[Response], j *job) Response {
 	switch {
 	case p == ticket.NeverRedeemed:
-		return TicketHandedOver.Response()
+		return refusalResponse(refusal.TicketHandedOver)
 	case r.Digest != j.digest():
-		return TicketUsed.Response()
+		return refusalResponse(refusal.TicketUsed)
 	case r.Kept:
 		return r.Answer
 	}
-	return AnswerForgotten.Response()
+	return refusalResponse(refusal.AnswerForgotten)
 }
 
 // digest identifies what a ticket was redeemed for.
@@ -164,22 +155,22 @@
 		d.waiters[t.Number] = []*job{j}
 		run := &job{Request: j.Request, service: j.service, ticket: &t}
 		j.run = run
-		d.addTimer(timer{at: j.Deadline, kind: deadlineTimer, job: run})
+		d.addTimer(timer{at: j.Deadline.UnixNano(), kind: deadlineTimer, job: run})
 		d.dispatch(now, run)
 	case errors.Is(err, ticket.ErrDigest):
-		d.refuse(now, j, TicketUsed)
+		d.refuse(now, j, refusal.TicketUsed)
 	case errors.Is(err, ticket.ErrExpired) && d.ledger.Remembers(now, t):
-		d.refuse(now, j, TicketExpired)
+		d.refuse(now, j, refusal.TicketExpired)
 	case errors.Is(err, ticket.ErrExpired):
-		d.refuse(now, j, TicketForgotten)
+		d.refuse(now, j, refusal.TicketForgotten)
 	case errors.Is(err, ticket.ErrClosed):
-		d.refuse(now, j, TicketHandedOver)
+		d.refuse(now, j, refusal.TicketHandedOver)
 	case err != nil:
-		d.refuse(now, j, IssuerGone)
+		d.refuse(now, j, refusal.IssuerGone)
 	case r.Kept:
 		d.finish(now, j, r.Answer)
 	case r.Settled:
-		d.refuse(now, j, AnswerForgotten)
+		d.refuse(now, j, refusal.AnswerForgotten)
 	default:
 		ws := d.waiters[t.Number]
 		j.run = ws[0].run
@@ -207,73 +198,3 @@
 		}
 	}
 }
-
-// HandOverArgs hands the final state of a stopping host's tickets, and of those
-// that it was handed itself, to another host.
-type HandOverArgs struct {
-	Handovers []ticket.Handover[Response]
-}
-
-// Method returns the name of the net/rpc method.
-func (HandOverArgs) Method() string { return "request.handOver" }
-
-// HandOverReply acknowledges HandOverArgs.
-type HandOverReply struct{}
-
-// handover is the progress of handing the tickets on at a planned stop.
-type handover struct {
-	began         time.Time
-	sent          bool
-	waiting, took int
-	done          bool
-}
-
-func (h *handover) answered(err error) {
-	h.waiting--
-	if err == nil {
-		h.took++
-	}
-}
-
-// tickHandover hands the tickets on once nothing runs any more.
-func (d *Dispatcher) tickHandover(now time.Time) {
-	h := &d.handover
-	if !d.stopping || h.done || !d.quiet() {
-		return
-	}
-	if h.began.IsZero() {
-		h.began = now
-	}
-	switch {
-	case h.sent && h.waiting > 0 && now.Sub(h.began) < handoverPatience:
-	case h.took > 0 || now.Sub(h.began) >= handoverPatience || len(d.heirs()) == 0:
-		h.done = true
-	default:
-		d.sendHandover(now)
-	}
-}
-
-func (d *Dispatcher) heirs() []cornelbay.Host {
-	out := d.newsHosts()
-	return out[:min(len(out), maxHeirs)]
-}
-
-func (d *Dispatcher) sendHandover(now time.Time) {
-	all := append(d.archive.All(now), d.ledger.HandOver(now, MaxHandoverBytes))
-	d.handover.sent, d.handover.waiting = true, 0
-	for _, h := range d.heirs() {
-		d.handover.waiting++
-		d.callPeer(h.Name, HandOverArgs{Handovers: all})
-	}
-}
-
-// takeHandovers keeps what other hosts hand on and answers who waits for them.
-func (d *Dispatcher) takeHandovers(now time.Time, a HandOverArgs) {
-	for _, h := range a.Handovers {
-		if h.Host == d.Self && h.Incarnation == d.Incarnation {
-			continue
-		}
-		d.archive.Add(h)
-		d.issuerEnded(now, h.Host)
-	}
-}
