config: move the keeper to a package of its own

The keeper and its fetches are package configsync now; method names stay. entry and matrix follow. Ran go test ./config ./configsync ./operator.

--- a/config/document.go
+++ b/config/document.go
@@ -1,5 +1,5 @@
 // Package config holds the one document of a deployment: parsing, validation,
-// canonical form, digest, and the keeper of the generation in force on a host.
+// canonical form, differences, and the objects that it is stored as.
 package config
 
 import (
--- a/config/fetch.go
+++ b/configsync/fetch.go
@@ -1,4 +1,4 @@
-package config
+package configsync
 
 import (
 	"cmp"
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/config"
 	"github.com/cornelbay/cornelbay/peer"
 	"github.com/cornelbay/cornelbay/platform"
 )
@@ -63,7 +64,7 @@
 	found
 	// next is a higher head that is fetched afterwards.
 	next    found
-	objects Objects
+	objects config.Objects
 	// asked holds the hosts that did not help.
 	asked map[cornelbay.HostName]bool
 	// peer is the host that is being asked under the number call until due.
@@ -79,7 +80,7 @@
 
 // found is a head that is higher than the one in force.
 type found struct {
-	head    Head
+	head    config.Head
 	raw     []byte
 	version uint64
 	// sentAt is a time at which the head was the platform's or older, or zero.
@@ -103,7 +104,7 @@
 func (k *Keeper) fetching() *fetch {
 	if k.fetch == nil {
 		k.fetch = &fetch{
-			objects: make(Objects), asked: make(map[cornelbay.HostName]bool), sent: make(map[uint64]time.Time),
+			objects: make(config.Objects), asked: make(map[cornelbay.HostName]bool), sent: make(map[uint64]time.Time),
 		}
 		for d, b := range k.objects {
 			k.fetch.objects[d] = b
@@ -118,7 +119,7 @@
 	if f == nil {
 		return
 	}
-	d := Digest(b)
+	d := config.Digest(b)
 	if !slices.Contains(f.objects.Missing(f.head, k.Group), d) {
 		k.Stats.Refused++
 		k.failed(now, 0)
@@ -242,14 +243,14 @@
 	}
 	if f.head.Generation == 0 {
 		f.platformAt = now.Add(k.probeInterval())
-		if k.asking(HeadKey) {
+		if k.asking(config.HeadKey) {
 			return nil
 		}
-		return k.ask(now, platform.Call{Op: platform.Get, Key: HeadKey})
+		return k.ask(now, platform.Call{Op: platform.Get, Key: config.HeadKey})
 	}
 	var out []cornelbay.Effect
 	for _, d := range f.objects.Missing(f.head, k.Group) {
-		if key := ShardPrefix + d; !k.asking(key) {
+		if key := config.ShardPrefix + d; !k.asking(key) {
 			out = append(out, k.ask(now, platform.Call{Op: platform.Get, Key: key})...)
 		}
 	}
@@ -303,14 +304,14 @@
 	if r.Generation < k.head.Generation {
 		return false
 	}
-	h, err := ParseHead(r.Head)
+	h, err := config.ParseHead(r.Head)
 	if err != nil || h.Generation != r.Generation {
 		k.Stats.Refused++
 		return false
 	}
 	helped := f.head.Generation == 0
 	for _, b := range r.Objects {
-		d := Digest(b)
+		d := config.Digest(b)
 		if _, held := f.objects[d]; !held {
 			f.objects[d] = b
 			helped = true
@@ -348,7 +349,7 @@
 		return
 	}
 	named := f.objects.Named(f.head, k.Group)
-	held := make(Objects, len(named))
+	held := make(config.Objects, len(named))
 	for _, d := range named {
 		held[d] = f.objects[d]
 	}
--- a/config/keeper.go
+++ b/configsync/keeper.go
@@ -1,4 +1,7 @@
-package config
+// Package configsync keeps the configuration in force on a host: it learns of
+// committed generations from the platform and from other hosts, and takes each
+// whole or not at all.
+package configsync
 
 import (
 	"errors"
@@ -8,6 +11,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/config"
 	"github.com/cornelbay/cornelbay/platform"
 )
 
@@ -75,11 +79,11 @@
 	heard map[cornelbay.HostName]uint64
 
 	// The generation in force.
-	head    Head
+	head    config.Head
 	raw     []byte
 	version uint64
-	doc     *Document
-	objects Objects
+	doc     *config.Document
+	objects config.Objects
 	past    []pastGeneration
 
 	fetch     *fetch
@@ -110,11 +114,11 @@
 func (k *Keeper) Generation() uint64 { return k.head.Generation }
 
 // Head returns the head of the generation in force.
-func (k *Keeper) Head() Head { return k.head }
+func (k *Keeper) Head() config.Head { return k.head }
 
 // Document returns the document in force with the services of the own group, or
 // nil when there is none.
-func (k *Keeper) Document() *Document { return k.doc }
+func (k *Keeper) Document() *config.Document { return k.doc }
 
 // ConfirmedAt returns the last time at which the platform is known to have
 // confirmed the head in force, by an own call or another host's word. After a
@@ -208,10 +212,10 @@
 
 // readHead reads or watches the head when that is due.
 func (k *Keeper) readHead(now time.Time) []cornelbay.Effect {
-	if now.Before(k.nextHead) || k.asking(HeadKey) {
+	if now.Before(k.nextHead) || k.asking(config.HeadKey) {
 		return nil
 	}
-	c := platform.Call{Op: platform.Get, Key: HeadKey}
+	c := platform.Call{Op: platform.Get, Key: config.HeadKey}
 	switch {
 	case k.Poll > 0:
 		k.nextHead = now.Add(k.Poll)
@@ -221,7 +225,7 @@
 	case k.watcher() && k.failures > 0:
 		// After a failure a plain read tells sooner than a watch that may be silent.
 	case k.watcher():
-		c = platform.Call{Op: platform.Watch, Key: HeadKey, Version: k.version, Wait: WatchWait}
+		c = platform.Call{Op: platform.Watch, Key: config.HeadKey, Version: k.version, Wait: WatchWait}
 		if k.fetch != nil && k.fetch.version != 0 {
 			c.Version = max(k.fetch.version, k.fetch.next.version)
 		}
@@ -309,7 +313,7 @@
 		}
 	case a.Err != nil:
 		k.failed(now, a.RetryAfter)
-	case c.Key == HeadKey:
+	case c.Key == config.HeadKey:
 		k.headRead(now, c, a.Object)
 	default:
 		k.objectRead(now, a.Object.Value)
@@ -320,7 +324,7 @@
 
 // headRead takes a head that the platform answered.
 func (k *Keeper) headRead(now time.Time, c call, o platform.Object) {
-	h, err := ParseHead(o.Value)
+	h, err := config.ParseHead(o.Value)
 	if err != nil {
 		k.Stats.Refused++
 		k.failed(now, 0)
--- a/config/keeper_test.go
+++ b/configsync/keeper_test.go
@@ -1,14 +1,18 @@
-package config
+package configsync
 
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/config"
+	"github.com/cornelbay/cornelbay/examples"
 	"github.com/cornelbay/cornelbay/peer"
 	"github.com/cornelbay/cornelbay/platform"
 )
@@ -41,9 +45,9 @@
 }
 
 // commit writes a document as the given generation.
-func (f *fakes) commit(generation uint64, latencyMs int) (Head, Objects) {
+func (f *fakes) commit(generation uint64, latencyMs int) (config.Head, config.Objects) {
 	f.t.Helper()
-	doc, err := Parse(example(f.t, "agence.json"))
+	doc, err := config.Parse(examples.Agence)
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -54,13 +58,13 @@
 	}
 	h.Generation = generation
 	for d, b := range objects {
-		f.put(ShardPrefix+d, b)
+		f.put(config.ShardPrefix+d, b)
 	}
 	b, err := h.Marshal()
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	f.put(HeadKey, b)
+	f.put(config.HeadKey, b)
 	return h, objects
 }
 
@@ -115,7 +119,7 @@
 // run ticks every keeper for a time; each hears the others twice a second.
 func (f *fakes) run(span time.Duration) {
 	for end := f.now.Add(span); f.now.Before(end); f.now = f.now.Add(100 * time.Millisecond) {
-		for _, name := range sortedKeys(f.keepers) {
+		for _, name := range slices.Sorted(maps.Keys(f.keepers)) {
 			if name != f.paused {
 				k := f.keepers[name]
 				f.do(k, k.Tick(f.now))
@@ -130,7 +134,7 @@
 	if f.cut || f.now.UnixMilli()%500 != 0 {
 		return
 	}
-	for _, from := range sortedKeys(f.keepers) {
+	for _, from := range slices.Sorted(maps.Keys(f.keepers)) {
 		if other := f.keepers[from]; from != k.Self.Name && from != f.paused {
 			f.do(k, k.Heard(f.now, from, other.Generation(), other.ConfirmedAgeMs()))
 		}
@@ -140,7 +144,7 @@
 func TestKeeperRefusesWhatIsNotWhole(t *testing.T) {
 	swap := func(b []byte) func(a platform.Answer) platform.Answer {
 		return func(a platform.Answer) platform.Answer {
-			if a.Call.Key != HeadKey {
+			if a.Call.Key != config.HeadKey {
 				a.Object.Value = b
 			}
 			return a
@@ -151,7 +155,7 @@
 		mangle func(a platform.Answer) platform.Answer
 	}{
 		{"shards missing", func(a platform.Answer) platform.Answer {
-			if a.Call.Key != HeadKey {
+			if a.Call.Key != config.HeadKey {
 				a.Err = platform.ErrNotFound
 			}
 			return a
@@ -159,7 +163,7 @@
 		{"shards corrupted", swap([]byte(`{"services":[]}`))},
 		{"shards empty", swap(nil)},
 		{"head half-written", func(a platform.Answer) platform.Answer {
-			if a.Call.Key == HeadKey {
+			if a.Call.Key == config.HeadKey {
 				a.Object.Value = a.Object.Value[:len(a.Object.Value)/2]
 			}
 			return a
@@ -231,7 +235,7 @@
 	f.run(2 * time.Second)
 	f.paused = "b"
 	f.mangle = func(a platform.Answer) platform.Answer {
-		if a.Call.Key != HeadKey {
+		if a.Call.Key != config.HeadKey {
 			a.Err = platform.ErrNotFound
 		}
 		return a
--- a/entry/config.go
+++ b/entry/config.go
@@ -5,12 +5,13 @@
 
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/config"
+	"github.com/cornelbay/cornelbay/configsync"
 	"github.com/cornelbay/cornelbay/member"
 	"github.com/cornelbay/cornelbay/peer"
 	"github.com/cornelbay/cornelbay/platform"
 )
 
-func init() { peer.RegisterCall[config.FetchArgs, config.FetchReply]() }
+func init() { peer.RegisterCall[configsync.FetchArgs, configsync.FetchReply]() }
 
 // Head returns the head of the generation in force; its Generation is 0 while
 // there is none.
@@ -46,7 +47,7 @@
 // PeerAnswer takes another host's answer to a call over net/rpc.
 func (h *Host) PeerAnswer(now time.Time, a peer.Answer) []cornelbay.Effect {
 	switch a.Call.Args.(type) {
-	case config.FetchArgs:
+	case configsync.FetchArgs:
 		out, changed := h.keeper.PeerAnswer(now, a)
 		return append(out, h.adopted(now, changed)...)
 	}
@@ -56,7 +57,7 @@
 // ServePeer answers another host's call over net/rpc.
 func (h *Host) ServePeer(now time.Time, from cornelbay.HostName, args peer.Args) (any, []cornelbay.Effect, error) {
 	switch args := args.(type) {
-	case config.FetchArgs:
+	case configsync.FetchArgs:
 		r, err := h.keeper.Serve(now, args)
 		return r, nil, err
 	}
@@ -67,7 +68,7 @@
 }
 
 // ConfigStats returns what the keeper of the configuration counted.
-func (h *Host) ConfigStats() config.Stats { return h.keeper.Stats }
+func (h *Host) ConfigStats() configsync.Stats { return h.keeper.Stats }
 
 // heardConfig takes what a heartbeat tells of the configuration.
 func (h *Host) heardConfig(now time.Time, b member.Heartbeat) []cornelbay.Effect {
--- a/entry/host.go
+++ b/entry/host.go
@@ -8,7 +8,7 @@
 
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/agree"
-	"github.com/cornelbay/cornelbay/config"
+	"github.com/cornelbay/cornelbay/configsync"
 	"github.com/cornelbay/cornelbay/flow"
 	"github.com/cornelbay/cornelbay/member"
 	"github.com/cornelbay/cornelbay/request"
@@ -44,7 +44,7 @@
 	Requests request.Dispatcher
 
 	members member.View
-	keeper  config.Keeper
+	keeper  configsync.Keeper
 	flows   agree.Control
 	judge   warmth.Judge
 	known   cornelbay.Members
@@ -62,7 +62,7 @@
 	h.Plane.HashKey = s.HashKey
 	h.members = member.View{Self: s.Self, Seed: s.Seed, Fill: h.fill}
 	h.members.Introduce(s.Introduce...)
-	h.keeper = config.Keeper{Self: s.Self, Group: s.Group, Poll: s.Poll}
+	h.keeper = configsync.Keeper{Self: s.Self, Group: s.Group, Poll: s.Poll}
 	h.flows = agree.Control{Self: s.Self.Name, Plane: &h.Plane}
 	h.judge.Self = s.Self.Name
 	h.startRequests()
--- a/matrix/strike.go
+++ b/matrix/strike.go
@@ -7,6 +7,7 @@
 
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/config"
+	"github.com/cornelbay/cornelbay/configsync"
 	"github.com/cornelbay/cornelbay/measure"
 	"github.com/cornelbay/cornelbay/operator"
 	"github.com/cornelbay/cornelbay/peer"
@@ -76,7 +77,7 @@
 	if !ok || !w.blocked[n.Self.Name].deaf {
 		return false
 	}
-	_, fetch := c.Args.(config.FetchArgs)
+	_, fetch := c.Args.(configsync.FetchArgs)
 	return fetch
 }
 
