--- a/config/diff.go
+++ b/config/diff.go
@@ -8,6 +8,7 @@
 	"slices"
 
 	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/strictjson"
 )
 
 // ChangeKind tells what a difference is.
@@ -91,7 +92,7 @@
 	a, b := reflect.ValueOf(from), reflect.ValueOf(to)
 	for i := range a.NumField() {
 		if f := a.Type().Field(i); f.Type.Kind() != reflect.Slice {
-			d.scalar(path+"."+keyOf(f), a.Field(i).Interface(), b.Field(i).Interface())
+			d.scalar(path+"."+strictjson.KeyOf(f), a.Field(i).Interface(), b.Field(i).Interface())
 		}
 	}
 }
--- a/config/document.go
+++ b/config/document.go
@@ -10,8 +10,12 @@
 	"slices"
 
 	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/strictjson"
 )
 
+// Errors lists the faults of a document, each with its path.
+type Errors = strictjson.Errors
+
 // Document is the whole intended state of a deployment.
 type Document struct {
 	Deployment  string                 `json:"deployment"`
@@ -23,11 +27,11 @@
 // everything that is wrong with it.
 func Parse(b []byte) (*Document, error) {
 	var doc Document
-	errs := decodeStrict(b, &doc)
-	if errs.broken() {
+	errs := strictjson.Decode(b, &doc)
+	if errs.Broken() {
 		return nil, errs
 	}
-	read := errs.paths()
+	read := errs.Paths()
 	for _, e := range doc.Validate() {
 		if !read[e.Path] {
 			errs = append(errs, e)
--- a/config/head.go
+++ b/config/head.go
@@ -5,6 +5,8 @@
 	"fmt"
 
 	"github.com/ansel1/merry/v2"
+
+	"github.com/cornelbay/cornelbay/strictjson"
 )
 
 // The keys of the configuration's objects in the platform's service.
@@ -77,7 +79,7 @@
 // ParseHead reads a stored head; one that is corrupted or incomplete is ErrHead.
 func ParseHead(b []byte) (Head, error) {
 	var h Head
-	if errs := decodeStrict(b, &h); len(errs) > 0 {
+	if errs := strictjson.Decode(b, &h); len(errs) > 0 {
 		return Head{}, merry.Wrap(ErrHead, merry.AppendMessage(errs[0].Error()))
 	}
 	plain := h
--- a/config/shard.go
+++ b/config/shard.go
@@ -10,6 +10,7 @@
 
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/platform"
+	"github.com/cornelbay/cornelbay/strictjson"
 )
 
 // ShardBytes is the size at which a shard takes no further service.
@@ -154,7 +155,7 @@
 // shards returns the digests in a manifest at hand.
 func (o Objects) shards(manifest string) []string {
 	var m Manifest
-	if errs := decodeStrict(o[manifest], &m); len(errs) > 0 {
+	if errs := strictjson.Decode(o[manifest], &m); len(errs) > 0 {
 		return nil
 	}
 	return m.Shards
@@ -216,7 +217,7 @@
 	if Digest(b) != digest {
 		return merry.Wrap(ErrShard, merry.AppendMessagef("%s is corrupted", digest))
 	}
-	if errs := decodeStrict(b, v); len(errs) > 0 {
+	if errs := strictjson.Decode(b, v); len(errs) > 0 {
 		return merry.Wrap(ErrShard, merry.AppendMessagef("%s: %v", digest, errs[0]))
 	}
 	return nil
@@ -227,7 +228,7 @@
 	for i, s := range d.Services {
 		b, err := json.Marshal(Shard{Services: []cornelbay.Service{s}})
 		if err != nil || len(b) > platform.MaxValueBytes {
-			v.errs.add(servicePath(i), "%d bytes, the platform holds %d", len(b), platform.MaxValueBytes)
+			v.errs.Add(servicePath(i), "%d bytes, the platform holds %d", len(b), platform.MaxValueBytes)
 		}
 	}
 	if len(v.errs) > 0 {
@@ -235,19 +236,19 @@
 	}
 	h, objects, err := d.Split()
 	if err != nil {
-		v.errs.add("", "%v", err)
+		v.errs.Add("", "%v", err)
 		return
 	}
 	head, err := h.Marshal()
 	if err != nil || len(head)+MaxChangeBytes+MaxAuthorBytes+MaxReasonBytes > platform.MaxValueBytes {
-		v.errs.add("services", "more groups than one object of the platform holds")
+		v.errs.Add("services", "more groups than one object of the platform holds")
 	}
 	if len(objects[h.Base]) > platform.MaxValueBytes {
-		v.errs.add("dataCentres", "%d bytes, the platform holds %d", len(objects[h.Base]), platform.MaxValueBytes)
+		v.errs.Add("dataCentres", "%d bytes, the platform holds %d", len(objects[h.Base]), platform.MaxValueBytes)
 	}
 	for _, g := range h.Groups {
 		if n := len(objects[g.Manifest]); n > platform.MaxValueBytes {
-			v.errs.add("services", "group %q lists more shards than one object of the platform holds", g.Group)
+			v.errs.Add("services", "group %q lists more shards than one object of the platform holds", g.Group)
 		}
 	}
 }
--- a/config/validate.go
+++ b/config/validate.go
@@ -32,7 +32,7 @@
 	}
 	v.name("deployment", d.Deployment)
 	if len(d.DataCentres) == 0 {
-		v.errs.add("dataCentres", "at least one data centre is wanted")
+		v.errs.Add("dataCentres", "at least one data centre is wanted")
 	}
 	for i, dc := range d.DataCentres {
 		path := fmt.Sprintf("dataCentres[%d]", i)
@@ -66,13 +66,13 @@
 
 func (v *validator) name(path, name string) {
 	if !nameForm.MatchString(name) {
-		v.errs.add(path, "%q is not a name of 1 to 63 lower-case letters, digits and inner hyphens", name)
+		v.errs.Add(path, "%q is not a name of 1 to 63 lower-case letters, digits and inner hyphens", name)
 	}
 }
 
 func unique[K comparable](v *validator, seen map[K]string, key K, path, field string) {
 	if first, ok := seen[key]; ok {
-		v.errs.add(path+field, "%v is used by %s too", key, first)
+		v.errs.Add(path+field, "%v is used by %s too", key, first)
 		return
 	}
 	seen[key] = path
@@ -80,7 +80,7 @@
 
 func (v *validator) between(path string, n, least, most int) {
 	if n < least || n > most {
-		v.errs.add(path, "%d is not between %d and %d", n, least, most)
+		v.errs.Add(path, "%d is not between %d and %d", n, least, most)
 	}
 }
 
@@ -91,17 +91,17 @@
 		v.name(path+".group", s.Group)
 	}
 	if !usable(s.Address) {
-		v.errs.add(path+".address", "a unicast IP address is wanted")
+		v.errs.Add(path+".address", "a unicast IP address is wanted")
 	}
 	if s.Port == 0 {
-		v.errs.add(path+".port", "a port from 1 to 65535 is wanted")
+		v.errs.Add(path+".port", "a port from 1 to 65535 is wanted")
 	}
 	if s.Protocol.Number() == 0 {
-		v.errs.add(path+".protocol", "%q is neither tcp nor udp", s.Protocol)
+		v.errs.Add(path+".protocol", "%q is neither tcp nor udp", s.Protocol)
 	}
 	key := serviceAddress{netip.AddrPortFrom(s.Address.Unmap(), s.Port), s.Protocol}
 	if first, ok := v.addresses[key]; ok {
-		v.errs.add(path+".address", "%s %s is used by %s too", key.at, s.Protocol, first)
+		v.errs.Add(path+".address", "%s %s is used by %s too", key.at, s.Protocol, first)
 	} else {
 		v.addresses[key] = path
 	}
@@ -116,7 +116,7 @@
 		return
 	}
 	if !(l.Objective > 0 && l.Objective < 1) {
-		v.errs.add(path+".objective", "%v is not between 0 and 1, both excluded", l.Objective)
+		v.errs.Add(path+".objective", "%v is not between 0 and 1, both excluded", l.Objective)
 	}
 	v.between(path+".latencyMs", l.LatencyMs, 1, MaxLatencyMs)
 	v.between(path+".windowHours", l.WindowHours, 1, MaxWindowHours)
@@ -126,12 +126,12 @@
 	v.name(path+".name", string(t.Name))
 	unique(v, v.targets, t.Name, path, ".name")
 	if _, ok := v.centres[t.DataCentre]; !ok {
-		v.errs.add(path+".dataCentre", "no data centre %q", t.DataCentre)
+		v.errs.Add(path+".dataCentre", "no data centre %q", t.DataCentre)
 	}
 	v.endpoint(path, ".tunnel", t.Tunnel, v.tunnels)
 	v.endpoint(path, ".http", t.HTTP, v.https)
 	if at := netip.AddrPortFrom(s.Address, s.Port); t.HTTP == at && t.HTTP.IsValid() {
-		v.errs.add(path+".http", "%s is the address of the service itself", at)
+		v.errs.Add(path+".http", "%s is the address of the service itself", at)
 	}
 	v.between(path+".weight", t.Weight, 0, MaxWeight)
 	v.between(path+".slots", t.Slots, 0, MaxSlots)
@@ -140,7 +140,7 @@
 
 func (v *validator) endpoint(path, field string, at netip.AddrPort, seen map[netip.AddrPort]string) {
 	if !usable(at.Addr()) || at.Port() == 0 {
-		v.errs.add(path+field, "a unicast IP address with a port from 1 to 65535 is wanted")
+		v.errs.Add(path+field, "a unicast IP address with a port from 1 to 65535 is wanted")
 		return
 	}
 	unique(v, seen, netip.AddrPortFrom(at.Addr().Unmap(), at.Port()), path, field)
--- a/config/strict.go
+++ b/strictjson/strict.go
@@ -1,4 +1,6 @@
-package config
+// Package strictjson reads JSON into Go values and reports every fault with its
+// path: unknown and doubled keys, and values of a wrong type.
+package strictjson
 
 import (
 	"bytes"
@@ -42,15 +44,16 @@
 	return strings.Join(lines, "\n")
 }
 
-func (e *Errors) add(path, format string, args ...any) {
+// Add appends a fault.
+func (e *Errors) Add(path, format string, args ...any) {
 	*e = append(*e, Error{Path: path, Message: fmt.Sprintf(format, args...)})
 }
 
-// broken reports whether the JSON could not be read to its end.
-func (e Errors) broken() bool { return len(e) > 0 && e[len(e)-1].Path == "" }
+// Broken reports whether the JSON could not be read to its end.
+func (e Errors) Broken() bool { return len(e) > 0 && e[len(e)-1].Path == "" }
 
-// paths returns the places of the faults.
-func (e Errors) paths() map[string]bool {
+// Paths returns the places of the faults.
+func (e Errors) Paths() map[string]bool {
 	out := make(map[string]bool)
 	for i := range e {
 		out[e[i].Path] = true
@@ -58,17 +61,17 @@
 	return out
 }
 
-// decodeStrict reads JSON into v and returns every unknown or doubled key and
+// Decode reads JSON into v and returns every unknown or doubled key and
 // every value of a wrong type.
-func decodeStrict(b []byte, v any) Errors {
+func Decode(b []byte, v any) Errors {
 	s := strict{dec: json.NewDecoder(bytes.NewReader(b))}
 	s.dec.UseNumber()
 	if err := s.value("", reflect.ValueOf(v).Elem(), 0); err != nil {
-		s.errs.add("", "not valid JSON near byte %d: %v", s.dec.InputOffset(), syntax(err))
+		s.errs.Add("", "not valid JSON near byte %d: %v", s.dec.InputOffset(), syntax(err))
 		return s.errs
 	}
 	if _, err := s.dec.Token(); !errors.Is(err, io.EOF) {
-		s.errs.add("", "more than one JSON value, from byte %d", s.dec.InputOffset())
+		s.errs.Add("", "more than one JSON value, from byte %d", s.dec.InputOffset())
 	}
 	return s.errs
 }
@@ -118,7 +121,7 @@
 	if d == '[' {
 		name = "a list"
 	}
-	s.errs.add(path, "%s where %s is wanted", name, wanted(v))
+	s.errs.Add(path, "%s where %s is wanted", name, wanted(v))
 	return s.skip(depth)
 }
 
@@ -154,9 +157,9 @@
 		field, ok := fieldOf(v, key)
 		switch {
 		case !ok:
-			s.errs.add(at, "unknown key")
+			s.errs.Add(at, "unknown key")
 		case seen[key]:
-			s.errs.add(at, "key given twice")
+			s.errs.Add(at, "key given twice")
 		}
 		if !ok || seen[key] {
 			var skipped json.RawMessage
@@ -195,24 +198,24 @@
 		s.number(path, t, v)
 	case bool:
 		if v.Kind() != reflect.Bool {
-			s.errs.add(path, "%t where %s is wanted", t, wanted(v))
+			s.errs.Add(path, "%t where %s is wanted", t, wanted(v))
 			return
 		}
 		v.SetBool(t)
 	default:
-		s.errs.add(path, "null where %s is wanted", wanted(v))
+		s.errs.Add(path, "null where %s is wanted", wanted(v))
 	}
 }
 
 func (s *strict) text(path, t string, v reflect.Value) {
 	if u, ok := v.Addr().Interface().(encoding.TextUnmarshaler); ok {
 		if err := u.UnmarshalText([]byte(t)); err != nil {
-			s.errs.add(path, "%q is not %s", t, wanted(v))
+			s.errs.Add(path, "%q is not %s", t, wanted(v))
 		}
 		return
 	}
 	if v.Kind() != reflect.String {
-		s.errs.add(path, "%q where %s is wanted", t, wanted(v))
+		s.errs.Add(path, "%q where %s is wanted", t, wanted(v))
 		return
 	}
 	v.SetString(t)
@@ -235,7 +238,7 @@
 		bad = err != nil
 	}
 	if bad {
-		s.errs.add(path, "%s where %s is wanted", n, wanted(v))
+		s.errs.Add(path, "%s where %s is wanted", n, wanted(v))
 	}
 }
 
@@ -243,14 +246,15 @@
 func fieldOf(v reflect.Value, key string) (reflect.Value, bool) {
 	t := v.Type()
 	for i := range t.NumField() {
-		if keyOf(t.Field(i)) == key {
+		if KeyOf(t.Field(i)) == key {
 			return v.Field(i), true
 		}
 	}
 	return reflect.Value{}, false
 }
 
-func keyOf(f reflect.StructField) string {
+// KeyOf returns the JSON key of a field.
+func KeyOf(f reflect.StructField) string {
 	name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
 	return name
 }
