Decide nothing after a pause until the host has heard another

Change: a host whose control has not run for a second decides nothing, nor one whose membership has lapsed. A host that hears nobody is in doubt even while it has a confirmed configuration, since it takes part in no epoch.

--- a/agree/control.go
+++ b/agree/control.go
@@ -188,6 +188,9 @@
 
 func sameName(a, b cornelbay.Host) bool { return a.Name == b.Name && a.Incarnation == b.Incarnation }
 
+// lapsed reports whether the host was paused and has heard nobody since.
+func (c *Control) lapsed() bool { return len(c.members.Live) == 0 && len(c.members.Missing) > 0 }
+
 // split reports whether as many hosts as are heard may place flows among
 // themselves, so that a flow without a record here may well be new there.
 func (c *Control) split() bool {
@@ -195,10 +198,10 @@
 }
 
 // updateDoubt notes whether the hosts that are not heard may have changed any
-// bucket: they are as many as those that are, and nobody has confirmed lately
-// that the configuration is the newest.
+// bucket: they are as many as those that are, and the host is alone or nobody has
+// confirmed lately that the configuration is the newest.
 func (c *Control) updateDoubt(now time.Time) {
-	doubt := c.split() && now.Sub(c.members.ConfirmedAt) > DoubtAfter
+	doubt := c.split() && (c.isolated() || now.Sub(c.members.ConfirmedAt) > DoubtAfter)
 	if doubt != c.doubt {
 		c.doubt, c.dirty = doubt, true
 	}
@@ -255,6 +258,7 @@
 // Tick returns the effects that are due at now.
 func (c *Control) Tick(now time.Time) []cornelbay.Effect {
 	c.init()
+	c.Plane.Refresh(now)
 	c.sweepTable(now)
 	out := c.tickJoin(now)
 	if !c.deciding() {
--- a/flow/plane.go
+++ b/flow/plane.go
@@ -29,6 +29,10 @@
 // hosts that are not heard may know it.
 const unknownTries = 5
 
+// StaleAfter is the time without a run of the control from which a host decides
+// nothing.
+const StaleAfter = time.Second
+
 // MaxHops bounds the relays of one packet.
 const MaxHops = 12
 
@@ -42,12 +46,14 @@
 	Counters Counters
 
 	snapshot atomic.Pointer[Snapshot]
+	// refreshed is when the control last ran, in nanoseconds of Unix time.
+	refreshed atomic.Int64
 }
 
 // Decide returns the verdict for one packet.
 func (p *Plane) Decide(now time.Time, pk *cornelbay.Packet) (v cornelbay.Verdict) {
 	hash := p.hash(&pk.Key)
-	p.decide(hash, track.Ticks(now), pk, &v)
+	p.decide(hash, now, pk, &v)
 	p.Counters.count(hash, &v)
 	return v
 }
@@ -61,9 +67,9 @@
 	mark track.Mark
 }
 
-func (p *Plane) decide(hash uint64, now uint32, in *cornelbay.Packet, v *cornelbay.Verdict) {
+func (p *Plane) decide(hash uint64, at time.Time, in *cornelbay.Packet, v *cornelbay.Verdict) {
 	snap := p.snapshot.Load()
-	if snap == nil {
+	if snap == nil || snap.Lapsed || p.stale(at) {
 		v.Reason = cornelbay.NoConfig
 		return
 	}
@@ -72,7 +78,7 @@
 		v.Reason = cornelbay.NoService
 		return
 	}
-	m := marks(in)
+	m, now := marks(in), track.Ticks(at)
 	if in.Relay.Hops > 0 && in.Relay.From == snap.Self {
 		*v = p.returned(&packet{in, snap, hash, now, m}, svc)
 		return
@@ -346,6 +352,14 @@
 	return max(1, siphash.Hash(p.HashKey[0], p.HashKey[1], b[:n+5]))
 }
 
+// Refresh notes that the control ran; a host whose control has not run for
+// StaleAfter was paused, and what it knew may be wrong by now.
+func (p *Plane) Refresh(now time.Time) { p.refreshed.Store(now.UnixNano()) }
+
+func (p *Plane) stale(now time.Time) bool {
+	return now.UnixNano()-p.refreshed.Load() > int64(StaleAfter)
+}
+
 // Snapshot returns what was published last, or nil.
 func (p *Plane) Snapshot() *Snapshot { return p.snapshot.Load() }
 
--- a/flow/snapshot.go
+++ b/flow/snapshot.go
@@ -23,6 +23,9 @@
 	Hosts []cornelbay.HostName
 	// Isolated is true while the host hears none of the hosts it should hear.
 	Isolated bool
+	// Lapsed is true while the host cannot know whether it was paused so long that
+	// what it knew is wrong; it decides nothing then.
+	Lapsed bool
 	// Split is true while so many hosts are missing that they may have placed
 	// flows among themselves.
 	Split bool
