Ask for the epochs again after a split before relying on the own ones

Cause: the fault matrix (apply, dataCentreCutOff) showed hosts that heard the others again and relied at once on epochs from before the split. Change: a host that was split stays in doubt until every live host has sent its epochs.

--- a/agree/control.go
+++ b/agree/control.go
@@ -63,6 +63,7 @@
 	history     bool
 	sweep       int
 	join        join
+	resync      resync
 	servedSince time.Time
 	handoff     handoff
 	digest      digestState
@@ -176,12 +177,13 @@
 		return nil
 	}
 	c.dirty = true
-	c.updateDoubt(now)
 	if c.split() {
+		c.resync = resync{needed: true}
 		for _, s := range c.services {
 			s.incomplete()
 		}
 	}
+	c.updateDoubt(now)
 	c.publish(now)
 	return nil
 }
@@ -198,10 +200,14 @@
 }
 
 // updateDoubt notes whether the hosts that are not heard may have changed any
-// bucket: they are as many as those that are, and the host is alone or nobody has
+// bucket: they were so until a moment ago and their epochs have not come yet, or
+// they are as many as those that are, and the host is alone or nobody has
 // confirmed lately that the configuration is the newest.
 func (c *Control) updateDoubt(now time.Time) {
-	doubt := c.split() && (c.isolated() || now.Sub(c.members.ConfirmedAt) > DoubtAfter)
+	doubt := c.resync.needed
+	if c.split() {
+		doubt = c.isolated() || now.Sub(c.members.ConfirmedAt) > DoubtAfter
+	}
 	if doubt != c.doubt {
 		c.doubt, c.dirty = doubt, true
 	}
@@ -264,6 +270,7 @@
 	if !c.deciding() {
 		return out
 	}
+	out = append(out, c.tickResync(now)...)
 	c.updateDoubt(now)
 	c.closeTargets(now)
 	out = append(out, c.propose(now)...)
--- a/agree/join.go
+++ b/agree/join.go
@@ -198,7 +198,11 @@
 	for _, s := range c.services {
 		n += len(s.epochs)
 	}
-	if c.deciding() || c.join.answered == nil || n < m.Count {
+	if c.deciding() {
+		c.resynced(now, from)
+		return
+	}
+	if c.join.answered == nil || n < m.Count {
 		return
 	}
 	c.join.answered[from] = joinAnswer{m, now}
@@ -207,6 +211,49 @@
 	}
 }
 
+// resync is the state of a host that was split from others and asks them for
+// their epochs again before it relies on its own.
+type resync struct {
+	needed   bool
+	asked    time.Time
+	answered map[cornelbay.HostName]bool
+}
+
+func (c *Control) tickResync(now time.Time) []cornelbay.Effect {
+	r := &c.resync
+	if !r.needed || c.split() || now.Sub(r.asked) < retransmitInterval {
+		return nil
+	}
+	r.asked = now
+	return sendAll(c.unsynced(), Epochs{})
+}
+
+func (c *Control) unsynced() []cornelbay.HostName {
+	var out []cornelbay.HostName
+	for _, h := range c.members.Live {
+		if h.Name != c.Self && !c.resync.answered[h.Name] {
+			out = append(out, h.Name)
+		}
+	}
+	return out
+}
+
+// resynced notes that a host's epochs have come.
+func (c *Control) resynced(now time.Time, from cornelbay.HostName) {
+	r := &c.resync
+	if !r.needed || c.split() {
+		return
+	}
+	if r.answered == nil {
+		r.answered = make(map[cornelbay.HostName]bool)
+	}
+	r.answered[from] = true
+	if len(c.unsynced()) == 0 {
+		c.resync = resync{}
+		c.updateDoubt(now)
+	}
+}
+
 // digestState is what the comparison of epochs between hosts keeps.
 type digestState struct {
 	next   time.Time
--- a/agree/publish.go
+++ b/agree/publish.go
@@ -22,7 +22,7 @@
 	old := c.Plane.Snapshot()
 	snap := &flow.Snapshot{
 		ByName: maps.Clone(c.byName), Self: c.Self, Hosts: c.servingNames(),
-		Isolated: c.isolated(), Split: c.split(), Lapsed: c.lapsed(),
+		Isolated: c.isolated(), Split: c.split(), Lapsed: c.lapsed(), Doubt: c.doubt,
 	}
 	services := make(map[cornelbay.ServiceName]*flow.Service)
 	for _, s := range c.services {
--- a/flow/plane.go
+++ b/flow/plane.go
@@ -288,9 +288,11 @@
 // unknown decides a packet of a flow that no live host knows.
 func (p *Plane) unknown(pk *packet, b *Bucket) cornelbay.Verdict {
 	switch {
-	case pk.snap.Split && (!b.Ambiguous || !p.triedLong(pk)):
+	case pk.snap.Split && b.Ambiguous && p.triedLong(pk):
+		return p.settle(pk, b.Place)
+	case pk.snap.Split, pk.snap.Doubt:
 		return drop(cornelbay.Unanswered)
-	case pk.mark&track.UDP != 0 || pk.snap.Split && b.Ambiguous:
+	case pk.mark&track.UDP != 0:
 		return p.settle(pk, b.Place)
 	}
 	return p.settle(pk, b.First)
--- a/flow/snapshot.go
+++ b/flow/snapshot.go
@@ -26,6 +26,8 @@
 	// Lapsed is true while the host cannot know whether it was paused so long that
 	// what it knew is wrong; it decides nothing then.
 	Lapsed bool
+	// Doubt is true while the other hosts may have changed any bucket.
+	Doubt bool
 	// Split is true while so many hosts are missing that they may have placed
 	// flows among themselves.
 	Split bool
