Ask for the epochs again after a pause

Purpose: a host that was paused may have been taken for dead, and the epochs changed without it; it is in doubt until every live host has sent its epochs.

--- a/agree/control.go
+++ b/agree/control.go
@@ -57,8 +57,10 @@
 	contacts map[cornelbay.DataCentreName]*contact
 	states   map[cornelbay.TargetName]cornelbay.TargetState
 
-	dirty bool
-	doubt bool
+	// ticked is the time of the last Tick.
+	ticked time.Time
+	dirty  bool
+	doubt  bool
 	// history is true when epochs were learnt whose flows the host may have missed.
 	history     bool
 	sweep       int
@@ -178,10 +180,7 @@
 	}
 	c.dirty = true
 	if c.split() {
-		c.resync = resync{needed: true}
-		for _, s := range c.services {
-			s.incomplete()
-		}
+		c.loseTouch(now)
 	}
 	c.updateDoubt(now)
 	c.publish(now)
@@ -190,6 +189,17 @@
 
 func sameName(a, b cornelbay.Host) bool { return a.Name == b.Name && a.Incarnation == b.Incarnation }
 
+// loseTouch notes that other hosts may have changed epochs and placed flows
+// without this one.
+func (c *Control) loseTouch(now time.Time) {
+	c.resync = resync{needed: true}
+	for _, s := range c.services {
+		s.incomplete()
+	}
+	c.updateDoubt(now)
+	c.dirty = true
+}
+
 // lapsed reports whether the host was paused and has heard nobody since.
 func (c *Control) lapsed() bool { return len(c.members.Live) == 0 && len(c.members.Missing) > 0 }
 
@@ -264,7 +274,10 @@
 // Tick returns the effects that are due at now.
 func (c *Control) Tick(now time.Time) []cornelbay.Effect {
 	c.init()
-	c.Plane.Refresh(now)
+	if !c.ticked.IsZero() && now.Sub(c.ticked) > flow.StaleAfter {
+		c.loseTouch(now) // the host was paused
+	}
+	c.ticked = now
 	c.sweepTable(now)
 	out := c.tickJoin(now)
 	if !c.deciding() {
@@ -275,6 +288,7 @@
 	c.closeTargets(now)
 	out = append(out, c.propose(now)...)
 	c.publish(now)
+	c.Plane.Refresh(now)
 	out = append(out, c.tickDigest(now)...)
 	out = append(out, c.tickClear(now)...)
 	return append(out, c.tickHandoff(now)...)
--- a/agree/join.go
+++ b/agree/join.go
@@ -225,6 +225,10 @@
 		return nil
 	}
 	r.asked = now
+	if len(c.unsynced()) == 0 {
+		c.resync = resync{}
+		return nil
+	}
 	return sendAll(c.unsynced(), Epochs{})
 }
 
