Forget flows that were only opened while the host was in doubt

Cause: the fault matrix (apply and bringBack, dataCentreCutOff) repeats an opening packet on both sides of a cut; after it healed, the side that had seen only that packet forwarded by its record. And a host in doubt after a pause took itself for a keeper that has every record. Change: a record made from an opening packet in doubt is tentative until another packet comes, and forgotten once the epochs are there; buckets that become ambiguous while in doubt are never complete.

--- a/agree/handoff.go
+++ b/agree/handoff.go
@@ -208,7 +208,7 @@
 		if !ok {
 			continue
 		}
-		if _, ok := c.Plane.Table.Touch(fingerprint, track.Ticks(now), 0); !ok {
+		if _, ok := c.Plane.Table.Touch(fingerprint, track.Ticks(now), 0, 0); !ok {
 			c.Plane.Table.Put(fingerprint, at, track.Ticks(now), 0, snap)
 		}
 	}
--- a/agree/join.go
+++ b/agree/join.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/track"
 )
 
 const (
@@ -226,7 +227,7 @@
 	}
 	r.asked = now
 	if len(c.unsynced()) == 0 {
-		c.resync = resync{}
+		c.trustAgain(now)
 		return nil
 	}
 	return sendAll(c.unsynced(), Epochs{})
@@ -253,11 +254,18 @@
 	}
 	r.answered[from] = true
 	if len(c.unsynced()) == 0 {
-		c.resync = resync{}
-		c.updateDoubt(now)
+		c.trustAgain(now)
 	}
 }
 
+// trustAgain ends the doubt; flows that were only opened meanwhile may have been
+// opened again elsewhere, and other hosts know those that were not.
+func (c *Control) trustAgain(now time.Time) {
+	c.resync = resync{}
+	c.Plane.Table.Forget(track.Tentative)
+	c.updateDoubt(now)
+}
+
 // digestState is what the comparison of epochs between hosts keeps.
 type digestState struct {
 	next   time.Time
--- a/agree/publish.go
+++ b/agree/publish.go
@@ -151,7 +151,7 @@
 		}
 	}
 	// A bucket that has just become ambiguous has no flow elsewhere yet.
-	fresh := !s.ambiguous[bucket] && !c.history && !c.split()
+	fresh := !s.ambiguous[bucket] && !c.history && !c.doubt && !c.split()
 	s.complete[bucket] = (fresh || s.ambiguous[bucket] && s.complete[bucket]) && r.Position < flow.Keepers
 	r.Complete = s.complete[bucket]
 	return r
--- a/flow/plane.go
+++ b/flow/plane.go
@@ -83,7 +83,11 @@
 		*v = p.returned(&packet{in, snap, hash, now, m}, svc)
 		return
 	}
-	r, ok := p.Table.Touch(hash, now, m)
+	clear := track.Tentative
+	if in.Flags&cornelbay.Opening != 0 {
+		clear = 0
+	}
+	r, ok := p.Table.Touch(hash, now, m, clear)
 	ok = ok && snap.Usable(r.Target()) && snap.Targets[r.Target()].Service == svc
 	if ok && in.Relay.Hops == 0 && in.Flags == 0 {
 		t := &snap.Targets[r.Target()]
@@ -245,6 +249,9 @@
 	}
 	r := &svc.Routes[b.Route]
 	next := r.keeper(pk.Relay.Hops)
+	if pk.snap.Doubt {
+		pk.mark |= track.Tentative
+	}
 	p.record(pk, at)
 	if next < 0 {
 		return pk.forward(at)
@@ -303,7 +310,7 @@
 // began there lately: these are by far the most. One that a host there gets
 // meanwhile is delivered.
 func (p *Plane) triedLong(pk *packet) bool {
-	r, ok := p.Table.Touch(pk.hash, pk.now, 0)
+	r, ok := p.Table.Touch(pk.hash, pk.now, 0, 0)
 	since, n := pk.now, r.Tries()
 	if n >= unknownTries {
 		return true
--- a/track/table.go
+++ b/track/table.go
@@ -43,6 +43,9 @@
 	UDP
 	// Try counts the packets of a flow whose target is unknown.
 	Try
+	// Tentative is set on a flow of which only the opening packet was seen, while
+	// the host was in doubt; it may have been opened again elsewhere.
+	Tentative Mark = 1 << 6
 
 	tryBits = 3
 )
@@ -146,8 +149,9 @@
 	}
 }
 
-// Touch returns the record of a flow after it marked a packet of it.
-func (t *Table) Touch(fingerprint uint64, now uint32, m Mark) (Record, bool) {
+// Touch returns the record of a flow as it was and notes a packet of it, with
+// the marks to set and to clear.
+func (t *Table) Touch(fingerprint uint64, now uint32, m, clear Mark) (Record, bool) {
 	s := t.shard(fingerprint)
 	s.mu.Lock()
 	i := s.find(fingerprint)
@@ -158,7 +162,7 @@
 	before := s.slots[i]
 	if before.Target() != UnknownTarget {
 		s.slots[i].Seen = now
-		s.slots[i].at |= uint32(m)
+		s.slots[i].at = s.slots[i].at&^uint32(clear) | uint32(m)
 	}
 	s.mu.Unlock()
 	return before, true
@@ -269,6 +273,22 @@
 	}
 }
 
+// Forget removes the records with the mark.
+func (t *Table) Forget(m Mark) {
+	for n := range t.shards {
+		s := &t.shards[n]
+		s.mu.Lock()
+		for i := 0; i < len(s.slots); {
+			if r := &s.slots[i]; r.Fingerprint != 0 && r.Target() != UnknownTarget && r.Marks()&m != 0 {
+				s.remove(i)
+				continue
+			}
+			i++
+		}
+		s.mu.Unlock()
+	}
+}
+
 // Each calls f with a copy of every record, one shard at a time.
 func (t *Table) Each(f func(r Record)) {
 	var records []Record
--- a/track/table_test.go
+++ b/track/table_test.go
@@ -32,7 +32,7 @@
 				table.Put(f, at, now, m, evens{})
 				model[f] = Record{f, now, uint32(at)<<8 | uint32(m)}
 			case 1:
-				r, ok := table.Touch(f, now, 0)
+				r, ok := table.Touch(f, now, 0, 0)
 				want, has := model[f]
 				has = has && !want.expired(now)
 				if ok != has || ok && r != want {
@@ -82,7 +82,7 @@
 	is.Equal(kept, full)
 	later := now + uint32((IdleTCP+time.Second)/tickUnit)
 	table.Put(flow(30000), 1, later, 0, evens{})
-	_, ok := table.Touch(flow(30000), later, 0)
+	_, ok := table.Touch(flow(30000), later, 0, 0)
 	is.True(ok) // an idle record gives way to any
 }
 
