--- a/agree/control.go
+++ b/agree/control.go
@@ -57,18 +57,17 @@
 	contacts map[cornelbay.DataCentreName]*contact
 	states   map[cornelbay.TargetName]cornelbay.TargetState
 
-	// ticked is the time of the last Tick.
-	ticked time.Time
-	dirty  bool
-	doubt  bool
+	dirty     bool
+	doubt     bool
+	suspended bool
 	// history is true when epochs were learnt whose flows the host may have missed.
 	history     bool
 	sweep       int
 	join        join
-	resync      resync
 	servedSince time.Time
 	handoff     handoff
 	digest      digestState
+	regain      regain
 }
 
 // SetServices takes the services in force and the data centres that are out.
@@ -164,6 +163,7 @@
 		}
 	}
 	c.members = m
+	c.hearAgain(now, m.Live)
 	for _, h := range m.Live {
 		delete(c.missing, h.Name)
 	}
@@ -180,29 +180,18 @@
 	}
 	c.dirty = true
 	if c.split() {
-		c.loseTouch(now)
+		for _, s := range c.services {
+			s.incomplete()
+		}
 	}
+	out := c.tickRegain(now)
 	c.updateDoubt(now)
 	c.publish(now)
-	return nil
+	return out
 }
 
 func sameName(a, b cornelbay.Host) bool { return a.Name == b.Name && a.Incarnation == b.Incarnation }
 
-// loseTouch notes that other hosts may have changed epochs and placed flows
-// without this one.
-func (c *Control) loseTouch(now time.Time) {
-	c.resync = resync{needed: true}
-	for _, s := range c.services {
-		s.incomplete()
-	}
-	c.updateDoubt(now)
-	c.dirty = true
-}
-
-// lapsed reports whether the host was paused and has heard nobody since.
-func (c *Control) lapsed() bool { return len(c.members.Live) == 0 && len(c.members.Missing) > 0 }
-
 // split reports whether as many hosts as are heard may place flows among
 // themselves, so that a flow without a record here may well be new there.
 func (c *Control) split() bool {
@@ -214,7 +203,7 @@
 // they are as many as those that are, and the host is alone or nobody has
 // confirmed lately that the configuration is the newest.
 func (c *Control) updateDoubt(now time.Time) {
-	doubt := c.resync.needed
+	doubt := c.regaining()
 	if c.split() {
 		doubt = c.isolated() || now.Sub(c.members.ConfirmedAt) > DoubtAfter
 	}
@@ -253,6 +242,7 @@
 		out = c.joining(from)
 	case EpochsAnswer:
 		c.joinAnswered(now, from, m)
+		c.regained(now, from, m)
 		out = c.tickJoin(now)
 	case Clear:
 		c.cleared(now, from, m)
@@ -271,24 +261,27 @@
 // package is Hold: a packet whose flow is not known is relayed or dropped.
 func (c *Control) Held(now time.Time, key cornelbay.FlowKey) []cornelbay.Effect { return nil }
 
+// Suspend makes the plane decide nothing for as long as suspended is true. The
+// host does not know then since when a change that it learns of is in force.
+func (c *Control) Suspend(suspended bool) {
+	c.suspended = suspended
+	c.Plane.Suspend(suspended)
+}
+
 // Tick returns the effects that are due at now.
 func (c *Control) Tick(now time.Time) []cornelbay.Effect {
+	c.Plane.Ticked(now)
 	c.init()
-	if !c.ticked.IsZero() && now.Sub(c.ticked) > flow.StaleAfter {
-		c.loseTouch(now) // the host was paused
-	}
-	c.ticked = now
 	c.sweepTable(now)
 	out := c.tickJoin(now)
 	if !c.deciding() {
 		return out
 	}
-	out = append(out, c.tickResync(now)...)
+	out = append(out, c.tickRegain(now)...)
 	c.updateDoubt(now)
 	c.closeTargets(now)
 	out = append(out, c.propose(now)...)
 	c.publish(now)
-	c.Plane.Refresh(now)
 	out = append(out, c.tickDigest(now)...)
 	out = append(out, c.tickClear(now)...)
 	return append(out, c.tickHandoff(now)...)
@@ -318,6 +311,9 @@
 	switch {
 	case !closed:
 		r.closedSince = time.Time{}
+	case r.closedSince.IsZero() && c.suspended:
+		// The target was closed before the host woke.
+		r.closedSince, c.dirty = now.Add(-CloseAfter), true
 	case r.closedSince.IsZero():
 		r.closedSince = now
 	case now.Sub(r.closedSince) >= CloseAfter && now.Sub(r.closedSince) < CloseAfter+time.Second:
--- a/agree/join.go
+++ b/agree/join.go
@@ -7,7 +7,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cornelbay/cornelbay"
-	"github.com/cornelbay/cornelbay/track"
 )
 
 const (
@@ -195,15 +194,8 @@
 
 // joinAnswered notes an answer once all the epochs that it announces are there.
 func (c *Control) joinAnswered(now time.Time, from cornelbay.HostName, m EpochsAnswer) {
-	n := 0
-	for _, s := range c.services {
-		n += len(s.epochs)
-	}
-	if c.deciding() {
-		c.resynced(now, from)
-		return
-	}
-	if c.join.answered == nil || n < m.Count {
+	n := c.epochCount()
+	if c.deciding() || c.join.answered == nil || n < m.Count {
 		return
 	}
 	c.join.answered[from] = joinAnswer{m, now}
@@ -212,60 +204,6 @@
 	}
 }
 
-// resync is the state of a host that was split from others and asks them for
-// their epochs again before it relies on its own.
-type resync struct {
-	needed   bool
-	asked    time.Time
-	answered map[cornelbay.HostName]bool
-}
-
-func (c *Control) tickResync(now time.Time) []cornelbay.Effect {
-	r := &c.resync
-	if !r.needed || c.split() || now.Sub(r.asked) < retransmitInterval {
-		return nil
-	}
-	r.asked = now
-	if len(c.unsynced()) == 0 {
-		c.trustAgain(now)
-		return nil
-	}
-	return sendAll(c.unsynced(), Epochs{})
-}
-
-func (c *Control) unsynced() []cornelbay.HostName {
-	var out []cornelbay.HostName
-	for _, h := range c.members.Live {
-		if h.Name != c.Self && !c.resync.answered[h.Name] {
-			out = append(out, h.Name)
-		}
-	}
-	return out
-}
-
-// resynced notes that a host's epochs have come.
-func (c *Control) resynced(now time.Time, from cornelbay.HostName) {
-	r := &c.resync
-	if !r.needed || c.split() {
-		return
-	}
-	if r.answered == nil {
-		r.answered = make(map[cornelbay.HostName]bool)
-	}
-	r.answered[from] = true
-	if len(c.unsynced()) == 0 {
-		c.trustAgain(now)
-	}
-}
-
-// trustAgain ends the doubt; flows that were only opened meanwhile may have been
-// opened again elsewhere, and other hosts know those that were not.
-func (c *Control) trustAgain(now time.Time) {
-	c.resync = resync{}
-	c.Plane.Table.Forget(track.Tentative)
-	c.updateDoubt(now)
-}
-
 // digestState is what the comparison of epochs between hosts keeps.
 type digestState struct {
 	next   time.Time
--- a/flow/plane.go
+++ b/flow/plane.go
@@ -25,14 +25,14 @@
 	"github.com/cornelbay/cornelbay/track"
 )
 
+// PauseLimit is the time without a tick of its Control from which a plane
+// decides nothing: what it knows may have been replaced meanwhile.
+const PauseLimit = time.Second
+
 // unknownTries is the number of packets of a flow that are dropped while only
 // hosts that are not heard may know it.
 const unknownTries = 5
 
-// StaleAfter is the time without a run of the control from which a host decides
-// nothing.
-const StaleAfter = time.Second
-
 // MaxHops bounds the relays of one packet.
 const MaxHops = 12
 
@@ -46,14 +46,31 @@
 	Counters Counters
 
 	snapshot atomic.Pointer[Snapshot]
-	// refreshed is when the control last ran, in nanoseconds of Unix time.
-	refreshed atomic.Int64
+	// ticked is the time of the last tick in nanoseconds, or 0 before the first.
+	ticked    atomic.Int64
+	suspended atomic.Bool
+}
+
+// Ticked tells the plane that its control state is up to date at now.
+func (p *Plane) Ticked(now time.Time) { p.ticked.Store(now.UnixNano()) }
+
+// Suspend makes the plane drop every packet for as long as suspended is true.
+func (p *Plane) Suspend(suspended bool) { p.suspended.Store(suspended) }
+
+// lapsed reports whether the plane must not act on what it knows.
+func (p *Plane) lapsed(now time.Time) bool {
+	ticked := p.ticked.Load()
+	return p.suspended.Load() || ticked != 0 && now.UnixNano()-ticked > int64(PauseLimit)
 }
 
 // Decide returns the verdict for one packet.
 func (p *Plane) Decide(now time.Time, pk *cornelbay.Packet) (v cornelbay.Verdict) {
 	hash := p.hash(&pk.Key)
-	p.decide(hash, now, pk, &v)
+	if p.lapsed(now) {
+		v.Reason = cornelbay.Suspended
+	} else {
+		p.decide(hash, track.Ticks(now), pk, &v)
+	}
 	p.Counters.count(hash, &v)
 	return v
 }
@@ -67,9 +84,9 @@
 	mark track.Mark
 }
 
-func (p *Plane) decide(hash uint64, at time.Time, in *cornelbay.Packet, v *cornelbay.Verdict) {
+func (p *Plane) decide(hash uint64, now uint32, in *cornelbay.Packet, v *cornelbay.Verdict) {
 	snap := p.snapshot.Load()
-	if snap == nil || snap.Lapsed || p.stale(at) {
+	if snap == nil {
 		v.Reason = cornelbay.NoConfig
 		return
 	}
@@ -78,7 +95,7 @@
 		v.Reason = cornelbay.NoService
 		return
 	}
-	m, now := marks(in), track.Ticks(at)
+	m := marks(in)
 	if in.Relay.Hops > 0 && in.Relay.From == snap.Self {
 		*v = p.returned(&packet{in, snap, hash, now, m}, svc)
 		return
@@ -361,14 +378,6 @@
 	return max(1, siphash.Hash(p.HashKey[0], p.HashKey[1], b[:n+5]))
 }
 
-// Refresh notes that the control ran; a host whose control has not run for
-// StaleAfter was paused, and what it knew may be wrong by now.
-func (p *Plane) Refresh(now time.Time) { p.refreshed.Store(now.UnixNano()) }
-
-func (p *Plane) stale(now time.Time) bool {
-	return now.UnixNano()-p.refreshed.Load() > int64(StaleAfter)
-}
-
 // Snapshot returns what was published last, or nil.
 func (p *Plane) Snapshot() *Snapshot { return p.snapshot.Load() }
 
--- a/target/client.go
+++ b/target/client.go
@@ -123,7 +123,7 @@
 	if err != nil || len(body) > request.MaxBodyBytes {
 		return
 	}
-	if !Whole(hr.Request.Method, hr.Header, hr.ContentLength, hr.TransferEncoding, body) {
+	if !Whole(hr, body) {
 		return
 	}
 	if hr.StatusCode == http.StatusServiceUnavailable && hr.Header.Get(request.RefusedHeader) != "" {
@@ -176,13 +176,14 @@
 	if err != nil {
 		return s
 	}
+	start := time.Now()
 	res, err := c.single.RoundTrip(r)
 	if err != nil {
 		return s
 	}
 	defer res.Body.Close()
 	if res.StatusCode == http.StatusOK {
-		s.Kind = warmth.ProbeOK
+		s.Kind, s.Value = warmth.ProbeOK, float64(time.Since(start))/float64(time.Millisecond)
 	}
 	return s
 }
