--- a/agree/control.go
+++ b/agree/control.go
@@ -179,13 +179,13 @@
 		return nil
 	}
 	c.dirty = true
-	c.updateDoubt(now)
 	if c.split() {
 		for _, s := range c.services {
 			s.incomplete()
 		}
 	}
 	out := c.tickRegain(now)
+	c.updateDoubt(now)
 	c.publish(now)
 	return out
 }
@@ -199,10 +199,14 @@
 }
 
 // updateDoubt notes whether the hosts that are not heard may have changed any
-// bucket: they are as many as those that are, and nobody has confirmed lately
-// that the configuration is the newest.
+// bucket: they were so until a moment ago and their epochs have not come yet, or
+// they are as many as those that are, and the host is alone or nobody has
+// confirmed lately that the configuration is the newest.
 func (c *Control) updateDoubt(now time.Time) {
-	doubt := c.split() && now.Sub(c.members.ConfirmedAt) > DoubtAfter
+	doubt := c.regaining()
+	if c.split() {
+		doubt = c.isolated() || now.Sub(c.members.ConfirmedAt) > DoubtAfter
+	}
 	if doubt != c.doubt {
 		c.doubt, c.dirty = doubt, true
 	}
@@ -238,7 +242,7 @@
 		out = c.joining(from)
 	case EpochsAnswer:
 		c.joinAnswered(now, from, m)
-		c.regained(from, m)
+		c.regained(now, from, m)
 		out = c.tickJoin(now)
 	case Clear:
 		c.cleared(now, from, m)
--- a/agree/regain.go
+++ b/agree/regain.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/track"
 )
 
 // regainLimit is when a host goes on by the epochs that it has, whatever the
@@ -44,7 +45,7 @@
 	}
 	if now.Sub(r.since) >= regainLimit {
 		clear(r.waiting)
-		c.dirty = true
+		c.trustAgain(now)
 		return nil
 	}
 	if now.Sub(r.asked) < retransmitInterval {
@@ -61,12 +62,24 @@
 }
 
 // regained notes a host whose epochs have all come.
-func (c *Control) regained(from cornelbay.HostName, m EpochsAnswer) {
+func (c *Control) regained(now time.Time, from cornelbay.HostName, m EpochsAnswer) {
 	if !c.regain.waiting[from] || m.Ready && c.epochCount() < m.Count {
 		return
 	}
 	delete(c.regain.waiting, from)
+	if !c.regaining() {
+		c.trustAgain(now)
+	}
+}
+
+// trustAgain ends the doubt; flows that were only opened meanwhile may have been
+// opened again elsewhere, and other hosts know those that were not.
+func (c *Control) trustAgain(now time.Time) {
 	c.dirty = true
+	c.updateDoubt(now)
+	if !c.doubt {
+		c.Plane.Table.Forget(track.Tentative)
+	}
 }
 
 func (c *Control) epochCount() int {
--- a/flow/snapshot.go
+++ b/flow/snapshot.go
@@ -23,6 +23,8 @@
 	Hosts []cornelbay.HostName
 	// Isolated is true while the host hears none of the hosts it should hear.
 	Isolated bool
+	// Doubt is true while the other hosts may have changed any bucket.
+	Doubt bool
 	// Split is true while so many hosts are missing that they may have placed
 	// flows among themselves.
 	Split bool
