--- a/measure/requests.go
+++ b/measure/requests.go
@@ -1,14 +1,17 @@
 package measure
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"math"
 	"slices"
+	"sync"
 	"text/tabwriter"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/ansel1/merry/v2"
 
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/config"
@@ -45,18 +48,20 @@
 
 // RequestOptions select what RunRequests measures.
 type RequestOptions struct {
+	// Document is the deployment; its first service is measured.
 	Document *config.Document
-	Service  cornelbay.ServiceName
+	Hosts    int
 	Seed     uint64
 	// Span is the virtual time of arrivals.
 	Span time.Duration
 	// Scenarios and Policies are the names to run; empty runs all.
 	Scenarios, Policies []string
+	// Parallel is the number of runs at the same time; 0 stands for 1.
+	Parallel int
 }
 
 // The sizes of the experiment.
 const (
-	requestHosts    = 6
 	requestCallers  = 60
 	requestMean     = 20 * time.Millisecond
 	requestSigma    = 0.6
@@ -85,7 +90,7 @@
 }
 
 // arrivals draws the requests of one run: Poisson arrivals, lognormal demands.
-func arrivals(d *Driver, rate float64, span time.Duration) []*arrival {
+func arrivals(d *Driver, hosts int, rate float64, span time.Duration) []*arrival {
 	var out []*arrival
 	mu := math.Log(requestMean.Seconds()) - requestSigma*requestSigma/2
 	for at := 0.0; ; {
@@ -95,7 +100,7 @@
 		}
 		demand := math.Exp(mu + requestSigma*d.Rand.NormFloat64())
 		out = append(out, &arrival{
-			at: seconds(at), host: d.Rand.IntN(requestHosts), caller: d.Rand.IntN(requestCallers),
+			at: seconds(at), host: d.Rand.IntN(hosts), caller: d.Rand.IntN(requestCallers),
 			post: d.Rand.Float64() < postShare, demand: seconds(demand), path: fmt.Sprint("/", len(out)),
 		})
 	}
@@ -129,24 +134,49 @@
 	row      RequestRow
 }
 
+// requestPolicies are the policies in the order of the rows.
+var requestPolicies = []string{"random", "leastInFlight", "central", "cornelbay"}
+
+type requestCase struct {
+	scenario scenario
+	policy   string
+}
+
 // RunRequests runs the experiment and returns its rows.
 func RunRequests(o RequestOptions) ([]RequestRow, error) {
-	var out []RequestRow
+	cases, err := requestCases(o)
+	if err != nil {
+		return nil, err
+	}
+	rows, errs := make([]RequestRow, len(cases)), make([]error, len(cases))
+	free := make(chan struct{}, max(1, o.Parallel))
+	var wg sync.WaitGroup
+	for i, c := range cases {
+		free <- struct{}{}
+		wg.Go(func() {
+			rows[i], errs[i] = runRequests(o, c.scenario, c.policy)
+			<-free
+		})
+	}
+	wg.Wait()
+	return rows, errors.Join(errs...)
+}
+
+func requestCases(o RequestOptions) ([]requestCase, error) {
+	var out []requestCase
 	for _, s := range scenarios {
 		if len(o.Scenarios) > 0 && !slices.Contains(o.Scenarios, s.name) {
 			continue
 		}
-		for _, p := range []string{"random", "leastInFlight", "central", "cornelbay"} {
-			if len(o.Policies) > 0 && !slices.Contains(o.Policies, p) {
-				continue
+		for _, p := range requestPolicies {
+			if len(o.Policies) == 0 || slices.Contains(o.Policies, p) {
+				out = append(out, requestCase{s, p})
 			}
-			row, err := runRequests(o, s, p)
-			if err != nil {
-				return nil, err
-			}
-			out = append(out, row)
 		}
 	}
+	if len(out) == 0 {
+		return nil, merry.New("no scenario or policy of that name")
+	}
 	return out, nil
 }
 
--- a/measure/requests_baselines.go
+++ b/measure/requests_baselines.go
@@ -55,9 +55,9 @@
 	b.send(a, a.host, func(e ending) {
 		switch {
 		case lose:
-			b.After(resubmitAfter, func() { b.send(a, (a.host+1)%requestHosts, end) })
+			b.After(resubmitAfter, func() { b.send(a, (a.host+1)%b.opts.Hosts, end) })
 		case e.cut:
-			b.send(a, (a.host+1)%requestHosts, end)
+			b.send(a, (a.host+1)%b.opts.Hosts, end)
 		default:
 			end(e)
 		}
@@ -66,19 +66,19 @@
 
 func (b *baseline) send(a *arrival, host int, done func(ending)) {
 	if host == b.dead {
-		host = (host + 1) % requestHosts
+		host = (host + 1) % b.opts.Hosts
 	}
 	b.After(callerDelay, func() {
 		back := func(e ending) { b.After(callerDelay, func() { done(e) }) }
 		if host == b.dead {
-			b.send(a, (host+1)%requestHosts, done)
+			b.send(a, (host+1)%b.opts.Hosts, done)
 			return
 		}
 		answered := false
 		b.broken = append(b.broken, func() {
 			if !answered && host == b.dead {
 				answered = true
-				b.send(a, (host+1)%requestHosts, done)
+				b.send(a, (host+1)%b.opts.Hosts, done)
 			}
 		})
 		b.try(a, host, 0, func(e ending) {
@@ -165,7 +165,7 @@
 }
 
 func (b *baseline) silence() {
-	for h := range requestHosts {
+	for h := range b.opts.Hosts {
 		for i := range b.targets {
 			if b.Rand.IntN(2) == 0 {
 				b.silent[pair{h, i}] = 2
--- a/measure/requests_callers.go
+++ b/measure/requests_callers.go
@@ -85,7 +85,7 @@
 // ask submits one request to a host.
 func (h *hosts) ask(caller, host int, r request.Request, done func(request.Response, connection)) {
 	n := h.group.Nodes[h.names[host]]
-	r.Service, r.Caller = h.opts.Service, fmt.Sprint("caller-", caller)
+	r.Service, r.Caller = h.service(), fmt.Sprint("caller-", caller)
 	back := func(res request.Response, conn connection) { h.After(callerDelay, func() { done(res, conn) }) }
 	h.After(callerDelay, func() {
 		if !n.Alive() {
@@ -123,7 +123,7 @@
 }
 
 func (h *hosts) answered(c *call, host int, res request.Response, conn connection) {
-	next := (host + 1) % requestHosts
+	next := (host + 1) % h.opts.Hosts
 	switch {
 	case c.over:
 	case conn != whole:
@@ -168,7 +168,7 @@
 	h.fetch(c.caller, host, func(ok bool) {
 		if !ok {
 			c.sends++
-			host = (host + 1) % requestHosts
+			host = (host + 1) % h.opts.Hosts
 		}
 		h.send(c, host)
 	})
--- a/measure/requests_hosts.go
+++ b/measure/requests_hosts.go
@@ -4,12 +4,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/netip"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-	"github.com/ansel1/merry/v2"
 
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/config"
@@ -65,14 +65,10 @@
 		hist: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3),
 		row:  RequestRow{Scenario: s.name, Policy: name, Load: s.load},
 	}
-	i := serviceIndex(o)
-	if i < 0 {
-		return r.row, merry.Errorf("document has no service %q", o.Service)
-	}
-	r.startTargets(&o.Document.Services[i])
+	r.startTargets(&o.Document.Services[0])
 	rate := s.load * float64(r.slots()) / requestMean.Seconds()
 	// The arrivals have a source of their own, so that all policies get the same.
-	list := arrivals(NewDriver(o.Seed), rate, o.Span)
+	list := arrivals(NewDriver(o.Seed), o.Hosts, rate, o.Span)
 	var p interface {
 		policy
 		world
@@ -97,15 +93,6 @@
 	return r.row, nil
 }
 
-func serviceIndex(o RequestOptions) int {
-	for i, s := range o.Document.Services {
-		if s.Name == o.Service {
-			return i
-		}
-	}
-	return -1
-}
-
 func startHosts(r *requestRun, g *Group) (*hosts, error) {
 	h := &hosts{
 		requestRun: r, group: g, byName: make(map[cornelbay.TargetName]*FakeTarget),
@@ -117,7 +104,7 @@
 	}
 	g.OnAttempt, g.OnCancel, g.OnFinish, g.OnProbe = h.attempt, h.cancel, h.finish, h.probe
 	var all []cornelbay.Host
-	for i := range requestHosts {
+	for i := range r.opts.Hosts {
 		dc := r.opts.Document.DataCentres[i%len(r.opts.Document.DataCentres)].Name
 		at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7000)
 		h.names = append(h.names, cornelbay.HostName(fmt.Sprint("host-", i)))
@@ -133,7 +120,7 @@
 	}
 	g.Run(settleSpan)
 	for c := range requestCallers {
-		h.refill(c, c%requestHosts)
+		h.refill(c, c%r.opts.Hosts)
 	}
 	g.Run(time.Second)
 	h.count = 0
@@ -148,6 +135,8 @@
 
 func (h *hosts) attempts() int { return h.count }
 
+func (h *hosts) service() cornelbay.ServiceName { return h.opts.Document.Services[0].Name }
+
 // input hands an input to a host, as its shell does.
 func (h *hosts) input(n *Node, f func() []cornelbay.Effect) {
 	if n.Alive() {
@@ -166,7 +155,7 @@
 		wait += 2 * delay // a fresh connection
 	case h.silent[workPair{n.Self.Name, t.Name}]:
 		// The client drops all unused connections once one went silent.
-		clear(h.silent)
+		maps.DeleteFunc(h.silent, func(p workPair, _ bool) bool { return p.host == n.Self.Name })
 		res.Silent = true
 		wait += max(target.MinSilence, target.SilenceFactor*requestMean) + 2*delay
 	}
@@ -270,12 +259,11 @@
 	}
 }
 
-// steward returns the host that dispatches the service's requests, by the
-// attempts of a trial request.
+// steward returns the host that dispatches the service's requests.
 func (h *hosts) steward() *Node {
 	for _, name := range h.group.Names() {
 		n := h.group.Nodes[name]
-		if n.Requests.Steward(h.opts.Service) == name {
+		if n.Requests.Steward(h.service()) == name {
 			return n
 		}
 	}
