--- a/request/world_test.go
+++ b/request/world_test.go
@@ -364,7 +364,7 @@
 					w.configure()
 				case 7:
 					if !n.dead {
-						for range ticket.MaxOutstanding / ticket.MaxBatch {
+						for range ticket.MaxPerCaller / ticket.MaxBatch {
 							n.ledger.Issue(w.now, "s", "c", ticket.MaxBatch)
 						}
 					}
--- a/ticket/ledger.go
+++ b/ticket/ledger.go
@@ -19,6 +19,8 @@
 	// MaxOutstanding is the most issued tickets that are not past their grace,
 	// so that every redemption can be remembered.
 	MaxOutstanding = 1 << 16
+	// MaxPerCaller is the most of those of one caller.
+	MaxPerCaller = MaxOutstanding / 16
 	// MaxAnswerBytes bounds the remembered answers of a ledger.
 	MaxAnswerBytes = 8 << 20
 )
@@ -48,6 +50,7 @@
 	issued  uint64
 	batches []batch
 	out     int
+	callers map[string]int
 	latest  time.Time
 	records map[uint64]*Record[A]
 	// order holds the numbers of the records by redemption.
@@ -57,23 +60,26 @@
 	closed bool
 }
 
-// batch is a number of tickets that were issued with one expiry.
+// batch is a number of tickets that were issued to a caller with one expiry.
 type batch struct {
 	expiry time.Time
+	caller string
 	n      int
 }
 
 // Issue returns n new tickets, at most MaxBatch; none after Close, and fewer
-// while MaxOutstanding are out.
+// while MaxOutstanding are out or MaxPerCaller of the caller.
 func (l *Ledger[A]) Issue(now time.Time, service cornelbay.ServiceName, caller string, n int) []Ticket {
 	l.advance(now)
 	if l.closed {
 		return nil
 	}
-	n = max(0, min(n, MaxBatch, MaxOutstanding-l.out))
+	n = max(0, min(n, MaxBatch, MaxOutstanding-l.out, MaxPerCaller-l.callers[caller]))
 	at := l.latest.Add(Lifetime)
-	l.batches = append(l.batches, batch{at, n})
-	l.out += n
+	if n > 0 {
+		l.count(caller, n)
+		l.batches = append(l.batches, batch{at, caller, n})
+	}
 	out, expiry := make([]Ticket, 0, n), at.UnixMilli()
 	for range n {
 		l.issued++
@@ -85,6 +91,17 @@
 	return out
 }
 
+// count adds n to the outstanding tickets of a caller.
+func (l *Ledger[A]) count(caller string, n int) {
+	if l.callers == nil {
+		l.callers = make(map[string]int)
+	}
+	l.out += n
+	if l.callers[caller] += n; l.callers[caller] == 0 {
+		delete(l.callers, caller)
+	}
+}
+
 // Lookup returns the record of a redeemed ticket of this ledger.
 func (l *Ledger[A]) Lookup(t Ticket) (Record[A], bool) {
 	if !l.Own(t) {
@@ -175,7 +192,7 @@
 		l.latest = now
 	}
 	for len(l.batches) > 0 && l.latest.After(l.batches[0].expiry.Add(Grace)) {
-		l.out -= l.batches[0].n
+		l.count(l.batches[0].caller, -l.batches[0].n)
 		l.batches = l.batches[1:]
 	}
 	// A ticket redeemed early may expire after one redeemed late, so that the
--- a/ticket/ticket_test.go
+++ b/ticket/ticket_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"flag"
 	"os"
+	"strconv"
 	"testing"
 	"time"
 
@@ -121,7 +122,7 @@
 	l := Ledger[int]{Host: "a", Incarnation: 1}
 	var all []Ticket
 	for range 3 * HandoverRecords / MaxBatch {
-		all = append(all, l.Issue(start, "s", "c", MaxBatch)...)
+		all = append(all, l.Issue(start, "s", strconv.Itoa(len(all)), MaxBatch)...)
 	}
 	for i, k := range all {
 		if i%8 != 0 {
@@ -152,11 +153,16 @@
 	is := is.New(t)
 	l := Ledger[int]{Host: "a", Incarnation: 1}
 	n := 0
-	for range 2 * MaxOutstanding / MaxBatch {
-		n += len(l.Issue(start, "s", "c", MaxBatch))
+	for range 2 * MaxPerCaller / MaxBatch {
+		n += len(l.Issue(start, "s", "heavy", MaxBatch))
+	}
+	is.Equal(n, MaxPerCaller) // one caller leaves room for others
+	for i := range 2 * MaxOutstanding / MaxBatch {
+		n += len(l.Issue(start, "s", strconv.Itoa(i), MaxBatch))
 	}
 	is.Equal(n, MaxOutstanding)
-	is.Equal(len(l.Issue(start.Add(Lifetime+Grace+time.Second), "s", "c", 2*MaxBatch)), MaxBatch)
+	is.Equal(len(l.Issue(start.Add(Lifetime+Grace+time.Second), "s", "heavy", 2*MaxBatch)), MaxBatch)
+	is.Equal(len(l.callers), 1) // no memory of callers without tickets
 }
 
 func TestLedgerForgetsAnswersNotRedemptions(t *testing.T) {
