--- a/daemon/admin.go
+++ b/daemon/admin.go
@@ -10,7 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/cornelbay/cornelbay"
-	"github.com/cornelbay/cornelbay/config"
+	"github.com/cornelbay/cornelbay/operator"
 )
 
 // controlTimeout is the time after which a control goroutine that has not
@@ -18,15 +18,7 @@
 const controlTimeout = 5 * time.Second
 
 // Status is what a host tells operators of itself.
-type Status struct {
-	Host    cornelbay.Host          `json:"host"`
-	Head    config.Head             `json:"head"`
-	Ready   bool                    `json:"ready"`
-	Stop    bool                    `json:"stopping"`
-	Live    []cornelbay.Host        `json:"live"`
-	Missing []cornelbay.Host        `json:"missing"`
-	Targets []cornelbay.TargetState `json:"targets"`
-}
+type Status = operator.HostStatus
 
 func (d *Daemon) adminHandler() http.Handler {
 	m := http.NewServeMux()
@@ -43,13 +35,29 @@
 // Generation returns the generation of the configuration in force, or 0.
 func (d *Daemon) Generation() uint64 { return d.view.Load().generation }
 
+// Ready reports whether the host takes packets, as /readyz does.
+func (d *Daemon) Ready() bool { return d.unready() == "" }
+
+// unready returns why the host is not ready, or "".
+func (d *Daemon) unready() string {
+	switch v := d.view.Load(); {
+	case d.stopping.Load():
+		return "stopping"
+	case v.generation == 0:
+		return "no configuration in force"
+	case !v.ready:
+		return "not ready"
+	}
+	return ""
+}
+
 func (d *Daemon) snapshot(ctx context.Context) (Status, bool) {
 	ch := make(chan Status, 1)
 	d.input(ctx, func(now time.Time) []cornelbay.Effect {
 		m := d.host.Members(now)
 		ch <- Status{
 			Host: d.Self(), Head: d.host.Head(), Ready: d.host.Ready() && !d.stopping.Load(),
-			Stop: d.stopping.Load(), Live: m.Live, Missing: m.Missing, Targets: d.host.States(now),
+			Stopping: d.stopping.Load(), Live: m.Live, Missing: m.Missing, Targets: d.host.States(now),
 		}
 		return nil
 	})
@@ -70,16 +78,11 @@
 
 // readyz tells the fabric whether to send packets here.
 func (d *Daemon) readyz(w http.ResponseWriter, r *http.Request) {
-	switch v := d.view.Load(); {
-	case d.stopping.Load():
-		http.Error(w, "stopping", http.StatusServiceUnavailable)
-	case v.generation == 0:
-		http.Error(w, "no configuration in force", http.StatusServiceUnavailable)
-	case !v.ready:
-		http.Error(w, "not ready", http.StatusServiceUnavailable)
-	default:
-		d.healthz(w, r)
+	if why := d.unready(); why != "" {
+		http.Error(w, why, http.StatusServiceUnavailable)
+		return
 	}
+	d.healthz(w, r)
 }
 
 func (d *Daemon) status(w http.ResponseWriter, r *http.Request) {
--- a/member/join.go
+++ b/member/join.go
@@ -33,9 +33,9 @@
 
 // syncState is the exchange of lists with others.
 type syncState struct {
-	// equalAt is when a heartbeat last agreed with the own list, or the first
-	// time that one came; agreedAt is only the former.
-	equalAt, agreedAt time.Time
+	// agreedAt is when a heartbeat last agreed with the own list; differsSince
+	// and differedAt are when the first and the last of those came that did not.
+	agreedAt, differsSince, differedAt time.Time
 
 	next  time.Time
 	after cornelbay.HostName
@@ -54,13 +54,14 @@
 // compare looks whether the sender of a heartbeat knows other hosts.
 func (v *View) compare(now time.Time, b Heartbeat) {
 	if b.Live == v.liveHash {
-		v.sync.equalAt, v.sync.agreedAt = now, now
+		v.sync.agreedAt = now
 		return
 	}
-	if v.sync.equalAt.IsZero() {
-		v.sync.equalAt = now
+	if now.Sub(v.sync.differedAt) >= syncAfter {
+		v.sync.differsSince = now
 	}
-	if now.Sub(v.sync.equalAt) >= syncAfter && v.sync.with == "" {
+	v.sync.differedAt = now
+	if now.Sub(v.sync.differsSince) >= syncAfter && v.sync.with == "" {
 		v.sync.with = b.Name
 	}
 }
