--- a/cmd/cornelbay/burn.go
+++ b/cmd/cornelbay/burn.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
+	"io"
 	"net/http"
-	"net/netip"
-	"os"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -16,48 +14,56 @@
 // burnTimeout bounds the reading of all hosts.
 const burnTimeout = 10 * time.Second
 
-// exitAlert is the exit code while an alert fires.
-const exitAlert = 4
+// errAlert is the error of a check while an alert fires.
+var errAlert = merry.New("an alert fires")
 
 type burnCmd struct {
-	Hosts []netip.AddrPort `help:"Admin addresses of the hosts." required:"" env:"CORNELBAY_HOSTS"`
-	JSON  bool             `help:"Print the report as JSON."`
-	Plot  string           `help:"File to write a plot to, such as burn.svg." type:"path"`
-	Check bool             `help:"Exit with 4 while an alert fires."`
+	format
+	hosts
+	Plot  string `help:"File to write a plot to, such as burn.svg." type:"path"`
+	Check bool   `help:"Fail with exit code 5 while an alert fires."`
 }
 
+// Run reads the given hosts alone: each counts what it has served itself.
 func (c *burnCmd) Run() error {
+	f, err := c.fleet()
+	if err != nil {
+		return err
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), burnTimeout)
 	defer cancel()
+	hc, scheme := http.DefaultClient, "http://"
+	if f.TLS {
+		hc, scheme = f.HTTP, "https://"
+	}
 	var urls []string
 	for _, h := range c.Hosts {
-		urls = append(urls, "http://"+h.String())
+		urls = append(urls, scheme+h.String())
 	}
-	r := burn.Read(ctx, http.DefaultClient, urls)
+	r := burn.Read(ctx, hc, urls)
 	if len(r.Unread) == len(urls) {
 		return merry.Errorf("no host answered: %s", r.Unread[0])
 	}
-	if err := c.write(r); err != nil {
+	if c.Plot != "" {
+		if err := r.Plot(c.Plot); err != nil {
+			return err
+		}
+	}
+	var werr error
+	if err := c.print(r, func(w io.Writer) { werr = r.WriteTable(w) }); err != nil {
 		return err
 	}
-	for _, s := range r.Services {
-		if c.Check && len(s.Alerts) > 0 {
-			os.Exit(exitAlert)
-		}
+	if werr != nil {
+		return werr
 	}
-	return nil
+	return c.check(r)
 }
 
-func (c *burnCmd) write(r *burn.Report) error {
-	if c.Plot != "" {
-		if err := r.Plot(c.Plot); err != nil {
-			return err
+func (c *burnCmd) check(r *burn.Report) error {
+	for _, s := range r.Services {
+		if c.Check && len(s.Alerts) > 0 {
+			return errAlert
 		}
 	}
-	if !c.JSON {
-		return r.WriteTable(os.Stdout)
-	}
-	e := json.NewEncoder(os.Stdout)
-	e.SetIndent("", "  ")
-	return e.Encode(r)
+	return nil
 }
--- a/cmd/cornelbay/output.go
+++ b/cmd/cornelbay/output.go
@@ -22,9 +22,10 @@
 	exitInvalid       = 2
 	exitConflict      = 3
 	exitNotEverywhere = 4
+	exitAlert         = 5
 )
 
-const exitHelp = "Exit codes: 0 done, 1 failure, 2 invalid input, 3 another change was committed first, 4 not in force everywhere in time."
+const exitHelp = "Exit codes: 0 done, 1 failure, 2 invalid input, 3 another change was committed first, 4 not in force everywhere in time, 5 an alert fires."
 
 // errUsage is the error of a command line that cannot be read.
 var errUsage = merry.New("usage")
@@ -60,6 +61,8 @@
 	switch {
 	case errors.As(err, &conflict):
 		return exitConflict
+	case errors.Is(err, errAlert):
+		return exitAlert
 	case errors.Is(err, operator.ErrNotEverywhere):
 		return exitNotEverywhere
 	case errors.As(err, &faults), errors.Is(err, errUsage), errors.Is(err, fs.ErrNotExist):
--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/refusal"
 	"github.com/cornelbay/cornelbay/request"
 	"github.com/cornelbay/cornelbay/warmth"
 )
@@ -93,7 +94,7 @@
 func (d *Daemon) count(name cornelbay.ServiceName, res request.Response, took time.Duration) {
 	d.metrics.requests.WithLabelValues(string(name), res.Outcome.String()).Inc()
 	d.metrics.requestSeconds.WithLabelValues(string(name)).Observe(took.Seconds())
-	if res.Reason != request.NoReason {
+	if res.Reason != refusal.None {
 		d.metrics.refusals.WithLabelValues(string(name), res.Reason.String()).Inc()
 	}
 	level, ok := d.view.Load().levels[name]
