--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -39,6 +39,7 @@
 	t       *testing.T
 	doc     *config.Document
 	memory  platform.Memory
+	faulty  platform.Faulty
 	base    string
 	fabric  standin.Fabric
 	targets []*standin.Target
@@ -70,7 +71,8 @@
 			tr.targets = append(tr.targets, st)
 		}
 	}
-	tr.base = tr.listen(&platform.Server{Service: &tr.memory})
+	tr.faulty.Service = &tr.memory
+	tr.base = tr.listen(&platform.Server{Service: &tr.faulty})
 	return tr
 }
 
@@ -87,17 +89,17 @@
 
 func (tr *trial) start(ctx context.Context) *daemon.Daemon {
 	tr.t.Helper()
-	return tr.startWith(ctx, nil)
+	return tr.startWith(ctx, "imlil-1", nil)
 }
 
-func (tr *trial) startWith(ctx context.Context, pair *peer.KeyPair) *daemon.Daemon {
+func (tr *trial) startWith(ctx context.Context, name cornelbay.HostName, pair *peer.KeyPair, others ...cornelbay.Host) *daemon.Daemon {
 	tr.t.Helper()
 	at := netip.MustParseAddrPort("127.0.0.1:0")
 	d, err := daemon.Start(ctx, daemon.Settings{
 		Settings: entry.Settings{Self: cornelbay.Host{
-			Name: "imlil-1", DataCentre: "imlil", Incarnation: 1,
+			Name: name, DataCentre: "imlil", Incarnation: 1,
 			Fabric: at, Datagram: at, RPC: at, HTTP: at, Admin: at,
-		}},
+		}, Introduce: others},
 		Platform: tr.base, Keys: [][]byte{[]byte(trialKey)}, TrafficWorkers: 2, KeyPair: pair,
 	})
 	if err != nil {
@@ -244,7 +246,7 @@
 		return &p
 	}
 	ctx, cancel := context.WithCancel(t.Context())
-	d := tr.startWith(ctx, pair("imlil-1", peer.RoleHost))
+	d := tr.startWith(ctx, "imlil-1", pair("imlil-1", peer.RoleHost))
 	tr.apply()
 	for d.Generation() == 0 {
 		time.Sleep(10 * time.Millisecond)
@@ -277,3 +279,37 @@
 	cancel()
 	<-d.Done()
 }
+
+func TestFreshHostLearnsFromAnotherWhilePlatformIsDown(t *testing.T) {
+	for _, secure := range []bool{false, true} {
+		t.Run(fmt.Sprintf("tls=%t", secure), func(t *testing.T) {
+			is := is.New(t)
+			tr := newTrial(t)
+			ctx, cancel := context.WithCancel(t.Context())
+			pairs := make(map[cornelbay.HostName]*peer.KeyPair)
+			a, err := peer.NewAuthority(time.Now())
+			is.NoErr(err)
+			for _, name := range []cornelbay.HostName{"imlil-1", "imlil-2"} {
+				p, err := a.Issue(time.Now(), string(name), peer.RoleHost)
+				is.NoErr(err)
+				if secure {
+					pairs[name] = &p
+				}
+			}
+			first := tr.startWith(ctx, "imlil-1", pairs["imlil-1"])
+			tr.apply()
+			for !first.Ready() {
+				time.Sleep(10 * time.Millisecond)
+			}
+			tr.faulty.Set(platform.Faults{Down: true})
+			second := tr.startWith(ctx, "imlil-2", pairs["imlil-2"], first.Self())
+			for !second.Ready() {
+				time.Sleep(10 * time.Millisecond)
+			}
+			is.Equal(second.Generation(), uint64(1))
+			cancel()
+			<-first.Done()
+			<-second.Done()
+		})
+	}
+}
