--- a/entry/messages.go
+++ b/entry/messages.go
@@ -4,6 +4,7 @@
 	"github.com/cornelbay/cornelbay/agree"
 	"github.com/cornelbay/cornelbay/member"
 	"github.com/cornelbay/cornelbay/peer"
+	"github.com/cornelbay/cornelbay/warmth"
 )
 
 func init() {
@@ -20,4 +21,5 @@
 	peer.Register(member.Leave{})
 	peer.Register(member.JoinRequest{})
 	peer.Register(member.JoinAnswer{})
+	peer.Register(warmth.Reports{})
 }
