demo: tell what a cold target could not bear; bound health probes

Purpose: an overrun of the cold target says whether requests or new flows came too many, and a probe of a silent target ends after 1 s.

The stand-in's requests end when they are cancelled, as the platform's targets' do. Left open for the owners of the request and flow path.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -16,6 +16,9 @@
 // callTimeout bounds a call to the platform's service that does not wait.
 const callTimeout = 5 * time.Second
 
+// probeTimeout bounds a health probe.
+const probeTimeout = time.Second
+
 // view is what other goroutines read of the control state.
 type view struct {
 	generation uint64
@@ -198,6 +201,8 @@
 }
 
 func (d *Daemon) probe(ctx context.Context, p warmth.Probe) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
 	s := d.targets.Probe(ctx, p)
 	d.metrics.probes.WithLabelValues(probeResult(s.Kind)).Inc()
 	d.signal(s)
--- a/demo/script.go
+++ b/demo/script.go
@@ -166,7 +166,9 @@
 }
 
 func (r *run) startCold(ctx context.Context) error {
-	r.steps.cold.standin.TurnCold(time.Now(), coldness)
+	r.steps.cold.standin.TurnCold(time.Now(), coldness, func(what string) {
+		r.say("  %s: %s", r.steps.cold.Name, what)
+	})
 	return r.edit(ctx, "new target", func(doc *config.Document) error {
 		for i := range doc.Services {
 			if s := &doc.Services[i]; s.Name == r.steps.cold.Service.Name {
--- a/load/requests.go
+++ b/load/requests.go
@@ -94,10 +94,11 @@
 		l.runs[r.URL.Path]++
 	}
 	l.mu.Unlock()
+	took := serviceTime
 	if rand.Float64() < lateShare {
-		time.Sleep(lateTime)
+		took += lateTime
 	}
-	time.Sleep(serviceTime)
+	wait(r.Context(), took) // a cancelled request runs no longer
 }
 
 // client is one caller.
--- a/standin/cold.go
+++ b/standin/cold.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"fmt"
 	"sync"
 	"time"
 )
@@ -28,12 +29,16 @@
 	tokens   float64
 	filled   time.Time
 	overruns int
+	// report is told what came too much; nil tells nobody.
+	report func(what string)
 }
 
-// TurnCold makes the target bear only what c says until it is warm.
-func (t *Target) TurnCold(now time.Time, c Coldness) {
+// TurnCold makes the target bear only what c says until it is warm; report is
+// told what comes too much, and may be nil.
+func (t *Target) TurnCold(now time.Time, c Coldness, report func(what string)) {
 	t.cold.mu.Lock()
 	defer t.cold.mu.Unlock()
+	t.cold.report = report
 	t.cold.bears, t.cold.until = c, now.Add(c.For)
 	t.cold.tokens, t.cold.filled = c.OpeningBurst, now
 }
@@ -49,7 +54,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if now.Before(c.until) && running > int64(c.bears.Requests) {
-		c.fall(now)
+		c.fall(now, fmt.Sprintf("%d requests at once", running))
 	}
 }
 
@@ -62,15 +67,18 @@
 	c.tokens = min(c.bears.OpeningBurst, c.tokens+c.bears.Openings*now.Sub(c.filled).Seconds())
 	c.filled = now
 	if c.tokens < 1 {
-		c.fall(now)
+		c.fall(now, "too many new flows")
 		return
 	}
 	c.tokens--
 }
 
-func (c *cold) fall(now time.Time) {
+func (c *cold) fall(now time.Time, what string) {
 	c.overruns++
 	c.fallenAt = now
+	if c.report != nil {
+		c.report(what)
+	}
 }
 
 func (c *cold) fallen(now time.Time) bool {
