--- a/cmd/cornelbay/measure.go
+++ b/cmd/cornelbay/measure.go
@@ -1,6 +1,7 @@
 package main
 
 type measureCmd struct {
+	Capacity measureCapacityCmd `cmd:"" help:"Measure what a host costs against the sizes of a deployment."`
 	Config   measureConfigCmd   `cmd:"" help:"Measure how changes of configuration come into force."`
 	Flows    measureFlowsCmd    `cmd:"" help:"Measure broken flows while hosts and targets change."`
 	Balance  measureBalanceCmd  `cmd:"" help:"Measure the balance of flows over targets."`
