--- a/cmd/cornelbay/measure_capacity.go
+++ b/cmd/cornelbay/measure_capacity.go
@@ -27,7 +27,9 @@
 func (c *measureCapacityCmd) Run() error {
 	points, fits, err := measure.Capacity(measure.CapacitySettings{
 		Seed: c.Seed, MaxHosts: c.MaxHosts, Series: c.Series,
-		Progress: func(p measure.CapacityPoint) { fmt.Fprintf(os.Stderr, "%s %d: %.0f bytes/s a host\n", p.Series, p.X, p.ControlBytes) },
+		Progress: func(p measure.CapacityPoint) {
+			fmt.Fprintf(os.Stderr, "%s %d: %.0f bytes/s a host\n", p.Series, p.X, p.ControlBytes)
+		},
 	})
 	if err != nil {
 		return err
