--- a/entry/host.go
+++ b/entry/host.go
@@ -63,8 +63,8 @@
 	h.members = member.View{Self: s.Self, Seed: s.Seed, Fill: h.fill}
 	h.members.Introduce(s.Introduce...)
 	h.keeper = config.Keeper{Self: s.Self, Group: s.Group, Poll: s.Poll}
-	h.judge.Self = s.Self.Name
 	h.flows = agree.Control{Self: s.Self.Name, Plane: &h.Plane}
+	h.judge.Self = s.Self.Name
 	h.startRequests()
 	return h
 }
--- a/matrix/matrix_test.go
+++ b/matrix/matrix_test.go
@@ -53,3 +53,11 @@
 
 // TestMatrix runs each fault alone at each step of each procedure.
 func TestMatrix(t *testing.T) { runCells(t, Singles()) }
+
+// TestPairs runs each two faults at each step of each procedure.
+func TestPairs(t *testing.T) {
+	if testing.Short() {
+		t.Skip("the pairs run without the race detector")
+	}
+	runCells(t, Pairs())
+}
