--- a/agree/join.go
+++ b/agree/join.go
@@ -78,8 +78,9 @@
 // unasked returns the live hosts whose epochs have not come.
 func (c *Control) unasked() []cornelbay.HostName {
 	var out []cornelbay.HostName
+	live := c.liveSum()
 	for _, h := range c.members.Live {
-		if a, ok := c.join.answered[h.Name]; h.Name != c.Self && (!ok || !a.Ready || a.Live != c.liveSum()) {
+		if a, ok := c.join.answered[h.Name]; h.Name != c.Self && (!ok || !a.Ready || a.Live != live) {
 			out = append(out, h.Name)
 		}
 	}
@@ -101,7 +102,7 @@
 // has answered and knows the same live hosts.
 func (c *Control) joined(now time.Time) bool {
 	j := &c.join
-	waiting, ready, alone := 0, 0, true
+	waiting, ready, alone, live := 0, 0, true, c.liveSum()
 	for _, h := range c.members.Live {
 		if h.Name == c.Self {
 			continue
@@ -109,7 +110,7 @@
 		alone = false
 		a, ok := j.answered[h.Name]
 		switch {
-		case !ok || !a.Ready && now.Sub(a.at) > joinFresh || a.Live != c.liveSum():
+		case !ok || !a.Ready && now.Sub(a.at) > joinFresh || a.Live != live:
 			waiting++
 		case a.Ready:
 			ready++
--- a/cmd/cornelbay/measure_capacity.go
+++ b/cmd/cornelbay/measure_capacity.go
@@ -9,11 +9,11 @@
 )
 
 type measureCapacityCmd struct {
-	Seed     uint64   `help:"Seed of all randomness." default:"1"`
-	MaxHosts int      `name:"maxHosts" help:"Largest group to run; 0 runs all sizes." default:"0"`
-	Series   []string `help:"Series to run (hosts, targets, services, flows, changes); all when left out."`
-	Plot     string   `help:"Directory to write plots to." type:"existingdir"`
-	JSON     bool     `name:"json" help:"Print JSON."`
+	Seed   uint64   `help:"Seed of all randomness." default:"1"`
+	Hosts  []int    `help:"Sizes of the groups in the series hosts; all when left out."`
+	Series []string `help:"Series to run (hosts, targets, services, flows, changes); all when left out."`
+	Plot   string   `help:"Directory to write plots to." type:"existingdir"`
+	JSON   bool     `name:"json" help:"Print JSON."`
 }
 
 type capacityReport struct {
@@ -26,7 +26,7 @@
 // Run measures what each host costs against the sizes of a deployment.
 func (c *measureCapacityCmd) Run() error {
 	points, fits, err := measure.Capacity(measure.CapacitySettings{
-		Seed: c.Seed, MaxHosts: c.MaxHosts, Series: c.Series,
+		Seed: c.Seed, Hosts: c.Hosts, Series: c.Series,
 		Progress: func(p measure.CapacityPoint) {
 			fmt.Fprintf(os.Stderr, "%s %d: %.0f bytes/s a host\n", p.Series, p.X, p.ControlBytes)
 		},
