--- a/matrix/ledger.go
+++ b/matrix/ledger.go
@@ -32,6 +32,9 @@
 type flowNote struct {
 	service cornelbay.ServiceName
 	target  cornelbay.TargetName
+	// by and at tell of the first delivery.
+	by cornelbay.HostName
+	at time.Time
 	// excused flows may end: their target died or its data centre was taken out.
 	excused bool
 }
@@ -57,8 +60,9 @@
 	l.flows[key] = &flowNote{service: service}
 }
 
-// Delivered notes that a packet of a flow reached a target of a service.
-func (l *Ledger) Delivered(key cornelbay.FlowKey, to cornelbay.TargetName, service cornelbay.ServiceName) {
+// Delivered notes that a packet of a flow reached a target of a service by way of
+// a host.
+func (l *Ledger) Delivered(key cornelbay.FlowKey, to cornelbay.TargetName, service cornelbay.ServiceName, by cornelbay.HostName) {
 	f, ok := l.flows[key]
 	if !ok {
 		l.Break(RightService, "a packet of no known flow reached %s", to)
@@ -68,11 +72,12 @@
 		l.Break(RightService, "a packet for %s reached %s of %s", f.service, to, service)
 	}
 	if f.target == "" {
-		f.target = to
+		f.target, f.by, f.at = to, by, l.Now()
 	}
 	if f.target != to && !f.excused {
 		f.excused = true // one violation a flow
-		l.Break(FlowsSurvive, "flow %s of %s reached %s", key.Source, f.target, to)
+		l.Break(FlowsSurvive, "flow %s of %s by %s, %s ago, reached %s by %s",
+			key.Source, f.target, f.by, l.Now().Sub(f.at), to, by)
 	}
 }
 
--- a/matrix/ledger_test.go
+++ b/matrix/ledger_test.go
@@ -25,23 +25,23 @@
 	}{
 		{"flow keeps its target", func(l *Ledger) {
 			l.Opened(testFlow, "statut")
-			l.Delivered(testFlow, "statut-1", "statut")
-			l.Delivered(testFlow, "statut-1", "statut")
+			l.Delivered(testFlow, "statut-1", "statut", "host-1")
+			l.Delivered(testFlow, "statut-1", "statut", "host-1")
 		}, nil},
 		{"flow moves", func(l *Ledger) {
 			l.Opened(testFlow, "statut")
-			l.Delivered(testFlow, "statut-1", "statut")
-			l.Delivered(testFlow, "statut-2", "statut")
+			l.Delivered(testFlow, "statut-1", "statut", "host-1")
+			l.Delivered(testFlow, "statut-2", "statut", "host-1")
 		}, []Promise{FlowsSurvive}},
 		{"flow of a dead target moves", func(l *Ledger) {
 			l.Opened(testFlow, "statut")
-			l.Delivered(testFlow, "statut-1", "statut")
+			l.Delivered(testFlow, "statut-1", "statut", "host-1")
 			l.Excuse("statut-1")
-			l.Delivered(testFlow, "statut-2", "statut")
+			l.Delivered(testFlow, "statut-2", "statut", "host-1")
 		}, nil},
 		{"packet reaches another service", func(l *Ledger) {
 			l.Opened(testFlow, "statut")
-			l.Delivered(testFlow, "carto-1", "carto")
+			l.Delivered(testFlow, "carto-1", "carto", "host-1")
 		}, []Promise{RightService}},
 		{"lookup runs twice", func(l *Ledger) {
 			l.Asked("a", true)
--- a/matrix/traffic.go
+++ b/matrix/traffic.go
@@ -194,7 +194,7 @@
 		w.newWork(n, t)
 		w.newFlow(t)
 	}
-	w.Ledger.Delivered(p.flow.key, t.Name, t.service)
+	w.Ledger.Delivered(p.flow.key, t.Name, t.service, n.Self.Name)
 	if _, out := w.outSince(t.DataCentre); out {
 		w.Ledger.Excuse(t.Name)
 	}
