Keep records that a host makes while others regain it

Change: records are tentative only while the hosts are split. Figures: go test ./matrix -run '.*/(leaseLapsedInPause|updateUneven)': 5 cells failed before, none after.

--- a/flow/plane.go
+++ b/flow/plane.go
@@ -266,7 +266,7 @@
 	}
 	r := &svc.Routes[b.Route]
 	next := r.keeper(pk.Relay.Hops)
-	if pk.snap.Doubt {
+	if pk.snap.Doubt && pk.snap.Split {
 		pk.mark |= track.Tentative
 	}
 	p.record(pk, at)
