--- a/agree/control.go
+++ b/agree/control.go
@@ -199,11 +199,11 @@
 }
 
 // updateDoubt notes whether the hosts that are not heard may have changed any
-// bucket: their data centre may be cut off, they were not heard until a moment ago
-// and their epochs have not come yet, or they are as many as those that are, and the host is alone or nobody has
+// bucket: they were so until a moment ago and their epochs have not come yet, or
+// they are as many as those that are, and the host is alone or nobody has
 // confirmed lately that the configuration is the newest.
 func (c *Control) updateDoubt(now time.Time) {
-	doubt := c.regaining() || c.cutSuspected()
+	doubt := c.regaining()
 	if c.split() {
 		doubt = c.isolated() || now.Sub(c.members.ConfirmedAt) > DoubtAfter
 	}
--- a/agree/publish.go
+++ b/agree/publish.go
@@ -22,7 +22,7 @@
 	old := c.Plane.Snapshot()
 	snap := &flow.Snapshot{
 		ByName: maps.Clone(c.byName), Self: c.Self, Hosts: c.servingNames(),
-		Isolated: c.isolated(), Split: c.split(), Minority: len(c.members.Missing) > len(c.members.Live), Doubt: c.doubt,
+		Isolated: c.isolated(), Split: c.split(), Doubt: c.doubt,
 	}
 	services := make(map[cornelbay.ServiceName]*flow.Service)
 	for _, s := range c.services {
--- a/agree/regain.go
+++ b/agree/regain.go
@@ -1,7 +1,6 @@
 package agree
 
 import (
-	"slices"
 	"time"
 
 	"github.com/cornelbay/cornelbay"
@@ -33,20 +32,6 @@
 		r.since, r.asked = now, time.Time{}
 		c.dirty = true
 	}
-	if !c.regaining() {
-		return
-	}
-	for _, s := range c.services {
-		s.incomplete() // the hosts heard again may have placed flows meanwhile
-	}
-}
-
-// cutSuspected reports whether some data centre may be cut off: all its hosts are
-// missing, and may place flows.
-func (c *Control) cutSuspected() bool {
-	return slices.ContainsFunc(c.members.Missing, func(m cornelbay.Host) bool {
-		return !slices.ContainsFunc(c.members.Live, func(h cornelbay.Host) bool { return h.DataCentre == m.DataCentre })
-	})
 }
 
 // regaining reports whether the epochs of hosts that are heard again have not
--- a/flow/plane.go
+++ b/flow/plane.go
@@ -285,7 +285,7 @@
 	udp := pk.mark&track.UDP != 0
 	// Another host may not have heard yet that the own one is a deputy no more, so
 	// a deputy answers only after the steward was asked.
-	if r.Complete && !udp && !pk.snap.Doubt && (r.Position == steward || pk.Relay.Hops > 0) {
+	if r.Complete && !udp && (r.Position == steward || pk.Relay.Hops > 0) {
 		return p.settle(pk, b.First)
 	}
 	if pk.snap.Isolated {
@@ -303,7 +303,7 @@
 	if !pk.askedAll(r) {
 		return drop(cornelbay.Unanswered)
 	}
-	if last := pk.snap.Hosts[r.Order[len(r.Order)-1]]; (pk.snap.Split || pk.snap.Doubt) && last == pk.Relay.From {
+	if last := pk.snap.Hosts[r.Order[len(r.Order)-1]]; pk.snap.Split && last == pk.Relay.From {
 		return pk.relay(last, -1) // it counts the packets of the flow
 	}
 	return p.unknown(pk, b)
@@ -312,11 +312,9 @@
 // unknown decides a packet of a flow that no live host knows.
 func (p *Plane) unknown(pk *packet, b *Bucket) cornelbay.Verdict {
 	switch {
-	case pk.snap.Minority:
-		return drop(cornelbay.Unanswered)
 	case pk.snap.Split && b.Ambiguous && p.triedLong(pk):
 		return p.settle(pk, b.Place)
-	case pk.snap.Split, pk.snap.Doubt && !p.triedLong(pk):
+	case pk.snap.Split, pk.snap.Doubt:
 		return drop(cornelbay.Unanswered)
 	case pk.mark&track.UDP != 0:
 		return p.settle(pk, b.Place)
--- a/flow/snapshot.go
+++ b/flow/snapshot.go
@@ -28,8 +28,6 @@
 	// Split is true while so many hosts are missing that they may have placed
 	// flows among themselves.
 	Split bool
-	// Minority is true while more hosts are missing than are heard.
-	Minority bool
 
 	// services4 has the services with an IPv4 address, by a packed key.
 	services4 map[uint64]*Service
