peer: refuse replayed datagrams and count refusals by reason

Purpose: a datagram counts once. Refusals are counted by reason.

Ruled out: a window for each incarnation of a host, since an earlier start has nothing more to say once a later one was heard.

--- a/peer/codec.go
+++ b/peer/codec.go
@@ -23,6 +23,9 @@
 	ErrMAC       = merry.New("datagram has no valid MAC")
 	ErrMalformed = merry.New("datagram is malformed")
 	ErrTooLarge  = merry.New("message over the datagram limit")
+	// ErrReplay is a datagram that came before, is too old to tell, or is of an
+	// earlier start of its sender.
+	ErrReplay = merry.New("datagram is a replay")
 )
 
 // Envelope is what a datagram carries.
@@ -41,7 +44,11 @@
 	// Keys authenticate datagrams: the first seals, any opens.
 	Keys [][]byte
 
+	// Refused counts the datagrams that Open refused.
+	Refused Refusals
+
 	sequence uint64
+	windows  replayWindows
 }
 
 var kinds = map[cornelbay.MessageKind]reflect.Type{}
@@ -71,24 +78,39 @@
 func (c *Codec) Open(b []byte) (Envelope, cornelbay.Message, error) {
 	var e Envelope
 	if len(b) < macBytes {
+		c.Refused.Malformed++
 		return e, nil, ErrMalformed
 	}
 	body, sum := b[:len(b)-macBytes], b[len(b)-macBytes:]
 	if !c.valid(body, sum) {
+		c.Refused.MAC++
 		return e, nil, ErrMAC
 	}
-	if err := cbor.Unmarshal(body, &e); err != nil {
-		return e, nil, merry.Wrap(ErrMalformed, merry.WithCause(err))
+	m, err := decodeEnvelope(body, &e)
+	if err != nil {
+		c.Refused.Malformed++
+		return e, nil, err
+	}
+	if !c.windows.accept(e) {
+		c.Refused.Replay++
+		return e, nil, ErrReplay
+	}
+	return e, m, nil
+}
+
+func decodeEnvelope(body []byte, e *Envelope) (cornelbay.Message, error) {
+	if err := cbor.Unmarshal(body, e); err != nil {
+		return nil, merry.Wrap(ErrMalformed, merry.WithCause(err))
 	}
 	t, ok := kinds[e.Kind]
 	if !ok {
-		return e, nil, ErrMalformed
+		return nil, ErrMalformed
 	}
 	m := reflect.New(t)
 	if err := cbor.Unmarshal(e.Body, m.Interface()); err != nil {
-		return e, nil, merry.Wrap(ErrMalformed, merry.WithCause(err))
+		return nil, merry.Wrap(ErrMalformed, merry.WithCause(err))
 	}
-	return e, m.Elem().Interface().(cornelbay.Message), nil
+	return m.Elem().Interface().(cornelbay.Message), nil
 }
 
 func (c *Codec) valid(b, sum []byte) bool {
