--- a/config/fetch.go
+++ b/configsync/fetch.go
@@ -1,4 +1,4 @@
-package config
+package configsync
 
 import (
 	"cmp"
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/config"
 	"github.com/cornelbay/cornelbay/peer"
 	"github.com/cornelbay/cornelbay/platform"
 )
@@ -23,6 +24,8 @@
 	// make in the long run, and callBurst the number at once.
 	callRate  = 4.0
 	callBurst = 32.0
+	// pastGenerations is the number of generations whose names are remembered.
+	pastGenerations = 16
 )
 
 // FetchArgs asks another host for the generation that it has in force.
@@ -31,7 +34,9 @@
 	// Generation, Base and Manifest are what the asking host holds.
 	Generation     uint64
 	Base, Manifest string
-	// Want lists the digests of the objects that are still missing.
+	// Head is the generation that is being gathered, and Want lists the digests of
+	// the objects that it still lacks.
+	Head uint64
 	Want []string
 }
 
@@ -59,7 +64,7 @@
 	found
 	// next is a higher head that is fetched afterwards.
 	next    found
-	objects Objects
+	objects config.Objects
 	// asked holds the hosts that did not help.
 	asked map[cornelbay.HostName]bool
 	// peer is the host that is being asked under the number call until due.
@@ -75,7 +80,7 @@
 
 // found is a head that is higher than the one in force.
 type found struct {
-	head    Head
+	head    config.Head
 	raw     []byte
 	version uint64
 	// sentAt is a time at which the head was the platform's or older, or zero.
@@ -99,7 +104,7 @@
 func (k *Keeper) fetching() *fetch {
 	if k.fetch == nil {
 		k.fetch = &fetch{
-			objects: make(Objects), asked: make(map[cornelbay.HostName]bool), sent: make(map[uint64]time.Time),
+			objects: make(config.Objects), asked: make(map[cornelbay.HostName]bool), sent: make(map[uint64]time.Time),
 		}
 		for d, b := range k.objects {
 			k.fetch.objects[d] = b
@@ -114,7 +119,7 @@
 	if f == nil {
 		return
 	}
-	d := Digest(b)
+	d := config.Digest(b)
 	if !slices.Contains(f.objects.Missing(f.head, k.Group), d) {
 		k.Stats.Refused++
 		k.failed(now, 0)
@@ -201,7 +206,7 @@
 	f.sent[f.call] = now
 	args := FetchArgs{Group: k.Group, Generation: k.head.Generation, Base: k.head.Base, Manifest: k.head.Manifest(k.Group)}
 	if f.head.Generation > 0 {
-		args.Want = f.objects.Missing(f.head, k.Group)
+		args.Head, args.Want = f.head.Generation, f.objects.Missing(f.head, k.Group)
 	}
 	return []cornelbay.Effect{peer.Call{ID: f.call, To: h.Name, Address: h.RPC, Args: args}}
 }
@@ -238,14 +243,14 @@
 	}
 	if f.head.Generation == 0 {
 		f.platformAt = now.Add(k.probeInterval())
-		if k.asking(HeadKey) {
+		if k.asking(config.HeadKey) {
 			return nil
 		}
-		return k.ask(now, platform.Call{Op: platform.Get, Key: HeadKey})
+		return k.ask(now, platform.Call{Op: platform.Get, Key: config.HeadKey})
 	}
 	var out []cornelbay.Effect
 	for _, d := range f.objects.Missing(f.head, k.Group) {
-		if key := ShardPrefix + d; !k.asking(key) {
+		if key := config.ShardPrefix + d; !k.asking(key) {
 			out = append(out, k.ask(now, platform.Call{Op: platform.Get, Key: key})...)
 		}
 	}
@@ -299,28 +304,34 @@
 	if r.Generation < k.head.Generation {
 		return false
 	}
-	h, err := ParseHead(r.Head)
+	h, err := config.ParseHead(r.Head)
 	if err != nil || h.Generation != r.Generation {
 		k.Stats.Refused++
 		return false
 	}
-	helped := false
-	if h.Generation > f.head.Generation {
-		n := found{head: h, raw: r.Head, version: r.Version}
-		if r.ConfirmedAgeMs > 0 {
-			n.sentAt = askedAt.Add(-age)
-		}
-		k.take(n)
-		helped = true
-	}
+	helped := f.head.Generation == 0
 	for _, b := range r.Objects {
-		d := Digest(b)
+		d := config.Digest(b)
 		if _, held := f.objects[d]; !held {
 			f.objects[d] = b
 			helped = true
 		}
 	}
-	return helped
+	if h.Generation <= f.head.Generation {
+		return helped
+	}
+	n := found{head: h, raw: r.Head, version: r.Version}
+	if r.ConfirmedAgeMs > 0 {
+		n.sentAt = askedAt.Add(-age)
+	}
+	if !helped || len(f.objects.Missing(h, k.Group)) == 0 {
+		// The host has gone on: its head is whole already, or that of the fetch is
+		// not to be had from it.
+		f.found = n
+		return true
+	}
+	k.take(n)
+	return true
 }
 
 // adopt puts the gathered generation in force, whole.
@@ -338,14 +349,12 @@
 		return
 	}
 	named := f.objects.Named(f.head, k.Group)
-	held := make(Objects, len(named))
-	k.fresh = nil
+	held := make(config.Objects, len(named))
 	for _, d := range named {
 		held[d] = f.objects[d]
-		if _, ok := k.objects[d]; !ok {
-			k.fresh = append(k.fresh, d)
-		}
 	}
+	k.past = append(k.past, pastGeneration{f.head.Generation, named})
+	k.past = k.past[max(len(k.past)-pastGenerations, 0):]
 	k.head, k.raw, k.version = f.head, f.raw, f.version
 	k.doc, k.objects = doc, held
 	if !f.sentAt.IsZero() {
@@ -357,23 +366,21 @@
 	}
 }
 
-// serveObjects returns the objects that an asking host wants, or those that it
-// is likely to lack.
+// pastGeneration is what a generation that was in force named.
+type pastGeneration struct {
+	generation uint64
+	named      []string
+}
+
+// serveObjects returns what an asking host lacks of the head in force.
 func (k *Keeper) serveObjects(args FetchArgs) [][]byte {
 	want := args.Want
-	if len(want) == 0 {
-		want = []string{k.head.Base, k.head.Manifest(k.Group)}
-		want = slices.DeleteFunc(want, func(d string) bool { return d == args.Base || d == args.Manifest })
-		switch args.Generation {
-		case 0:
-			want = k.objects.Named(k.head, k.Group)
-		case k.head.Generation - 1:
-			want = append(want, k.fresh...)
-		}
+	if args.Head != k.head.Generation {
+		want = k.lacking(args)
 	}
 	var out [][]byte
 	size := 0
-	for _, d := range slices.Compact(want) {
+	for _, d := range want {
 		b, ok := k.objects[d]
 		if ok && (size == 0 || size+len(b) <= maxReplyBytes) {
 			out = append(out, b)
@@ -383,6 +390,24 @@
 	return out
 }
 
+// lacking returns the digests of what a host lacks that has the generation of
+// the arguments in force; when that one is not known any more these are the base
+// and the manifest.
+func (k *Keeper) lacking(args FetchArgs) []string {
+	named := k.objects.Named(k.head, k.Group)
+	if args.Generation == 0 {
+		return named
+	}
+	has := []string{args.Base, args.Manifest}
+	known := slices.IndexFunc(k.past, func(p pastGeneration) bool { return p.generation == args.Generation })
+	if known >= 0 {
+		has = k.past[known].named
+	} else {
+		named = named[:min(len(named), 2)]
+	}
+	return slices.DeleteFunc(named, func(d string) bool { return slices.Contains(has, d) })
+}
+
 // watcher reports whether the host watches the platform for its group in its
 // data centre.
 func (k *Keeper) watcher() bool {
