--- a/measure/flows.go
+++ b/measure/flows.go
@@ -433,7 +433,8 @@
 	}
 	t := &r.targets[fl.target]
 	t.open--
-	out := int64(fl.began)*int64(flowSlot) < int64(t.lastOut.Sub(Start))
+	_, out := r.out[t.name]
+	out = out || int64(fl.began)*int64(flowSlot) < int64(t.lastOut.Sub(Start))
 	if broken && fl.established && !out && !t.dead {
 		r.row.Broken++
 		if r.scenario.Trace != nil {
--- a/measure/flows_test.go
+++ b/measure/flows_test.go
@@ -13,7 +13,11 @@
 }
 
 func TestFlowsUnbroken(t *testing.T) {
-	for _, name := range []string{"steady", "drainTarget", "addColdTarget", "hostDies", "hostJoins", "unevenUpdate"} {
+	names := []string{
+		"steady", "drainTarget", "addColdTarget", "hostDies", "hostJoins", "hostDiesDuringDrain",
+		"unevenUpdate", "rollAllHosts", "dataCentreOutAndBack",
+	}
+	for _, name := range names {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
