--- a/config/keeper_test.go
+++ b/configsync/keeper_test.go
@@ -1,14 +1,18 @@
-package config
+package configsync
 
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/config"
+	"github.com/cornelbay/cornelbay/examples"
 	"github.com/cornelbay/cornelbay/peer"
 	"github.com/cornelbay/cornelbay/platform"
 )
@@ -22,6 +26,7 @@
 	mangle  func(platform.Answer) platform.Answer
 	keepers map[cornelbay.HostName]*Keeper
 	paused  cornelbay.HostName
+	blind   cornelbay.HostName
 	cut     bool
 	calls   int
 }
@@ -40,9 +45,9 @@
 }
 
 // commit writes a document as the given generation.
-func (f *fakes) commit(generation uint64, latencyMs int) (Head, Objects) {
+func (f *fakes) commit(generation uint64, latencyMs int) (config.Head, config.Objects) {
 	f.t.Helper()
-	doc, err := Parse(example(f.t, "agence.json"))
+	doc, err := config.Parse(examples.Agence)
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -53,13 +58,13 @@
 	}
 	h.Generation = generation
 	for d, b := range objects {
-		f.put(ShardPrefix+d, b)
+		f.put(config.ShardPrefix+d, b)
 	}
 	b, err := h.Marshal()
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	f.put(HeadKey, b)
+	f.put(config.HeadKey, b)
 	return h, objects
 }
 
@@ -78,7 +83,7 @@
 	for _, e := range effects {
 		switch e := e.(type) {
 		case platform.Call:
-			out, _ := k.StoreAnswer(f.now, f.platform(e))
+			out, _ := k.StoreAnswer(f.now, f.platform(k, e))
 			f.do(k, out)
 		case peer.Call:
 			a := peer.Answer{Call: e, Err: peer.ErrNoAnswer}
@@ -91,8 +96,11 @@
 	}
 }
 
-func (f *fakes) platform(c platform.Call) platform.Answer {
+func (f *fakes) platform(k *Keeper, c platform.Call) platform.Answer {
 	f.calls++
+	if f.blind == k.Self.Name {
+		return platform.Answer{Call: c, Err: platform.ErrUnavailable}
+	}
 	if f.down != nil {
 		return platform.Answer{Call: c, Err: f.down, RetryAfter: time.Second}
 	}
@@ -111,7 +119,7 @@
 // run ticks every keeper for a time; each hears the others twice a second.
 func (f *fakes) run(span time.Duration) {
 	for end := f.now.Add(span); f.now.Before(end); f.now = f.now.Add(100 * time.Millisecond) {
-		for _, name := range sortedKeys(f.keepers) {
+		for _, name := range slices.Sorted(maps.Keys(f.keepers)) {
 			if name != f.paused {
 				k := f.keepers[name]
 				f.do(k, k.Tick(f.now))
@@ -126,7 +134,7 @@
 	if f.cut || f.now.UnixMilli()%500 != 0 {
 		return
 	}
-	for _, from := range sortedKeys(f.keepers) {
+	for _, from := range slices.Sorted(maps.Keys(f.keepers)) {
 		if other := f.keepers[from]; from != k.Self.Name && from != f.paused {
 			f.do(k, k.Heard(f.now, from, other.Generation(), other.ConfirmedAgeMs()))
 		}
@@ -136,7 +144,7 @@
 func TestKeeperRefusesWhatIsNotWhole(t *testing.T) {
 	swap := func(b []byte) func(a platform.Answer) platform.Answer {
 		return func(a platform.Answer) platform.Answer {
-			if a.Call.Key != HeadKey {
+			if a.Call.Key != config.HeadKey {
 				a.Object.Value = b
 			}
 			return a
@@ -147,7 +155,7 @@
 		mangle func(a platform.Answer) platform.Answer
 	}{
 		{"shards missing", func(a platform.Answer) platform.Answer {
-			if a.Call.Key != HeadKey {
+			if a.Call.Key != config.HeadKey {
 				a.Err = platform.ErrNotFound
 			}
 			return a
@@ -155,7 +163,7 @@
 		{"shards corrupted", swap([]byte(`{"services":[]}`))},
 		{"shards empty", swap(nil)},
 		{"head half-written", func(a platform.Answer) platform.Answer {
-			if a.Call.Key == HeadKey {
+			if a.Call.Key == config.HeadKey {
 				a.Object.Value = a.Object.Value[:len(a.Object.Value)/2]
 			}
 			return a
@@ -220,6 +228,28 @@
 	is.True(f.now.Sub(fresh.ConfirmedAt()) > 5*time.Second)
 }
 
+func TestFetchFollowsPeersThatWentOn(t *testing.T) {
+	is := is.New(t)
+	f := newFakes(t, "a", "b")
+	f.commit(1, 100)
+	f.run(2 * time.Second)
+	f.paused = "b"
+	f.mangle = func(a platform.Answer) platform.Answer {
+		if a.Call.Key != config.HeadKey {
+			a.Err = platform.ErrNotFound
+		}
+		return a
+	}
+	f.commit(2, 200)
+	f.run(2 * time.Second)
+	is.Equal(f.keepers["a"].fetch.head.Generation, uint64(2)) // its shards cannot be read
+	f.paused, f.mangle, f.blind = "", nil, "a"
+	f.commit(3, 300)
+	f.run(4 * time.Second)
+	is.Equal(f.keepers["b"].Generation(), uint64(3)) // holds no shard of generation 2
+	is.Equal(f.keepers["a"].Generation(), uint64(3))
+}
+
 func TestPlatformDownForAnHour(t *testing.T) {
 	for _, c := range []struct {
 		name string
@@ -303,7 +333,7 @@
 		k.Tick(f.now) // its answer is four seconds late
 		f.now = f.now.Add(100 * time.Millisecond)
 	}
-	out, _ := k.StoreAnswer(f.now, f.platform(first))
+	out, _ := k.StoreAnswer(f.now, f.platform(k, first))
 	f.do(k, out)
 	is.Equal(k.Generation(), uint64(1))
 }
