Show that the matrix notices five safety rules switched off

Purpose: a check that cannot fail proves nothing. Each mutation works at the interfaces of the hosts: heads moved whatever their version, epochs put into force by their proposal, ticketed requests sent twice, a woken host that acts on what it knew, truncated answers taken as whole. Not there: the generation check of a host and the one feeder of a cold target, which cannot be switched off from outside.

--- a/matrix/fault.go
+++ b/matrix/fault.go
@@ -45,9 +45,11 @@
 }
 
 func faultNamed(name string) (Fault, bool) {
-	for _, f := range Faults {
-		if f.Name == name {
-			return f, true
+	for _, list := range [][]Fault{Faults, mutationFaults} {
+		for _, f := range list {
+			if f.Name == name {
+				return f, true
+			}
 		}
 	}
 	return Fault{}, false
--- a/matrix/strike.go
+++ b/matrix/strike.go
@@ -201,6 +201,9 @@
 func (r recorder) Do(ctx context.Context, c platform.Call) platform.Answer {
 	r.w.hooked(stepBefore, c)
 	before := r.w.headVersion()
+	if r.w.mutation == blindUpdate && c.Key == config.HeadKey && c.Op == platform.Update {
+		c.Version = before
+	}
 	a := r.w.Store.Do(ctx, c)
 	if v := r.w.headVersion(); v != before {
 		r.w.committed()
--- a/matrix/target.go
+++ b/matrix/target.go
@@ -21,6 +21,7 @@
 	dialTimeout    = 250 * time.Millisecond
 	probeTime      = 2 * time.Millisecond
 	coldSlots      = 1
+	truncatedOneIn = 4
 	travel         = time.Millisecond
 	serviceJitter  = 30 * time.Millisecond
 	untoldAfter    = 400 * time.Millisecond
@@ -123,6 +124,9 @@
 		return
 	}
 	w.After(travel, func() { w.serve(t, at) })
+	if w.mutation == doubleSend && a.Request.Ticket != "" {
+		w.After(2*travel, func() { w.serve(t, at) })
+	}
 	w.After(a.Deadline.Sub(w.Now), func() { w.ended(at, request.AttemptResult{Silent: at.silent}) })
 }
 
@@ -158,6 +162,10 @@
 			return
 		}
 		res := request.AttemptResult{Whole: true, Response: request.Response{Status: 200, Body: []byte(answerTo(at.Request.Path))}}
+		if w.silent && w.Rand.IntN(truncatedOneIn) == 0 {
+			res.Response.Body = res.Response.Body[:len(res.Response.Body)/2]
+			res.Whole = w.mutation == trustTruncated
+		}
 		w.After(travel, func() { w.ended(at, res) })
 	})
 }
--- a/matrix/traffic.go
+++ b/matrix/traffic.go
@@ -206,6 +206,9 @@
 	b := w.blocked[n.Self.Name]
 	buffered := b.buffered
 	b.buffered = nil
+	if w.mutation == blindWake {
+		n.Plane.Ticked(w.Now)
+	}
 	for _, p := range buffered {
 		if !n.Dead {
 			w.decide(n, p)
--- a/matrix/world.go
+++ b/matrix/world.go
@@ -57,6 +57,10 @@
 	// the cell was taken, back once the data centre was brought back, and closed
 	// once the load has ended.
 	started, struck, back, closed bool
+	// mutation names the safety rule that is switched off, if any.
+	mutation string
+	// deafToProposals is until when two hosts miss the proposals of epochs.
+	deafToProposals time.Time
 }
 
 // hook is called with each effect before it is carried out, until it returns
@@ -174,6 +178,9 @@
 			w.hooks = append(w.hooks, h)
 		}
 	}
+	if s, ok := e.(cornelbay.Send); ok && !w.proposal(n, s) {
+		return false
+	}
 	return !n.Dead && !w.deafened(n, e)
 }
 
