--- a/entry/config.go
+++ b/entry/config.go
@@ -40,6 +40,7 @@
 	}
 	h.judge.SetServices(now, services, out)
 	h.flows.Generation = h.keeper.Generation()
+	h.flows.SetStates(now, h.judge.States(now)) // before a new target gets its first flows
 	effects := h.flows.SetServices(now, services, out)
 	return append(effects, h.Requests.SetServices(now, services, out)...)
 }
