Start a join again that a pause interrupts

Cause: a host that was paused while it joined heard nobody when it woke, took itself for alone and decided by epochs of its own (matrix, depot: apply, drain and takeOut with hostJoins and leaseLapsedInPause). Change: the host starts the join again when its keeper notices the pause. Ruled out: noticing it by the time between ticks of Control, which tests and measurements step in larger strides.

--- a/agree/join.go
+++ b/agree/join.go
@@ -45,6 +45,14 @@
 // deciding reports whether the host knows the epochs.
 func (c *Control) deciding() bool { return c.join.announcing }
 
+// Rejoin starts a join again that is under way: after a pause, what the others
+// had answered may have changed.
+func (c *Control) Rejoin() {
+	if !c.join.done {
+		c.join = join{}
+	}
+}
+
 // tickJoin asks live hosts for their epochs until the host has them, and tells
 // them that it serves until they know.
 func (c *Control) tickJoin(now time.Time) []cornelbay.Effect {
--- a/entry/members.go
+++ b/entry/members.go
@@ -41,6 +41,7 @@
 		h.staleSince = time.Time{}
 	case h.staleSince.IsZero():
 		h.staleSince = now
+		h.flows.Rejoin()
 	}
 	h.suspended = stale && now.Sub(h.staleSince) < agree.CutOffAfter
 	h.flows.Suspend(h.suspended)
