Rename package platform to objectstore, after the protocol it speaks

The adapter to the users' platform takes the name platform; this package is the client and stand-in of the own object interface.

--- a/cmd/cornelbay/document.go
+++ b/cmd/cornelbay/document.go
@@ -11,7 +11,7 @@
 
 	"github.com/cornelbay/cornelbay/config"
 	"github.com/cornelbay/cornelbay/operator"
-	"github.com/cornelbay/cornelbay/platform"
+	"github.com/cornelbay/cornelbay/objectstore"
 )
 
 // service is embedded by commands that call the platform's service.
@@ -20,7 +20,7 @@
 }
 
 func (s service) client() *operator.Client {
-	return &operator.Client{Service: &platform.Client{Base: s.Platform}}
+	return &operator.Client{Service: &objectstore.Client{Base: s.Platform}}
 }
 
 func load(path string) (*config.Document, error) {
--- a/cmd/cornelbay/output_test.go
+++ b/cmd/cornelbay/output_test.go
@@ -15,7 +15,7 @@
 
 	"github.com/cornelbay/cornelbay/config"
 	"github.com/cornelbay/cornelbay/operator"
-	"github.com/cornelbay/cornelbay/platform"
+	"github.com/cornelbay/cornelbay/objectstore"
 )
 
 func TestFailPrintsOneLineAFault(t *testing.T) {
@@ -32,8 +32,8 @@
 		code int
 	}{
 		{errors.New("any"), exitFailure},
-		{platform.ErrUnavailable, exitFailure},
-		{&operator.UnknownError{Cause: platform.ErrUnavailable}, exitFailure},
+		{objectstore.ErrUnavailable, exitFailure},
+		{&operator.UnknownError{Cause: objectstore.ErrUnavailable}, exitFailure},
 		{merry.Wrap(errUsage), exitInvalid},
 		{merry.Wrap(operator.ErrAbandoned), exitInvalid},
 		{&operator.ConflictError{}, exitConflict},
@@ -60,8 +60,8 @@
 
 func TestVerbsCommitOneAfterAnother(t *testing.T) {
 	is := is.New(t)
-	m := &platform.Memory{}
-	s := httptest.NewServer(&platform.Server{Service: m})
+	m := &objectstore.Memory{}
+	s := httptest.NewServer(&objectstore.Server{Service: m})
 	t.Cleanup(s.Close)
 	by := []string{"--author=aicha", "--reason=trial"}
 	verb := func(args ...string) error { return run(t, s.URL, append(args, by...)...) }
--- a/cmd/cornelbay/standin.go
+++ b/cmd/cornelbay/standin.go
@@ -14,7 +14,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/cornelbay/cornelbay/config"
-	"github.com/cornelbay/cornelbay/platform"
+	"github.com/cornelbay/cornelbay/objectstore"
 	"github.com/cornelbay/cornelbay/standin"
 )
 
@@ -82,8 +82,8 @@
 	defer stop()
 	context.AfterFunc(ctx, func() { _ = l.Close() }) // the process ends
 	m := http.NewServeMux()
-	faulty := &platform.Faulty{Service: &platform.Memory{}}
-	objects := &platform.Server{Service: faulty}
+	faulty := &objectstore.Faulty{Service: &objectstore.Memory{}}
+	objects := &objectstore.Server{Service: faulty}
 	m.Handle("/standin/platform/faults", faulty)
 	m.Handle("/objects", objects)
 	m.Handle("/objects/", objects)
--- a/cmd/cornelbay/status.go
+++ b/cmd/cornelbay/status.go
@@ -12,7 +12,7 @@
 
 	"github.com/cornelbay/cornelbay/operator"
 	"github.com/cornelbay/cornelbay/peer"
-	"github.com/cornelbay/cornelbay/platform"
+	"github.com/cornelbay/cornelbay/objectstore"
 )
 
 // statusPlatformTimeout bounds the read of what is committed; hosts tell what is
@@ -56,7 +56,7 @@
 func (c *statusCmd) Run() error {
 	ctx, cancel := context.WithTimeout(context.Background(), statusPlatformTimeout)
 	defer cancel()
-	committed := &operator.Client{Service: &platform.Client{Base: c.Platform}, Attempts: 2}
+	committed := &operator.Client{Service: &objectstore.Client{Base: c.Platform}, Attempts: 2}
 	h, doc, err := committed.Load(ctx)
 	unknown := c.Platform == "" || err != nil
 	f, ferr := c.fleet()
--- a/config/shard.go
+++ b/config/shard.go
@@ -9,7 +9,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/cornelbay/cornelbay"
-	"github.com/cornelbay/cornelbay/platform"
+	"github.com/cornelbay/cornelbay/objectstore"
 	"github.com/cornelbay/cornelbay/strictjson"
 )
 
@@ -227,8 +227,8 @@
 func (v *validator) sizes(d *Document) {
 	for i, s := range d.Services {
 		b, err := json.Marshal(Shard{Services: []cornelbay.Service{s}})
-		if err != nil || len(b) > platform.MaxValueBytes {
-			v.errs.Add(servicePath(i), "%d bytes, the platform holds %d", len(b), platform.MaxValueBytes)
+		if err != nil || len(b) > objectstore.MaxValueBytes {
+			v.errs.Add(servicePath(i), "%d bytes, the platform holds %d", len(b), objectstore.MaxValueBytes)
 		}
 	}
 	if len(v.errs) > 0 {
@@ -240,14 +240,14 @@
 		return
 	}
 	head, err := h.Marshal()
-	if err != nil || len(head)+MaxChangeBytes+MaxAuthorBytes+MaxReasonBytes > platform.MaxValueBytes {
+	if err != nil || len(head)+MaxChangeBytes+MaxAuthorBytes+MaxReasonBytes > objectstore.MaxValueBytes {
 		v.errs.Add("services", "more groups than one object of the platform holds")
 	}
-	if len(objects[h.Base]) > platform.MaxValueBytes {
-		v.errs.Add("dataCentres", "%d bytes, the platform holds %d", len(objects[h.Base]), platform.MaxValueBytes)
+	if len(objects[h.Base]) > objectstore.MaxValueBytes {
+		v.errs.Add("dataCentres", "%d bytes, the platform holds %d", len(objects[h.Base]), objectstore.MaxValueBytes)
 	}
 	for _, g := range h.Groups {
-		if n := len(objects[g.Manifest]); n > platform.MaxValueBytes {
+		if n := len(objects[g.Manifest]); n > objectstore.MaxValueBytes {
 			v.errs.Add("services", "group %q lists more shards than one object of the platform holds", g.Group)
 		}
 	}
--- a/configsync/keeper.go
+++ b/configsync/keeper.go
@@ -12,7 +12,7 @@
 
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/config"
-	"github.com/cornelbay/cornelbay/platform"
+	"github.com/cornelbay/cornelbay/objectstore"
 )
 
 // The times of the keeper.
@@ -104,7 +104,7 @@
 
 // call is a call to the platform without an answer yet.
 type call struct {
-	platform.Call
+	objectstore.Call
 	sentAt, due time.Time
 	// late is set when the call counts as failed; its answer is still taken.
 	late bool
@@ -215,7 +215,7 @@
 	if now.Before(k.nextHead) || k.asking(config.HeadKey) {
 		return nil
 	}
-	c := platform.Call{Op: platform.Get, Key: config.HeadKey}
+	c := objectstore.Call{Op: objectstore.Get, Key: config.HeadKey}
 	switch {
 	case k.Poll > 0:
 		k.nextHead = now.Add(k.Poll)
@@ -225,7 +225,7 @@
 	case k.watcher() && k.failures > 0:
 		// After a failure a plain read tells sooner than a watch that may be silent.
 	case k.watcher():
-		c = platform.Call{Op: platform.Watch, Key: config.HeadKey, Version: k.version, Wait: WatchWait}
+		c = objectstore.Call{Op: objectstore.Watch, Key: config.HeadKey, Version: k.version, Wait: WatchWait}
 		if k.fetch != nil && k.fetch.version != 0 {
 			c.Version = max(k.fetch.version, k.fetch.next.version)
 		}
@@ -252,7 +252,7 @@
 }
 
 // ask returns the call to the platform, or nothing when the budget is spent.
-func (k *Keeper) ask(now time.Time, c platform.Call) []cornelbay.Effect {
+func (k *Keeper) ask(now time.Time, c objectstore.Call) []cornelbay.Effect {
 	if !k.budget.take(now) {
 		return nil
 	}
@@ -263,7 +263,7 @@
 		k.calls = make(map[uint64]call)
 	}
 	due := now.Add(callTimeout)
-	if c.Op == platform.Watch {
+	if c.Op == objectstore.Watch {
 		due = due.Add(c.WaitTime())
 	}
 	k.calls[c.ID] = call{Call: c, sentAt: now, due: due}
@@ -297,7 +297,7 @@
 
 // StoreAnswer takes the answer to a call and reports whether a new generation
 // came into force.
-func (k *Keeper) StoreAnswer(now time.Time, a platform.Answer) ([]cornelbay.Effect, bool) {
+func (k *Keeper) StoreAnswer(now time.Time, a objectstore.Answer) ([]cornelbay.Effect, bool) {
 	k.input(now)
 	c, ok := k.calls[a.Call.ID]
 	if !ok {
@@ -306,7 +306,7 @@
 	delete(k.calls, a.Call.ID)
 	before := k.head.Generation
 	switch {
-	case errors.Is(a.Err, platform.ErrNotModified):
+	case errors.Is(a.Err, objectstore.ErrNotModified):
 		k.failures = 0
 		if c.Version == k.version && c.Version != 0 {
 			k.confirmByCall(c.sentAt, c.sentAt)
@@ -323,7 +323,7 @@
 }
 
 // headRead takes a head that the platform answered.
-func (k *Keeper) headRead(now time.Time, c call, o platform.Object) {
+func (k *Keeper) headRead(now time.Time, c call, o objectstore.Object) {
 	h, err := config.ParseHead(o.Value)
 	if err != nil {
 		k.Stats.Refused++
--- a/configsync/keeper_test.go
+++ b/configsync/keeper_test.go
@@ -14,16 +14,16 @@
 	"github.com/cornelbay/cornelbay/config"
 	"github.com/cornelbay/cornelbay/examples"
 	"github.com/cornelbay/cornelbay/peer"
-	"github.com/cornelbay/cornelbay/platform"
+	"github.com/cornelbay/cornelbay/objectstore"
 )
 
 // fakes answers the calls of keepers at once.
 type fakes struct {
 	t       *testing.T
 	now     time.Time
-	store   platform.Memory
+	store   objectstore.Memory
 	down    error
-	mangle  func(platform.Answer) platform.Answer
+	mangle  func(objectstore.Answer) objectstore.Answer
 	keepers map[cornelbay.HostName]*Keeper
 	paused  cornelbay.HostName
 	blind   cornelbay.HostName
@@ -70,9 +70,9 @@
 
 func (f *fakes) put(key string, b []byte) {
 	f.t.Helper()
-	c := platform.Call{Op: platform.Create, Key: key, Value: b}
-	if a := f.store.Do(context.Background(), platform.Call{Key: key}); a.Err == nil {
-		c.Op, c.Version = platform.Update, a.Object.Version
+	c := objectstore.Call{Op: objectstore.Create, Key: key, Value: b}
+	if a := f.store.Do(context.Background(), objectstore.Call{Key: key}); a.Err == nil {
+		c.Op, c.Version = objectstore.Update, a.Object.Version
 	}
 	if a := f.store.Do(context.Background(), c); a.Err != nil {
 		f.t.Fatal(a.Err)
@@ -82,7 +82,7 @@
 func (f *fakes) do(k *Keeper, effects []cornelbay.Effect) {
 	for _, e := range effects {
 		switch e := e.(type) {
-		case platform.Call:
+		case objectstore.Call:
 			out, _ := k.StoreAnswer(f.now, f.platform(k, e))
 			f.do(k, out)
 		case peer.Call:
@@ -96,19 +96,19 @@
 	}
 }
 
-func (f *fakes) platform(k *Keeper, c platform.Call) platform.Answer {
+func (f *fakes) platform(k *Keeper, c objectstore.Call) objectstore.Answer {
 	f.calls++
 	if f.blind == k.Self.Name {
-		return platform.Answer{Call: c, Err: platform.ErrUnavailable}
+		return objectstore.Answer{Call: c, Err: objectstore.ErrUnavailable}
 	}
 	if f.down != nil {
-		return platform.Answer{Call: c, Err: f.down, RetryAfter: time.Second}
+		return objectstore.Answer{Call: c, Err: f.down, RetryAfter: time.Second}
 	}
 	ctx := context.Background()
-	a := f.store.Do(ctx, platform.Call{ID: c.ID, Op: platform.Get, Key: c.Key})
+	a := f.store.Do(ctx, objectstore.Call{ID: c.ID, Op: objectstore.Get, Key: c.Key})
 	a.Call = c
-	if c.Op == platform.Watch && a.Object.Version == c.Version {
-		a.Err = platform.ErrNotModified
+	if c.Op == objectstore.Watch && a.Object.Version == c.Version {
+		a.Err = objectstore.ErrNotModified
 	}
 	if f.mangle != nil {
 		a = f.mangle(a)
@@ -142,8 +142,8 @@
 }
 
 func TestKeeperRefusesWhatIsNotWhole(t *testing.T) {
-	swap := func(b []byte) func(a platform.Answer) platform.Answer {
-		return func(a platform.Answer) platform.Answer {
+	swap := func(b []byte) func(a objectstore.Answer) objectstore.Answer {
+		return func(a objectstore.Answer) objectstore.Answer {
 			if a.Call.Key != config.HeadKey {
 				a.Object.Value = b
 			}
@@ -152,17 +152,17 @@
 	}
 	for _, c := range []struct {
 		name   string
-		mangle func(a platform.Answer) platform.Answer
+		mangle func(a objectstore.Answer) objectstore.Answer
 	}{
-		{"shards missing", func(a platform.Answer) platform.Answer {
+		{"shards missing", func(a objectstore.Answer) objectstore.Answer {
 			if a.Call.Key != config.HeadKey {
-				a.Err = platform.ErrNotFound
+				a.Err = objectstore.ErrNotFound
 			}
 			return a
 		}},
 		{"shards corrupted", swap([]byte(`{"services":[]}`))},
 		{"shards empty", swap(nil)},
-		{"head half-written", func(a platform.Answer) platform.Answer {
+		{"head half-written", func(a objectstore.Answer) objectstore.Answer {
 			if a.Call.Key == config.HeadKey {
 				a.Object.Value = a.Object.Value[:len(a.Object.Value)/2]
 			}
@@ -215,7 +215,7 @@
 	f := newFakes(t, "a", "b")
 	f.commit(1, 100)
 	f.run(2 * time.Second)
-	f.down = platform.ErrUnavailable
+	f.down = objectstore.ErrUnavailable
 	fresh := newFakes(t, "a", "b", "c").keepers["c"]
 	f.keepers["c"] = fresh
 	f.cut = true
@@ -234,9 +234,9 @@
 	f.commit(1, 100)
 	f.run(2 * time.Second)
 	f.paused = "b"
-	f.mangle = func(a platform.Answer) platform.Answer {
+	f.mangle = func(a objectstore.Answer) objectstore.Answer {
 		if a.Call.Key != config.HeadKey {
-			a.Err = platform.ErrNotFound
+			a.Err = objectstore.ErrNotFound
 		}
 		return a
 	}
@@ -254,7 +254,7 @@
 	for _, c := range []struct {
 		name string
 		err  error
-	}{{"down", platform.ErrUnavailable}, {"limited", platform.ErrLimited}} {
+	}{{"down", objectstore.ErrUnavailable}, {"limited", objectstore.ErrLimited}} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			names := []cornelbay.HostName{"a", "b", "c", "d", "e", "f", "g", "h"}
@@ -304,7 +304,7 @@
 	is.True(!before.IsZero())
 	f.paused = "a"
 	f.run(time.Minute)
-	f.paused, f.down, f.cut = "", platform.ErrUnavailable, true
+	f.paused, f.down, f.cut = "", objectstore.ErrUnavailable, true
 	is.True(k.Stale(f.now))
 	is.Equal(k.ConfirmedAt(), before)
 	k.Heard(f.now, "b", 1, 200) // it may have waited in a queue for a minute
@@ -322,10 +322,10 @@
 	f := newFakes(t, "a")
 	f.commit(1, 100)
 	k := f.keepers["a"]
-	var first platform.Call
+	var first objectstore.Call
 	for first.ID == 0 {
 		for _, e := range k.Tick(f.now) {
-			first = e.(platform.Call)
+			first = e.(objectstore.Call)
 		}
 		f.now = f.now.Add(100 * time.Millisecond)
 	}
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -8,7 +8,7 @@
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/entry"
 	"github.com/cornelbay/cornelbay/peer"
-	"github.com/cornelbay/cornelbay/platform"
+	"github.com/cornelbay/cornelbay/objectstore"
 	"github.com/cornelbay/cornelbay/request"
 	"github.com/cornelbay/cornelbay/warmth"
 )
@@ -145,7 +145,7 @@
 			d.send(e)
 		case cornelbay.Release:
 			d.traffic.Release(e.Key)
-		case platform.Call:
+		case objectstore.Call:
 			d.goes(func() { d.call(ctx, e) })
 		case peer.Call:
 			d.callPeer(ctx, e)
@@ -188,10 +188,10 @@
 	}
 }
 
-func (d *Daemon) call(ctx context.Context, c platform.Call) {
+func (d *Daemon) call(ctx context.Context, c objectstore.Call) {
 	timeout := callTimeout
-	if c.Op == platform.Watch {
-		timeout += platform.WatchTimeout
+	if c.Op == objectstore.Watch {
+		timeout += objectstore.WatchTimeout
 	}
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -21,7 +21,7 @@
 	"github.com/cornelbay/cornelbay/caller"
 	"github.com/cornelbay/cornelbay/entry"
 	"github.com/cornelbay/cornelbay/peer"
-	"github.com/cornelbay/cornelbay/platform"
+	"github.com/cornelbay/cornelbay/objectstore"
 	"github.com/cornelbay/cornelbay/target"
 	"github.com/cornelbay/cornelbay/traffic"
 	"github.com/cornelbay/cornelbay/warmth"
@@ -66,7 +66,7 @@
 
 	host     *entry.Host
 	codec    codec
-	store    platform.Service
+	store    objectstore.Service
 	targets  target.Client
 	inputs   chan func(now time.Time) []cornelbay.Effect
 	signals  chan warmth.Signal
@@ -116,7 +116,7 @@
 	d.host = entry.New(d.Settings.Settings)
 	d.codec.Codec = peer.Codec{Self: s.Self.Name, Incarnation: s.Self.Incarnation, Keys: s.Keys}
 	d.toPlatform = &http.Transport{IdleConnTimeout: platformIdle}
-	d.store = &platform.Client{Base: s.Platform, HTTP: &http.Client{Transport: d.toPlatform}}
+	d.store = &objectstore.Client{Base: s.Platform, HTTP: &http.Client{Transport: d.toPlatform}}
 	d.traffic.Plane, d.traffic.OnHeld = &d.host.Plane, d.held
 	d.traffic.SetKeys(s.Keys...)
 	d.view.Store(&view{})
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -24,7 +24,7 @@
 	"github.com/cornelbay/cornelbay/entry"
 	"github.com/cornelbay/cornelbay/operator"
 	"github.com/cornelbay/cornelbay/peer"
-	"github.com/cornelbay/cornelbay/platform"
+	"github.com/cornelbay/cornelbay/objectstore"
 	"github.com/cornelbay/cornelbay/standin"
 )
 
@@ -38,8 +38,8 @@
 type trial struct {
 	t       *testing.T
 	doc     *config.Document
-	memory  platform.Memory
-	faulty  platform.Faulty
+	memory  objectstore.Memory
+	faulty  objectstore.Faulty
 	base    string
 	fabric  standin.Fabric
 	targets []*standin.Target
@@ -72,7 +72,7 @@
 		}
 	}
 	tr.faulty.Service = &tr.memory
-	tr.base = tr.listen(&platform.Server{Service: &tr.faulty})
+	tr.base = tr.listen(&objectstore.Server{Service: &tr.faulty})
 	return tr
 }
 
@@ -110,7 +110,7 @@
 
 func (tr *trial) apply() {
 	tr.t.Helper()
-	s := &platform.Client{Base: tr.base}
+	s := &objectstore.Client{Base: tr.base}
 	if _, err := operator.Apply(tr.t.Context(), s, tr.doc, operator.Change{ID: "first", Author: "test", Reason: "test"}); err != nil {
 		tr.t.Fatal(err)
 	}
@@ -301,7 +301,7 @@
 			for !first.Ready() {
 				time.Sleep(10 * time.Millisecond)
 			}
-			tr.faulty.Set(platform.Faults{Down: true})
+			tr.faulty.Set(objectstore.Faults{Down: true})
 			second := tr.startWith(ctx, "imlil-2", pairs["imlil-2"], first.Self())
 			for !second.Ready() {
 				time.Sleep(10 * time.Millisecond)
--- a/demo/world.go
+++ b/demo/world.go
@@ -18,7 +18,7 @@
 	"github.com/cornelbay/cornelbay/entry"
 	"github.com/cornelbay/cornelbay/load"
 	"github.com/cornelbay/cornelbay/operator"
-	"github.com/cornelbay/cornelbay/platform"
+	"github.com/cornelbay/cornelbay/objectstore"
 	"github.com/cornelbay/cornelbay/standin"
 )
 
@@ -54,8 +54,8 @@
 // world holds the hosts and the stand-ins around them.
 type world struct {
 	doc      *config.Document
-	memory   platform.Memory
-	platform platform.Faulty
+	memory   objectstore.Memory
+	platform objectstore.Faulty
 	operator operator.Client
 	base     string
 	fabric   standin.Fabric
@@ -77,7 +77,7 @@
 	w := &world{doc: doc, places: make(map[cornelbay.TargetName]*place)}
 	w.ctx, w.cancel = context.WithCancel(ctx)
 	w.probe.Transport = &http.Transport{MaxIdleConnsPerHost: 1}
-	w.platform.Service = &w.memory
+	w.objectstore.Service = &w.memory
 	w.operator.Service = &w.memory
 	if err := w.start(); err != nil {
 		w.close()
@@ -87,7 +87,7 @@
 }
 
 func (w *world) start() error {
-	at, stop, err := standin.Serve(anyPort, &platform.Server{Service: &w.platform})
+	at, stop, err := standin.Serve(anyPort, &objectstore.Server{Service: &w.platform})
 	if err != nil {
 		return err
 	}
--- a/entry/config.go
+++ b/entry/config.go
@@ -8,7 +8,7 @@
 	"github.com/cornelbay/cornelbay/configsync"
 	"github.com/cornelbay/cornelbay/member"
 	"github.com/cornelbay/cornelbay/peer"
-	"github.com/cornelbay/cornelbay/platform"
+	"github.com/cornelbay/cornelbay/objectstore"
 )
 
 func init() { peer.RegisterCall[configsync.FetchArgs, configsync.FetchReply]() }
@@ -21,7 +21,7 @@
 func (h *Host) Document() *config.Document { return h.keeper.Document() }
 
 // StoreAnswer takes the platform's answer to a call.
-func (h *Host) StoreAnswer(now time.Time, a platform.Answer) []cornelbay.Effect {
+func (h *Host) StoreAnswer(now time.Time, a objectstore.Answer) []cornelbay.Effect {
 	out, changed := h.keeper.StoreAnswer(now, a)
 	return append(out, h.adopted(now, changed)...)
 }
--- a/matrix/check.go
+++ b/matrix/check.go
@@ -10,7 +10,7 @@
 	"github.com/cornelbay/cornelbay/config"
 	"github.com/cornelbay/cornelbay/measure"
 	"github.com/cornelbay/cornelbay/operator"
-	"github.com/cornelbay/cornelbay/platform"
+	"github.com/cornelbay/cornelbay/objectstore"
 )
 
 const (
@@ -33,7 +33,7 @@
 }
 
 func (w *World) headVersion() uint64 {
-	a := w.Store.Memory.Do(context.Background(), platform.Call{Op: platform.Get, Key: config.HeadKey})
+	a := w.Store.Memory.Do(context.Background(), objectstore.Call{Op: objectstore.Get, Key: config.HeadKey})
 	return a.Object.Version
 }
 
--- a/matrix/procedure.go
+++ b/matrix/procedure.go
@@ -12,7 +12,7 @@
 	"github.com/cornelbay/cornelbay/measure"
 	"github.com/cornelbay/cornelbay/operator"
 	"github.com/cornelbay/cornelbay/peer"
-	"github.com/cornelbay/cornelbay/platform"
+	"github.com/cornelbay/cornelbay/objectstore"
 	"github.com/cornelbay/cornelbay/request"
 )
 
@@ -104,12 +104,12 @@
 )
 
 // hooked takes the steps of an operator's call.
-func (w *World) hooked(m moment, c platform.Call) {
+func (w *World) hooked(m moment, c objectstore.Call) {
 	if !w.started {
 		return
 	}
-	head := c.Key == config.HeadKey && (c.Op == platform.Update || c.Op == platform.Create)
-	shard := c.Op == platform.Create && c.Key != config.HeadKey
+	head := c.Key == config.HeadKey && (c.Op == objectstore.Update || c.Op == objectstore.Create)
+	shard := c.Op == objectstore.Create && c.Key != config.HeadKey
 	switch {
 	case m == stepBefore && shard:
 		w.reached("beforeShards", "")
--- a/matrix/strike.go
+++ b/matrix/strike.go
@@ -11,7 +11,7 @@
 	"github.com/cornelbay/cornelbay/measure"
 	"github.com/cornelbay/cornelbay/operator"
 	"github.com/cornelbay/cornelbay/peer"
-	"github.com/cornelbay/cornelbay/platform"
+	"github.com/cornelbay/cornelbay/objectstore"
 )
 
 // blocked is what keeps a host from hearing of changes.
@@ -145,8 +145,8 @@
 // an operator make one.
 func (w *World) LoseNextAnswer() {
 	lost := false
-	w.Store.LoseAnswer = func(c platform.Call) bool {
-		if lost || (c.Op != platform.Create && c.Op != platform.Update) {
+	w.Store.LoseAnswer = func(c objectstore.Call) bool {
+		if lost || (c.Op != objectstore.Create && c.Op != objectstore.Update) {
 			return false
 		}
 		lost = true
@@ -198,10 +198,10 @@
 type recorder struct{ w *World }
 
 // Do does the call at once.
-func (r recorder) Do(ctx context.Context, c platform.Call) platform.Answer {
+func (r recorder) Do(ctx context.Context, c objectstore.Call) objectstore.Answer {
 	r.w.hooked(stepBefore, c)
 	before := r.w.headVersion()
-	if r.w.mutation == blindUpdate && c.Key == config.HeadKey && c.Op == platform.Update {
+	if r.w.mutation == blindUpdate && c.Key == config.HeadKey && c.Op == objectstore.Update {
 		c.Version = before
 	}
 	a := r.w.Store.Do(ctx, c)
--- a/measure/config.go
+++ b/measure/config.go
@@ -14,7 +14,7 @@
 	"github.com/cornelbay/cornelbay/config"
 	"github.com/cornelbay/cornelbay/entry"
 	"github.com/cornelbay/cornelbay/operator"
-	"github.com/cornelbay/cornelbay/platform"
+	"github.com/cornelbay/cornelbay/objectstore"
 )
 
 // The policies by which hosts learn of a change.
@@ -194,12 +194,12 @@
 type commitClock struct{ run *configRun }
 
 // Do does the call.
-func (s commitClock) Do(ctx context.Context, c platform.Call) platform.Answer {
+func (s commitClock) Do(ctx context.Context, c objectstore.Call) objectstore.Answer {
 	a := s.run.Store.Do(ctx, c)
 	if c.Key != config.HeadKey {
 		return a
 	}
-	o := s.run.Store.Memory.Do(ctx, platform.Call{Op: platform.Get, Key: config.HeadKey}).Object
+	o := s.run.Store.Memory.Do(ctx, objectstore.Call{Op: objectstore.Get, Key: config.HeadKey}).Object
 	h, err := config.ParseHead(o.Value)
 	if _, ok := s.run.committed[h.Generation]; err == nil && !ok {
 		s.run.committed[h.Generation] = s.run.Now
--- a/measure/config_scenarios.go
+++ b/measure/config_scenarios.go
@@ -7,7 +7,7 @@
 
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/config"
-	"github.com/cornelbay/cornelbay/platform"
+	"github.com/cornelbay/cornelbay/objectstore"
 )
 
 type configScenario struct {
@@ -53,8 +53,8 @@
 
 // watchesCut cuts all watches each second and leaves half of the new ones silent.
 func watchesCut(c *configRun) error {
-	c.Store.Silent = func(_ string, call platform.Call) bool {
-		return call.Op == platform.Watch && c.Rand.Float64() < 0.5
+	c.Store.Silent = func(_ string, call objectstore.Call) bool {
+		return call.Op == objectstore.Watch && c.Rand.Float64() < 0.5
 	}
 	c.Every(time.Second, func() bool {
 		c.Store.CutWatches()
@@ -65,9 +65,9 @@
 
 // lostAnswers loses the answers to three in ten writes and one in ten reads.
 func lostAnswers(c *configRun) error {
-	c.Store.LoseAnswer = func(call platform.Call) bool {
+	c.Store.LoseAnswer = func(call objectstore.Call) bool {
 		share := 0.1
-		if call.Op == platform.Create || call.Op == platform.Update {
+		if call.Op == objectstore.Create || call.Op == objectstore.Update {
 			share = 0.3
 		}
 		return c.Rand.Float64() < share
@@ -150,14 +150,14 @@
 
 // beforeCommit runs something once, ahead of the next update of the head.
 type beforeCommit struct {
-	platform.Service
+	objectstore.Service
 	run func() error
 	err error
 }
 
 // Do does the call.
-func (b *beforeCommit) Do(ctx context.Context, c platform.Call) platform.Answer {
-	if run := b.run; run != nil && c.Key == config.HeadKey && c.Op == platform.Update {
+func (b *beforeCommit) Do(ctx context.Context, c objectstore.Call) objectstore.Answer {
+	if run := b.run; run != nil && c.Key == config.HeadKey && c.Op == objectstore.Update {
 		b.run = nil
 		b.err = run()
 	}
--- a/measure/forwarding.go
+++ b/measure/forwarding.go
@@ -23,7 +23,7 @@
 	"github.com/cornelbay/cornelbay/entry"
 	"github.com/cornelbay/cornelbay/fabric"
 	"github.com/cornelbay/cornelbay/operator"
-	"github.com/cornelbay/cornelbay/platform"
+	"github.com/cornelbay/cornelbay/objectstore"
 	"github.com/cornelbay/cornelbay/standin"
 )
 
@@ -214,8 +214,8 @@
 
 // startShell runs one host with the document in force.
 func (e *forwarding) startShell(ctx context.Context, doc *config.Document) error {
-	memory := &platform.Memory{}
-	at, stop, err := standin.Serve(loopback, &platform.Server{Service: memory})
+	memory := &objectstore.Memory{}
+	at, stop, err := standin.Serve(loopback, &objectstore.Server{Service: memory})
 	if err != nil {
 		return err
 	}
--- a/measure/group.go
+++ b/measure/group.go
@@ -10,7 +10,7 @@
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/entry"
 	"github.com/cornelbay/cornelbay/peer"
-	"github.com/cornelbay/cornelbay/platform"
+	"github.com/cornelbay/cornelbay/objectstore"
 	"github.com/cornelbay/cornelbay/request"
 	"github.com/cornelbay/cornelbay/warmth"
 )
@@ -115,8 +115,8 @@
 		switch e := e.(type) {
 		case cornelbay.Send:
 			g.send(n, e)
-		case platform.Call:
-			g.Store.do(string(n.Self.Name), e, func(a platform.Answer) {
+		case objectstore.Call:
+			g.Store.do(string(n.Self.Name), e, func(a objectstore.Answer) {
 				if n.Alive() {
 					g.CarryOut(n, n.StoreAnswer(g.Now, a))
 				}
--- a/platform/platform.go
+++ b/objectstore/objectstore.go
@@ -1,7 +1,7 @@
-// Package platform speaks the object protocol of the platform's service: keys
+// Package objectstore speaks the object protocol of the platform's service: keys
 // with versions, conditional updates and watches, over HTTP/1.1 with ETag and
 // If-Match (RFC 9110).
-package platform
+package objectstore
 
 import (
 	"context"
--- a/platform/server.go
+++ b/objectstore/server.go
@@ -1,4 +1,4 @@
-package platform
+package objectstore
 
 import (
 	"encoding/json"
--- a/operator/commit.go
+++ b/operator/commit.go
@@ -13,7 +13,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/cornelbay/cornelbay/config"
-	"github.com/cornelbay/cornelbay/platform"
+	"github.com/cornelbay/cornelbay/objectstore"
 )
 
 // The times and limits of calls to the platform.
@@ -83,7 +83,7 @@
 // Client commits changes and reads what is committed; its zero value needs only
 // Service.
 type Client struct {
-	Service platform.Service
+	Service objectstore.Service
 	// Rand spreads retries; nil stands for a source seeded by the change's id.
 	Rand *rand.Rand
 	// Sleep waits before a retry; nil stands for the real clock.
@@ -97,7 +97,7 @@
 }
 
 // Apply commits doc as the next generation and returns its head.
-func Apply(ctx context.Context, s platform.Service, doc *config.Document, c Change) (config.Head, error) {
+func Apply(ctx context.Context, s objectstore.Service, doc *config.Document, c Change) (config.Head, error) {
 	return (&Client{Service: s}).Apply(ctx, doc, c)
 }
 
@@ -265,7 +265,7 @@
 	if err != nil {
 		return nil, err
 	}
-	was, err := objects.JoinAll(base)
+	was, err := objectstore.JoinAll(base)
 	if err != nil {
 		return nil, err
 	}
@@ -289,8 +289,8 @@
 	if err != nil {
 		return err
 	}
-	a := c.retry(ctx, platform.Call{Op: platform.Create, Key: config.HistoryKey(h.Generation), Value: b})
-	if a.Err != nil && !errors.Is(a.Err, platform.ErrExists) {
+	a := c.retry(ctx, objectstore.Call{Op: objectstore.Create, Key: config.HistoryKey(h.Generation), Value: b})
+	if a.Err != nil && !errors.Is(a.Err, objectstore.ErrExists) {
 		return merry.Prepend(a.Err, "write history")
 	}
 	return nil
@@ -307,17 +307,17 @@
 	if next, err = config.ParseHead(b); err != nil {
 		return config.Head{}, err
 	}
-	call := platform.Call{Op: platform.Update, Key: config.HeadKey, Version: version, Value: b}
+	call := objectstore.Call{Op: objectstore.Update, Key: config.HeadKey, Version: version, Value: b}
 	if base.Generation == 0 {
-		call.Op = platform.Create
+		call.Op = objectstore.Create
 	}
 	a := c.retry(ctx, call)
 	switch {
 	case a.Err == nil:
 		return next, nil
-	case errors.Is(a.Err, platform.ErrConflict), errors.Is(a.Err, platform.ErrExists):
+	case errors.Is(a.Err, objectstore.ErrConflict), errors.Is(a.Err, objectstore.ErrExists):
 		return c.resolve(ctx, next, base)
-	case errors.Is(a.Err, platform.ErrTooLarge), errors.Is(a.Err, platform.ErrNotFound):
+	case errors.Is(a.Err, objectstore.ErrTooLarge), errors.Is(a.Err, objectstore.ErrNotFound):
 		return config.Head{}, merry.Prepend(a.Err, "write head")
 	}
 	return config.Head{}, &UnknownError{Change: next.Change, Cause: a.Err}
@@ -341,7 +341,7 @@
 		}
 	}
 	if winner.Generation == 0 {
-		return config.Head{}, &UnknownError{Change: next.Change, Cause: platform.ErrConflict}
+		return config.Head{}, &UnknownError{Change: next.Change, Cause: objectstore.ErrConflict}
 	}
 	h, ok, err := c.find(ctx, winner, next.Change, base.Generation)
 	if err != nil {
@@ -374,11 +374,11 @@
 }
 
 // retry does a call until the service answers it or the attempts are used up.
-func (c *Client) retry(ctx context.Context, call platform.Call) platform.Answer {
-	var a platform.Answer
+func (c *Client) retry(ctx context.Context, call objectstore.Call) objectstore.Answer {
+	var a objectstore.Answer
 	for i := range c.attempts() {
 		a = c.Service.Do(ctx, call)
-		if !errors.Is(a.Err, platform.ErrUnavailable) && !errors.Is(a.Err, platform.ErrLimited) {
+		if !errors.Is(a.Err, objectstore.ErrUnavailable) && !errors.Is(a.Err, objectstore.ErrLimited) {
 			return a
 		}
 		if err := c.sleep(ctx, call.Key, i); err != nil {
--- a/operator/commit_test.go
+++ b/operator/commit_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/config"
-	"github.com/cornelbay/cornelbay/platform"
+	"github.com/cornelbay/cornelbay/objectstore"
 )
 
 func agence(t testing.TB) *config.Document {
@@ -33,11 +33,11 @@
 
 // hooked calls before ahead of each call.
 type hooked struct {
-	platform.Service
-	before func(platform.Call)
+	objectstore.Service
+	before func(objectstore.Call)
 }
 
-func (h *hooked) Do(ctx context.Context, c platform.Call) platform.Answer {
+func (h *hooked) Do(ctx context.Context, c objectstore.Call) objectstore.Answer {
 	h.before(c)
 	return h.Service.Do(ctx, c)
 }
@@ -51,7 +51,7 @@
 func TestRepeatedApplyIsOneChange(t *testing.T) {
 	is := is.New(t)
 	doc := agence(t)
-	c := &Client{Service: &platform.Memory{}, Sleep: noSleep}
+	c := &Client{Service: &objectstore.Memory{}, Sleep: noSleep}
 	first, err := c.Apply(t.Context(), doc, Change{ID: "one", Author: "aicha"})
 	is.NoErr(err)
 	again, err := c.Apply(t.Context(), doc, Change{ID: "one", Author: "aicha"})
@@ -73,8 +73,8 @@
 	for every := 1; every <= 7; every++ {
 		t.Run(fmt.Sprint(every), func(t *testing.T) {
 			is := is.New(t)
-			s := &platform.Faulty{Service: &platform.Memory{}}
-			s.Set(platform.Faults{LoseEvery: every})
+			s := &objectstore.Faulty{Service: &objectstore.Memory{}}
+			s.Set(objectstore.Faults{LoseEvery: every})
 			c := &Client{Service: s, Sleep: noSleep}
 			doc := agence(t)
 			for i := 1; i <= 12; i++ {
@@ -96,16 +96,16 @@
 
 func TestLostAnswerUnderAnotherCommit(t *testing.T) {
 	is := is.New(t)
-	m := &platform.Memory{}
+	m := &objectstore.Memory{}
 	other := &Client{Service: m, Sleep: noSleep}
 	doc := agence(t)
 	_, err := other.Apply(t.Context(), doc, Change{ID: "first"})
 	is.NoErr(err)
-	s := &platform.Faulty{Service: m}
-	s.Set(platform.Faults{LoseEvery: 1})
+	s := &objectstore.Faulty{Service: m}
+	s.Set(objectstore.Faults{LoseEvery: 1})
 	updates := 0
-	h := &hooked{Service: s, before: func(c platform.Call) {
-		if c.Key != config.HeadKey || c.Op != platform.Update {
+	h := &hooked{Service: s, before: func(c objectstore.Call) {
+		if c.Key != config.HeadKey || c.Op != objectstore.Update {
 			return
 		}
 		if updates++; updates == 2 { // the first took effect and its answer was lost
@@ -124,14 +124,14 @@
 
 func TestRacingOperators(t *testing.T) {
 	is := is.New(t)
-	m := &platform.Memory{}
+	m := &objectstore.Memory{}
 	theirs := &Client{Service: m, Sleep: noSleep}
 	doc := agence(t)
 	_, err := theirs.Apply(t.Context(), doc, Change{ID: "first"})
 	is.NoErr(err)
 	races := []cornelbay.TargetName{"statut-2"}
-	h := &hooked{Service: m, before: func(c platform.Call) {
-		if c.Key == config.HeadKey && c.Op == platform.Update && len(races) > 0 {
+	h := &hooked{Service: m, before: func(c objectstore.Call) {
+		if c.Key == config.HeadKey && c.Op == objectstore.Update && len(races) > 0 {
 			name := races[0]
 			races = races[1:]
 			_, err := SetDrain(t.Context(), theirs, name, true, Change{Author: "brahim"})
@@ -165,7 +165,7 @@
 func TestRemovalOfWorkingTargetIsRefused(t *testing.T) {
 	is := is.New(t)
 	doc := agence(t)
-	c := &Client{Service: &platform.Memory{}, Sleep: noSleep}
+	c := &Client{Service: &objectstore.Memory{}, Sleep: noSleep}
 	_, err := c.Apply(t.Context(), doc, Change{})
 	is.NoErr(err)
 	less := doc.Clone()
@@ -188,7 +188,7 @@
 func TestRollbackIsNewGeneration(t *testing.T) {
 	is := is.New(t)
 	doc := agence(t)
-	c := &Client{Service: &platform.Memory{}, Sleep: noSleep}
+	c := &Client{Service: &objectstore.Memory{}, Sleep: noSleep}
 	first, err := c.Apply(t.Context(), doc, Change{ID: "first"})
 	is.NoErr(err)
 	_, err = c.Apply(t.Context(), latency(doc, 9), Change{ID: "second"})
@@ -204,9 +204,9 @@
 func TestCollectKeepsWhatIsNamed(t *testing.T) {
 	is := is.New(t)
 	doc := agence(t)
-	m := &platform.Memory{}
+	m := &objectstore.Memory{}
 	c := &Client{Service: m, Sleep: noSleep, Keep: 20}
-	orphan := platform.Call{Op: platform.Create, Key: config.ShardPrefix + "orphan", Value: []byte("{}")}
+	orphan := objectstore.Call{Op: objectstore.Create, Key: config.ShardPrefix + "orphan", Value: []byte("{}")}
 	is.NoErr(m.Do(t.Context(), orphan).Err)
 	for i := 1; i <= 3*collectInterval; i++ {
 		_, err := c.Apply(t.Context(), latency(doc, i), Change{})
@@ -219,7 +219,7 @@
 		_, _, err := c.Generation(t.Context(), h.Generation)
 		is.NoErr(err)
 	}
-	shards := m.Do(t.Context(), platform.Call{Op: platform.List, Key: config.ShardPrefix}).Objects
+	shards := m.Do(t.Context(), objectstore.Call{Op: objectstore.List, Key: config.ShardPrefix}).Objects
 	is.True(len(shards) < 2*2*collectInterval) // two new objects a change
 	for _, o := range shards {
 		is.True(o.Key != config.ShardPrefix+"orphan")
@@ -231,15 +231,15 @@
 func TestCollectSparesRacingApply(t *testing.T) {
 	is := is.New(t)
 	doc := agence(t)
-	m := &platform.Memory{}
+	m := &objectstore.Memory{}
 	other := &Client{Service: m, Sleep: noSleep, Keep: 1}
 	for i := 1; i <= collectInterval; i++ {
 		_, err := other.Apply(t.Context(), latency(doc, i), Change{})
 		is.NoErr(err)
 	}
 	raced := false
-	h := &hooked{Service: m, before: func(c platform.Call) {
-		if c.Key == config.HeadKey && c.Op == platform.Update && !raced {
+	h := &hooked{Service: m, before: func(c objectstore.Call) {
+		if c.Key == config.HeadKey && c.Op == objectstore.Update && !raced {
 			raced = true
 			_, err := other.Apply(t.Context(), latency(doc, 5000), Change{})
 			is.NoErr(err)
--- a/operator/linearizable_test.go
+++ b/operator/linearizable_test.go
@@ -15,26 +15,26 @@
 	"github.com/matryer/is"
 
 	"github.com/cornelbay/cornelbay/config"
-	"github.com/cornelbay/cornelbay/platform"
+	"github.com/cornelbay/cornelbay/objectstore"
 )
 
 // schedule runs the calls of several clients one at a time, in an order that a
 // seed decides, under faults.
 type schedule struct {
 	rand    *rand.Rand
-	store   platform.Memory
+	store   objectstore.Memory
 	step    int64
 	waiting map[int]*step
-	flying  []platform.Call
+	flying  []objectstore.Call
 	arrived chan *step
 }
 
 // step is a call, or a wait when op is nil, of one client.
 type step struct {
 	client int
-	call   *platform.Call
+	call   *objectstore.Call
 	ended  bool
-	answer chan platform.Answer
+	answer chan objectstore.Answer
 }
 
 // scheduled is the service as one client sees it.
@@ -43,7 +43,7 @@
 	client int
 }
 
-func (c scheduled) Do(_ context.Context, call platform.Call) platform.Answer {
+func (c scheduled) Do(_ context.Context, call objectstore.Call) objectstore.Answer {
 	return c.wait(&call)
 }
 
@@ -52,8 +52,8 @@
 	return nil
 }
 
-func (c scheduled) wait(call *platform.Call) platform.Answer {
-	st := &step{client: c.client, call: call, answer: make(chan platform.Answer)}
+func (c scheduled) wait(call *objectstore.Call) objectstore.Answer {
+	st := &step{client: c.client, call: call, answer: make(chan objectstore.Answer)}
 	c.s.arrived <- st
 	return <-st.answer
 }
@@ -81,7 +81,7 @@
 		delete(s.waiting, st.client)
 		s.step++
 		s.land()
-		var a platform.Answer
+		var a objectstore.Answer
 		if st.call != nil {
 			a = s.do(*st.call)
 		}
@@ -98,19 +98,19 @@
 	}
 }
 
-func (s *schedule) do(c platform.Call) platform.Answer {
-	write := c.Op == platform.Create || c.Op == platform.Update || c.Op == platform.Delete
+func (s *schedule) do(c objectstore.Call) objectstore.Answer {
+	write := c.Op == objectstore.Create || c.Op == objectstore.Update || c.Op == objectstore.Delete
 	switch n := s.rand.IntN(20); {
 	case n == 0:
-		return platform.Answer{Call: c, Err: platform.ErrUnavailable}
+		return objectstore.Answer{Call: c, Err: objectstore.ErrUnavailable}
 	case n == 1:
-		return platform.Answer{Call: c, Err: platform.ErrLimited}
+		return objectstore.Answer{Call: c, Err: objectstore.ErrLimited}
 	case n <= 4 && write: // the answer is lost
 		s.store.Do(context.Background(), c)
-		return platform.Answer{Call: c, Err: platform.ErrUnavailable}
+		return objectstore.Answer{Call: c, Err: objectstore.ErrUnavailable}
 	case n <= 6 && write: // the write takes effect later
 		s.flying = append(s.flying, c)
-		return platform.Answer{Call: c, Err: platform.ErrUnavailable}
+		return objectstore.Answer{Call: c, Err: objectstore.ErrUnavailable}
 	}
 	return s.store.Do(context.Background(), c)
 }
--- a/operator/read.go
+++ b/operator/read.go
@@ -12,15 +12,15 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/cornelbay/cornelbay/config"
-	"github.com/cornelbay/cornelbay/platform"
+	"github.com/cornelbay/cornelbay/objectstore"
 )
 
 func newID() string { return rand.Text() }
 
 // head reads the head and its version; ErrNoConfig tells that there is none.
 func (c *Client) head(ctx context.Context) (config.Head, uint64, error) {
-	a := c.retry(ctx, platform.Call{Op: platform.Get, Key: config.HeadKey})
-	if errors.Is(a.Err, platform.ErrNotFound) {
+	a := c.retry(ctx, objectstore.Call{Op: objectstore.Get, Key: config.HeadKey})
+	if errors.Is(a.Err, objectstore.ErrNotFound) {
 		return config.Head{}, 0, ErrNoConfig
 	}
 	if a.Err != nil {
@@ -51,7 +51,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return objects.JoinAll(h)
+	return objectstore.JoinAll(h)
 }
 
 // objects reads the objects that a head names, save for those at hand.
@@ -60,12 +60,12 @@
 	maps.Copy(objects, hand)
 	for _, g := range append(h.Groups, config.GroupManifest{}) {
 		for {
-			missing := objects.Missing(h, g.Group)
+			missing := objectstore.Missing(h, g.Group)
 			if len(missing) == 0 {
 				break
 			}
 			for _, d := range missing {
-				a := c.retry(ctx, platform.Call{Op: platform.Get, Key: config.ShardPrefix + d})
+				a := c.retry(ctx, objectstore.Call{Op: objectstore.Get, Key: config.ShardPrefix + d})
 				if a.Err != nil {
 					return nil, merry.Prependf(a.Err, "read shard %s", d)
 				}
@@ -100,32 +100,32 @@
 
 func (c *Client) writeObject(ctx context.Context, key string, value []byte) error {
 	for range c.attempts() {
-		a := c.retry(ctx, platform.Call{Op: platform.Create, Key: key, Value: value})
-		if !errors.Is(a.Err, platform.ErrExists) {
+		a := c.retry(ctx, objectstore.Call{Op: objectstore.Create, Key: key, Value: value})
+		if !errors.Is(a.Err, objectstore.ErrExists) {
 			return a.Err
 		}
-		a = c.retry(ctx, platform.Call{Op: platform.Get, Key: key})
+		a = c.retry(ctx, objectstore.Call{Op: objectstore.Get, Key: key})
 		if a.Err == nil {
 			a = c.rewrite(ctx, a.Object, value)
 		}
-		if !errors.Is(a.Err, platform.ErrNotFound) {
+		if !errors.Is(a.Err, objectstore.ErrNotFound) {
 			return a.Err
 		}
 		// A collector deleted the object.
 	}
-	return platform.ErrUnavailable
+	return objectstore.ErrUnavailable
 }
 
 // rewrite gives an object a new version. A conflict tells that it has one by
 // now, from this client by a call whose answer was lost or from another.
-func (c *Client) rewrite(ctx context.Context, o platform.Object, value []byte) platform.Answer {
-	a := c.retry(ctx, platform.Call{Op: platform.Update, Key: o.Key, Version: o.Version, Value: value})
-	if !errors.Is(a.Err, platform.ErrConflict) {
+func (c *Client) rewrite(ctx context.Context, o objectstore.Object, value []byte) objectstore.Answer {
+	a := c.retry(ctx, objectstore.Call{Op: objectstore.Update, Key: o.Key, Version: o.Version, Value: value})
+	if !errors.Is(a.Err, objectstore.ErrConflict) {
 		return a
 	}
-	a = c.retry(ctx, platform.Call{Op: platform.Get, Key: o.Key})
+	a = c.retry(ctx, objectstore.Call{Op: objectstore.Get, Key: o.Key})
 	if a.Err == nil && (a.Object.Version == o.Version || !bytes.Equal(a.Object.Value, value)) {
-		a.Err = platform.ErrConflict
+		a.Err = objectstore.ErrConflict
 	}
 	return a
 }
@@ -133,7 +133,7 @@
 // past returns the heads in the history, oldest first, with those that are
 // corrupted left out.
 func (c *Client) past(ctx context.Context) ([]config.Head, error) {
-	a := c.retry(ctx, platform.Call{Op: platform.List, Key: config.HistoryPrefix})
+	a := c.retry(ctx, objectstore.Call{Op: objectstore.List, Key: config.HistoryPrefix})
 	if a.Err != nil {
 		return nil, merry.Prepend(a.Err, "read history")
 	}
@@ -191,11 +191,11 @@
 // the generations that collect. A shard whose version is the same afterwards was
 // not written for a change that can still be committed: such a change reads the
 // head after it moved, and writes its shards again.
-func (c *Client) collectable(ctx context.Context, base config.Head) ([]platform.Object, error) {
+func (c *Client) collectable(ctx context.Context, base config.Head) ([]objectstore.Object, error) {
 	if base.Generation == 0 || base.Generation%collectInterval != 0 {
 		return nil, nil
 	}
-	a := c.retry(ctx, platform.Call{Op: platform.List, Key: config.ShardPrefix})
+	a := c.retry(ctx, objectstore.Call{Op: objectstore.List, Key: config.ShardPrefix})
 	if a.Err != nil {
 		return nil, merry.Prepend(a.Err, "list shards")
 	}
@@ -204,11 +204,11 @@
 
 // collect deletes what no kept generation names. What fails, or cannot be told
 // from incomplete lists, is left to the next collection.
-func (c *Client) collect(ctx context.Context, head config.Head, old []platform.Object) {
+func (c *Client) collect(ctx context.Context, head config.Head, old []objectstore.Object) {
 	if len(old) == 0 {
 		return
 	}
-	a := c.retry(ctx, platform.Call{Op: platform.List, Key: config.HistoryPrefix})
+	a := c.retry(ctx, objectstore.Call{Op: objectstore.List, Key: config.HistoryPrefix})
 	heads, ok := contiguous(a, head)
 	if !ok {
 		return
@@ -225,7 +225,7 @@
 	for i, h := range heads {
 		if h.Generation+past < head.Generation {
 			o := a.Objects[i]
-			c.retry(ctx, platform.Call{Op: platform.Delete, Key: o.Key, Version: o.Version})
+			c.retry(ctx, objectstore.Call{Op: objectstore.Delete, Key: o.Key, Version: o.Version})
 			continue
 		}
 		if !keep(kept, objects, h) {
@@ -237,14 +237,14 @@
 	}
 	for _, o := range old {
 		if !kept[strings.TrimPrefix(o.Key, config.ShardPrefix)] {
-			c.retry(ctx, platform.Call{Op: platform.Delete, Key: o.Key, Version: o.Version})
+			c.retry(ctx, objectstore.Call{Op: objectstore.Delete, Key: o.Key, Version: o.Version})
 		}
 	}
 }
 
 // contiguous returns the heads of a listed history when it is whole up to the
 // given head.
-func contiguous(a platform.Answer, head config.Head) ([]config.Head, bool) {
+func contiguous(a objectstore.Answer, head config.Head) ([]config.Head, bool) {
 	if a.Err != nil {
 		return nil, false
 	}
@@ -262,10 +262,10 @@
 // keep marks what a head names and reports whether all of it is at hand.
 func keep(kept map[string]bool, objects config.Objects, h config.Head) bool {
 	for _, g := range append(h.Groups, config.GroupManifest{}) {
-		if len(objects.Missing(h, g.Group)) > 0 {
+		if len(objectstore.Missing(h, g.Group)) > 0 {
 			return false
 		}
-		for _, d := range objects.Named(h, g.Group) {
+		for _, d := range objectstore.Named(h, g.Group) {
 			kept[d] = true
 		}
 	}
