--- a/cmd/cornelbay/document.go
+++ b/cmd/cornelbay/document.go
@@ -10,8 +10,8 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/cornelbay/cornelbay/config"
-	"github.com/cornelbay/cornelbay/operator"
 	"github.com/cornelbay/cornelbay/objectstore"
+	"github.com/cornelbay/cornelbay/operator"
 )
 
 // service is embedded by commands that call the platform's service.
--- a/cmd/cornelbay/output_test.go
+++ b/cmd/cornelbay/output_test.go
@@ -14,8 +14,8 @@
 	"github.com/matryer/is"
 
 	"github.com/cornelbay/cornelbay/config"
-	"github.com/cornelbay/cornelbay/operator"
 	"github.com/cornelbay/cornelbay/objectstore"
+	"github.com/cornelbay/cornelbay/operator"
 )
 
 func TestFailPrintsOneLineAFault(t *testing.T) {
--- a/cmd/cornelbay/status.go
+++ b/cmd/cornelbay/status.go
@@ -10,9 +10,9 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/cornelbay/cornelbay/objectstore"
 	"github.com/cornelbay/cornelbay/operator"
 	"github.com/cornelbay/cornelbay/peer"
-	"github.com/cornelbay/cornelbay/objectstore"
 )
 
 // statusPlatformTimeout bounds the read of what is committed; hosts tell what is
--- a/configsync/fetch.go
+++ b/configsync/fetch.go
@@ -9,8 +9,8 @@
 
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/config"
-	"github.com/cornelbay/cornelbay/peer"
 	"github.com/cornelbay/cornelbay/objectstore"
+	"github.com/cornelbay/cornelbay/peer"
 )
 
 // WatchersPerDataCentre is the number of hosts of a group that watch the
@@ -120,7 +120,7 @@
 		return
 	}
 	d := config.Digest(b)
-	if !slices.Contains(f.objectstore.Missing(f.head, k.Group), d) {
+	if !slices.Contains(f.objects.Missing(f.head, k.Group), d) {
 		k.Stats.Refused++
 		k.failed(now, 0)
 		return
@@ -142,7 +142,7 @@
 		k.fetch = nil // it asked for a confirmation and no more
 		return nil
 	}
-	if f.head.Generation > 0 && len(f.objectstore.Missing(f.head, k.Group)) == 0 {
+	if f.head.Generation > 0 && len(f.objects.Missing(f.head, k.Group)) == 0 {
 		k.adopt(now)
 		return k.advance(now)
 	}
@@ -206,7 +206,7 @@
 	f.sent[f.call] = now
 	args := FetchArgs{Group: k.Group, Generation: k.head.Generation, Base: k.head.Base, Manifest: k.head.Manifest(k.Group)}
 	if f.head.Generation > 0 {
-		args.Head, args.Want = f.head.Generation, f.objectstore.Missing(f.head, k.Group)
+		args.Head, args.Want = f.head.Generation, f.objects.Missing(f.head, k.Group)
 	}
 	return []cornelbay.Effect{peer.Call{ID: f.call, To: h.Name, Address: h.RPC, Args: args}}
 }
@@ -249,7 +249,7 @@
 		return k.ask(now, objectstore.Call{Op: objectstore.Get, Key: config.HeadKey})
 	}
 	var out []cornelbay.Effect
-	for _, d := range f.objectstore.Missing(f.head, k.Group) {
+	for _, d := range f.objects.Missing(f.head, k.Group) {
 		if key := config.ShardPrefix + d; !k.asking(key) {
 			out = append(out, k.ask(now, objectstore.Call{Op: objectstore.Get, Key: key})...)
 		}
@@ -324,7 +324,7 @@
 	if r.ConfirmedAgeMs > 0 {
 		n.sentAt = askedAt.Add(-age)
 	}
-	if !helped || len(f.objectstore.Missing(h, k.Group)) == 0 {
+	if !helped || len(f.objects.Missing(h, k.Group)) == 0 {
 		// The host has gone on: its head is whole already, or that of the fetch is
 		// not to be had from it.
 		f.found = n
@@ -341,14 +341,14 @@
 	if f.head.Generation <= k.head.Generation {
 		return
 	}
-	doc, err := f.objectstore.Join(f.head, k.Group)
+	doc, err := f.objects.Join(f.head, k.Group)
 	if err != nil {
 		k.Stats.Refused++
 		k.failed(now, 0)
 		k.nextFetch = k.nextHead
 		return
 	}
-	named := f.objectstore.Named(f.head, k.Group)
+	named := f.objects.Named(f.head, k.Group)
 	held := make(config.Objects, len(named))
 	for _, d := range named {
 		held[d] = f.objects[d]
@@ -394,7 +394,7 @@
 // the arguments in force; when that one is not known any more these are the base
 // and the manifest.
 func (k *Keeper) lacking(args FetchArgs) []string {
-	named := k.objectstore.Named(k.head, k.Group)
+	named := k.objects.Named(k.head, k.Group)
 	if args.Generation == 0 {
 		return named
 	}
--- a/configsync/keeper_test.go
+++ b/configsync/keeper_test.go
@@ -13,8 +13,8 @@
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/config"
 	"github.com/cornelbay/cornelbay/examples"
-	"github.com/cornelbay/cornelbay/peer"
 	"github.com/cornelbay/cornelbay/objectstore"
+	"github.com/cornelbay/cornelbay/peer"
 )
 
 // fakes answers the calls of keepers at once.
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -22,9 +22,9 @@
 	"github.com/cornelbay/cornelbay/config"
 	"github.com/cornelbay/cornelbay/daemon"
 	"github.com/cornelbay/cornelbay/entry"
+	"github.com/cornelbay/cornelbay/objectstore"
 	"github.com/cornelbay/cornelbay/operator"
 	"github.com/cornelbay/cornelbay/peer"
-	"github.com/cornelbay/cornelbay/objectstore"
 	"github.com/cornelbay/cornelbay/standin"
 )
 
--- a/demo/world.go
+++ b/demo/world.go
@@ -17,8 +17,8 @@
 	"github.com/cornelbay/cornelbay/daemon"
 	"github.com/cornelbay/cornelbay/entry"
 	"github.com/cornelbay/cornelbay/load"
-	"github.com/cornelbay/cornelbay/operator"
 	"github.com/cornelbay/cornelbay/objectstore"
+	"github.com/cornelbay/cornelbay/operator"
 	"github.com/cornelbay/cornelbay/standin"
 )
 
@@ -77,7 +77,7 @@
 	w := &world{doc: doc, places: make(map[cornelbay.TargetName]*place)}
 	w.ctx, w.cancel = context.WithCancel(ctx)
 	w.probe.Transport = &http.Transport{MaxIdleConnsPerHost: 1}
-	w.objectstore.Service = &w.memory
+	w.objects.Service = &w.memory
 	w.operator.Service = &w.memory
 	if err := w.start(); err != nil {
 		w.close()
--- a/entry/config.go
+++ b/entry/config.go
@@ -7,8 +7,8 @@
 	"github.com/cornelbay/cornelbay/config"
 	"github.com/cornelbay/cornelbay/configsync"
 	"github.com/cornelbay/cornelbay/member"
-	"github.com/cornelbay/cornelbay/peer"
 	"github.com/cornelbay/cornelbay/objectstore"
+	"github.com/cornelbay/cornelbay/peer"
 )
 
 func init() { peer.RegisterCall[configsync.FetchArgs, configsync.FetchReply]() }
--- a/matrix/check.go
+++ b/matrix/check.go
@@ -9,8 +9,8 @@
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/config"
 	"github.com/cornelbay/cornelbay/measure"
-	"github.com/cornelbay/cornelbay/operator"
 	"github.com/cornelbay/cornelbay/objectstore"
+	"github.com/cornelbay/cornelbay/operator"
 )
 
 const (
--- a/matrix/procedure.go
+++ b/matrix/procedure.go
@@ -10,9 +10,9 @@
 	"github.com/cornelbay/cornelbay/agree"
 	"github.com/cornelbay/cornelbay/config"
 	"github.com/cornelbay/cornelbay/measure"
+	"github.com/cornelbay/cornelbay/objectstore"
 	"github.com/cornelbay/cornelbay/operator"
 	"github.com/cornelbay/cornelbay/peer"
-	"github.com/cornelbay/cornelbay/objectstore"
 	"github.com/cornelbay/cornelbay/request"
 )
 
--- a/matrix/strike.go
+++ b/matrix/strike.go
@@ -9,9 +9,9 @@
 	"github.com/cornelbay/cornelbay/config"
 	"github.com/cornelbay/cornelbay/configsync"
 	"github.com/cornelbay/cornelbay/measure"
+	"github.com/cornelbay/cornelbay/objectstore"
 	"github.com/cornelbay/cornelbay/operator"
 	"github.com/cornelbay/cornelbay/peer"
-	"github.com/cornelbay/cornelbay/objectstore"
 )
 
 // blocked is what keeps a host from hearing of changes.
--- a/measure/config.go
+++ b/measure/config.go
@@ -13,8 +13,8 @@
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/config"
 	"github.com/cornelbay/cornelbay/entry"
-	"github.com/cornelbay/cornelbay/operator"
 	"github.com/cornelbay/cornelbay/objectstore"
+	"github.com/cornelbay/cornelbay/operator"
 )
 
 // The policies by which hosts learn of a change.
--- a/measure/forwarding.go
+++ b/measure/forwarding.go
@@ -22,8 +22,8 @@
 	"github.com/cornelbay/cornelbay/daemon"
 	"github.com/cornelbay/cornelbay/entry"
 	"github.com/cornelbay/cornelbay/fabric"
-	"github.com/cornelbay/cornelbay/operator"
 	"github.com/cornelbay/cornelbay/objectstore"
+	"github.com/cornelbay/cornelbay/operator"
 	"github.com/cornelbay/cornelbay/standin"
 )
 
--- a/measure/group.go
+++ b/measure/group.go
@@ -9,8 +9,8 @@
 
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/entry"
-	"github.com/cornelbay/cornelbay/peer"
 	"github.com/cornelbay/cornelbay/objectstore"
+	"github.com/cornelbay/cornelbay/peer"
 	"github.com/cornelbay/cornelbay/request"
 	"github.com/cornelbay/cornelbay/warmth"
 )
--- a/operator/commit.go
+++ b/operator/commit.go
@@ -265,7 +265,7 @@
 	if err != nil {
 		return nil, err
 	}
-	was, err := objectstore.JoinAll(base)
+	was, err := objects.JoinAll(base)
 	if err != nil {
 		return nil, err
 	}
--- a/operator/read.go
+++ b/operator/read.go
@@ -51,7 +51,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return objectstore.JoinAll(h)
+	return objects.JoinAll(h)
 }
 
 // objects reads the objects that a head names, save for those at hand.
@@ -60,7 +60,7 @@
 	maps.Copy(objects, hand)
 	for _, g := range append(h.Groups, config.GroupManifest{}) {
 		for {
-			missing := objectstore.Missing(h, g.Group)
+			missing := objects.Missing(h, g.Group)
 			if len(missing) == 0 {
 				break
 			}
@@ -262,10 +262,10 @@
 // keep marks what a head names and reports whether all of it is at hand.
 func keep(kept map[string]bool, objects config.Objects, h config.Head) bool {
 	for _, g := range append(h.Groups, config.GroupManifest{}) {
-		if len(objectstore.Missing(h, g.Group)) > 0 {
+		if len(objects.Missing(h, g.Group)) > 0 {
 			return false
 		}
-		for _, d := range objectstore.Named(h, g.Group) {
+		for _, d := range objects.Named(h, g.Group) {
 			kept[d] = true
 		}
 	}
