--- a/demo/script.go
+++ b/demo/script.go
@@ -74,12 +74,12 @@
 		{"drain " + string(r.steps.drained.Name), 2 * time.Second, r.drain},
 		{"start " + string(r.steps.cold.Name) + " cold", 2500 * time.Millisecond, r.startCold},
 		{"platform down; kill host " + string(killed.name), 2500 * time.Millisecond, func(context.Context) error {
-			r.world.objects.Set(objectstore.Faults{Down: true})
+			r.world.platform.Set(objectstore.Faults{Down: true})
 			killed.kill()
 			return nil
 		}},
 		{"platform up; start " + string(killed.name) + " again", time.Second, func(context.Context) error {
-			r.world.objects.Set(objectstore.Faults{})
+			r.world.platform.Set(objectstore.Faults{})
 			return r.world.startHost(killed)
 		}},
 		{"stop host " + string(stopped.name) + " as planned", time.Second, func(ctx context.Context) error {
--- a/demo/world.go
+++ b/demo/world.go
@@ -77,7 +77,7 @@
 	w := &world{doc: doc, places: make(map[cornelbay.TargetName]*place)}
 	w.ctx, w.cancel = context.WithCancel(ctx)
 	w.probe.Transport = &http.Transport{MaxIdleConnsPerHost: 1}
-	w.objects.Service = &w.memory
+	w.platform.Service = &w.memory
 	w.operator.Service = &w.memory
 	if err := w.start(); err != nil {
 		w.close()
