--- a/cmd/cornelbayd/main.go
+++ b/cmd/cornelbayd/main.go
@@ -25,16 +25,28 @@
 	signalBacklog = 4
 )
 
+// commands are the ways to run a host.
+type commands struct {
+	Host     cli         `cmd:"" default:"withargs" help:"Run a host behind a Geneve fabric."`
+	Platform platformCmd `cmd:"" help:"Run a host on the users' platform."`
+}
+
 func main() {
-	var c cli
-	kong.Parse(&c, kong.Name("cornelbayd"), kong.Description("Runs one entry host of cornelbay."))
-	setLog(c.LogLevel)
-	s, err := c.settings()
+	var c commands
+	k := kong.Parse(&c, kong.Name("cornelbayd"), kong.Description("Runs one entry host of cornelbay."))
+	if k.Command() == "platform" {
+		if err := c.Platform.Run(); err != nil {
+			k.FatalIfErrorf(err)
+		}
+		return
+	}
+	setLog(c.Host.LogLevel)
+	s, err := c.Host.settings()
 	if err != nil {
 		log.WithError(err).Error("settings refused")
 		os.Exit(exitBadFlags)
 	}
-	os.Exit(run(&c, s))
+	os.Exit(run(&c.Host, s))
 }
 
 // setLog writes text to a terminal and JSON elsewhere.
--- /dev/null
+++ b/cmd/cornelbayd/platform.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/apex/log"
+
+	"github.com/cornelbay/cornelbay/balancer"
+	"github.com/cornelbay/cornelbay/oplog"
+	"github.com/cornelbay/cornelbay/platform"
+)
+
+// settingsCheck is the pace at which the settings file is compared: it may change
+// without a signal.
+const settingsCheck = 2 * time.Second
+
+// platformCmd runs a host on the users' platform, which hands it a settings file.
+type platformCmd struct {
+	Settings string `help:"Settings file of the platform." required:"" env:"CORNELBAY_CONFIG"`
+	Key      string `help:"Key shared by the hosts, at least 32 bytes in hexadecimal." required:"" env:"CORNELBAY_KEY"`
+	LogLevel string `help:"Least level of log entries." enum:"debug,info,warn,error" default:"info" env:"CORNELBAY_LOG_LEVEL"`
+}
+
+// Run runs the host until it is told to stop.
+func (c *platformCmd) Run() error {
+	h := oplog.New(os.Stdout)
+	log.SetHandler(h)
+	log.SetLevelFromString(c.LogLevel)
+	stopLog, logged := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(logged)
+		h.Run(stopLog)
+	}()
+	defer func() {
+		close(stopLog)
+		<-logged
+	}()
+	key, err := parseKey("key", c.Key)
+	if err != nil {
+		return err
+	}
+	s, err := platform.ReadSettings(c.Settings)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, signalBacklog)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	b, err := balancer.Start(balancer.Config{Settings: s, Key: key})
+	if err != nil {
+		return merry.Prepend(err, "not started")
+	}
+	log.WithFields(log.Fields{
+		"host": s.Host, "dataCentre": s.DataCentre, "packets": s.Packets.String(), "store": s.Store.String(),
+	}).Info("started")
+	c.wait(b, signals)
+	return nil
+}
+
+// wait serves signals and changes of the settings file until the host is stopped.
+func (c *platformCmd) wait(b *balancer.Balancer, signals <-chan os.Signal) {
+	check := time.NewTicker(settingsCheck)
+	defer check.Stop()
+	last, err := os.ReadFile(c.Settings)
+	if err != nil {
+		log.WithError(err).Warn("settings not read again")
+	}
+	for {
+		select {
+		case sig := <-signals:
+			if sig != syscall.SIGHUP {
+				log.WithField("signal", sig.String()).Info("stopping")
+				b.Stop()
+				return
+			}
+		case <-check.C:
+		}
+		now, err := os.ReadFile(c.Settings)
+		if err != nil {
+			log.WithError(err).Warn("settings not read again")
+			continue
+		}
+		if bytes.Equal(now, last) {
+			continue
+		}
+		last = now
+		s, err := platform.ParseSettings(now)
+		if err != nil {
+			log.WithError(err).Error("changed settings refused: the old ones stay")
+			continue
+		}
+		b.Reload(s)
+	}
+}
--- a/cmd/cornelbayd/settings.go
+++ b/cmd/cornelbayd/settings.go
@@ -175,11 +175,19 @@
 	return nil
 }
 
-// addKey adds a key; an error does not show the secret.
-func addKey(s *daemon.Settings, flag, value string) error {
+// parseKey decodes a key; an error does not show the secret.
+func parseKey(flag, value string) ([]byte, error) {
 	b, err := hex.DecodeString(value)
 	if err != nil || len(b) < minKeyBytes {
-		return merry.Errorf("--%s: value of %d characters: must be at least %d hexadecimal digits", flag, len(value), 2*minKeyBytes)
+		return nil, merry.Errorf("--%s: value of %d characters: must be at least %d hexadecimal digits", flag, len(value), 2*minKeyBytes)
+	}
+	return b, nil
+}
+
+func addKey(s *daemon.Settings, flag, value string) error {
+	b, err := parseKey(flag, value)
+	if err != nil {
+		return err
 	}
 	s.Keys = append(s.Keys, b)
 	ticket := sha256.Sum256(append([]byte("cornelbay ticket\x00"), b...))
--- /dev/null
+++ b/gossip/messages.go
@@ -0,0 +1,133 @@
+// Package gossip is the protocol by which hosts tell each other what they know of
+// routes, targets and evacuations, how fresh that is, and what flows they have
+// open. Pulses are datagrams that name revisions; what a host lacks it pulls over
+// net/rpc. It decides which hosts read the platform's store for the others.
+package gossip
+
+import (
+	"time"
+
+	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/peer"
+	"github.com/cornelbay/cornelbay/registry"
+)
+
+func init() {
+	peer.Register(Pulse{})
+	peer.RegisterCall[Pull, PullReply]()
+}
+
+// Revisions are the revisions of a host's tables.
+type Revisions struct {
+	Routing     uint64 `cbor:"1,keyasint"`
+	Targets     uint64 `cbor:"2,keyasint"`
+	Evacuations uint64 `cbor:"3,keyasint"`
+	Hosts       uint64 `cbor:"4,keyasint"`
+}
+
+// RevisionsOf returns the revisions of tables.
+func RevisionsOf(t *registry.Tables) Revisions {
+	return Revisions{t.Routing.Revision(), t.Targets.Revision(), t.Evacuations.Revision(), t.Hosts.Revision()}
+}
+
+// Lacks reports whether r is behind other in any table.
+func (r Revisions) Lacks(other Revisions) bool {
+	return r.Routing < other.Routing || r.Targets < other.Targets ||
+		r.Evacuations < other.Evacuations || r.Hosts < other.Hosts
+}
+
+// Ages are the times in milliseconds since a host's tables were confirmed.
+type Ages struct {
+	Routing     uint32 `cbor:"1,keyasint"`
+	Targets     uint32 `cbor:"2,keyasint"`
+	Evacuations uint32 `cbor:"3,keyasint"`
+}
+
+// maxAge stands for an age that is not known.
+const maxAge = uint32(1 << 30)
+
+// AgesOf returns the ages of tables.
+func AgesOf(now time.Time, t *registry.Tables) Ages {
+	return Ages{age(now, t.Routing.Confirmed()), age(now, t.Targets.Confirmed()), age(now, t.Evacuations.Confirmed())}
+}
+
+func age(now, confirmed time.Time) uint32 {
+	ms := now.Sub(confirmed).Milliseconds()
+	if confirmed.IsZero() || ms > int64(maxAge) {
+		return maxAge
+	}
+	return uint32(max(ms, 0))
+}
+
+// Confirm passes the confirmations of another host on to tables that are at its
+// revisions.
+func (a Ages) Confirm(now time.Time, r Revisions, t *registry.Tables) {
+	confirm(now, a.Routing, r.Routing, &t.Routing)
+	confirm(now, a.Targets, r.Targets, &t.Targets)
+	confirm(now, a.Evacuations, r.Evacuations, &t.Evacuations)
+}
+
+func confirm[T any](now time.Time, age uint32, revision uint64, t *registry.Table[T]) {
+	if age < maxAge && revision > 0 && t.Revision() >= revision {
+		t.Confirm(now.Add(-time.Duration(age) * time.Millisecond))
+	}
+}
+
+// Pulse is what a host tells all others at short intervals.
+type Pulse struct {
+	Host      registry.Host `cbor:"1,keyasint"`
+	Revisions Revisions     `cbor:"2,keyasint"`
+	Ages      Ages          `cbor:"3,keyasint"`
+	// Loads are the active flows of the host at each target, in hundredths, by
+	// the target's cookie.
+	Loads map[uint32]uint32 `cbor:"4,keyasint,omitempty"`
+	// Stopping is true when the host is about to end.
+	Stopping bool `cbor:"5,keyasint,omitempty"`
+	// Reads is true when the host reads the store.
+	Reads bool `cbor:"6,keyasint,omitempty"`
+}
+
+// Kind returns the message's kind.
+func (Pulse) Kind() cornelbay.MessageKind { return cornelbay.KindPulse }
+
+// Pull asks for what the host has beyond some revisions.
+type Pull struct {
+	Since Revisions `cbor:"1,keyasint"`
+}
+
+// Method returns the method's name.
+func (Pull) Method() string { return "Registry.Pull" }
+
+// PullReply answers Pull.
+type PullReply struct {
+	Routing     registry.Delta[registry.Routing]    `cbor:"1,keyasint"`
+	Targets     registry.Delta[registry.Target]     `cbor:"2,keyasint"`
+	Evacuations registry.Delta[registry.Evacuation] `cbor:"3,keyasint"`
+	Hosts       registry.Delta[registry.Host]       `cbor:"4,keyasint"`
+	Ages        Ages                                `cbor:"5,keyasint"`
+	// Incarnation is the last one known of the asking host; a host that starts
+	// with a clock that was set back takes a later one.
+	Incarnation cornelbay.Incarnation `cbor:"6,keyasint"`
+}
+
+// Answer returns the answer of a host with tables t to a pull.
+func (p Pull) Answer(now time.Time, t *registry.Tables) PullReply {
+	return PullReply{
+		Routing:     t.Routing.Since(now, p.Since.Routing),
+		Targets:     t.Targets.Since(now, p.Since.Targets),
+		Evacuations: t.Evacuations.Since(now, p.Since.Evacuations),
+		Hosts:       t.Hosts.Since(now, p.Since.Hosts),
+		Ages:        AgesOf(now, t),
+	}
+}
+
+// Merge takes a reply over into tables and reports whether they changed.
+func (r *PullReply) Merge(now time.Time, t *registry.Tables) bool {
+	revisions := Revisions{r.Routing.Revision, r.Targets.Revision, r.Evacuations.Revision, r.Hosts.Revision}
+	routing := t.Routing.Merge(now, r.Routing)
+	targets := t.Targets.Merge(now, r.Targets)
+	evacuations := t.Evacuations.Merge(now, r.Evacuations)
+	hosts := t.Hosts.Merge(now, r.Hosts)
+	r.Ages.Confirm(now, revisions, t)
+	return routing || targets || evacuations || hosts
+}
--- a/message.go
+++ b/message.go
@@ -24,6 +24,7 @@
 	KindEpochsAnswer
 	KindServing
 	KindClear
+	KindPulse
 )
 
 // Message is a control message from one host to another, small enough for a
--- a/peer/keys.go
+++ b/peer/keys.go
@@ -1,9 +1,13 @@
 package peer
 
 import (
+	"crypto"
 	"crypto/ecdsa"
+	"crypto/ed25519"
 	"crypto/elliptic"
+	"crypto/hmac"
 	"crypto/rand"
+	"crypto/sha256"
 	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
@@ -36,7 +40,15 @@
 // Authority signs the certificates of a key set.
 type Authority struct {
 	Certificate *x509.Certificate
-	Key         *ecdsa.PrivateKey
+	Key         crypto.Signer
+}
+
+// NewSharedAuthority returns the authority that all holders of a shared key
+// derive from it, so that hosts without files can vouch for each other.
+func NewSharedAuthority(now time.Time, shared []byte) (*Authority, error) {
+	seed := hmac.New(sha256.New, shared)
+	seed.Write([]byte("cornelbay authority"))
+	return newAuthority(now, ed25519.NewKeyFromSeed(seed.Sum(nil)))
 }
 
 // NewAuthority returns an authority whose certificate is valid from now on.
@@ -45,13 +57,17 @@
 	if err != nil {
 		return nil, merry.Prepend(err, "authority key")
 	}
+	return newAuthority(now, key)
+}
+
+func newAuthority(now time.Time, key crypto.Signer) (*Authority, error) {
 	t, err := template(now, pkix.Name{CommonName: "cornelbay trial authority"})
 	if err != nil {
 		return nil, err
 	}
 	t.IsCA, t.BasicConstraintsValid = true, true
 	t.KeyUsage = x509.KeyUsageCertSign
-	b, err := x509.CreateCertificate(rand.Reader, t, t, &key.PublicKey, key)
+	b, err := x509.CreateCertificate(rand.Reader, t, t, key.Public(), key)
 	if err != nil {
 		return nil, merry.Prepend(err, "authority certificate")
 	}
--- /dev/null
+++ b/placement/flow.go
@@ -0,0 +1,175 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/registry"
+)
+
+const (
+	// An opening counts as unanswered after answerFactor usual round trips,
+	// within these bounds.
+	answerFactor  = 4
+	minAnswerTime = 20 * time.Millisecond
+	maxAnswerTime = 150 * time.Millisecond
+	// initialRoundTrip stands for the usual one before any flow was answered.
+	initialRoundTrip = 10 * time.Millisecond
+	// maxTries is the number of targets that one opening is tried at: callers
+	// give an opening up after 1.4 s.
+	maxTries = 6
+	// idleAfter is the silence after which a flow no longer counts as load.
+	idleAfter = time.Second
+	// forgetAfter is the silence after which a flow is forgotten. Its later
+	// packets name their target themselves.
+	forgetAfter = 10 * time.Second
+	// stall is a gap between two ticks that shows that this host stood still, so
+	// that silence is no evidence against targets.
+	stall = 100 * time.Millisecond
+)
+
+// Flow is one flow that this host has opened.
+type Flow struct {
+	key     cornelbay.FlowKey
+	service cornelbay.ServiceName
+	member  *registry.Member
+	opening []byte
+	// tried are the cookies of the targets that got the opening.
+	tried        []uint32
+	opened, seen time.Time
+	// due is when the opening counts as unanswered.
+	due      time.Time
+	answered bool
+	idle     bool
+	closed   bool
+}
+
+// Retry is an opening that is to be sent to another target.
+type Retry struct {
+	Key     cornelbay.FlowKey
+	Member  *registry.Member
+	Opening []byte
+	// Silent is the target that did not answer, and Waited for how long.
+	Silent *registry.Member
+	Waited time.Duration
+}
+
+func (p *Placer) answerTime() time.Duration {
+	rtt := p.roundTrip
+	if rtt == 0 {
+		rtt = initialRoundTrip
+	}
+	return min(max(answerFactor*rtt, minAnswerTime), maxAnswerTime)
+}
+
+// Progress notes a later packet of a flow, which carries the cookie of the target
+// that answered, and returns the cookie of the target that the flow is open at.
+// The first such packet decides where an opening was tried at several targets:
+// an answer that comes late must not move the flow.
+func (p *Placer) Progress(now time.Time, key cornelbay.FlowKey, cookie uint32, finishing bool) uint32 {
+	f, ok := p.flows[key]
+	if !ok {
+		p.vouch(now, cookie)
+		return cookie
+	}
+	f.seen = now
+	if !f.answered {
+		if !slices.Contains(f.tried, cookie) {
+			return cookie
+		}
+		p.answer(now, f, cookie)
+	}
+	if f.idle && !f.closed {
+		f.idle = false
+		p.target(f.member.Cookie, now).add(now, 1)
+	}
+	if finishing && !f.closed {
+		p.close(now, f)
+	}
+	return f.member.Cookie
+}
+
+// answer notes that the target with a cookie has taken the flow.
+func (p *Placer) answer(now time.Time, f *Flow, cookie uint32) {
+	f.answered, f.opening = true, nil
+	p.counters.Answered++
+	if cookie != f.member.Cookie {
+		p.target(f.member.Cookie, now).add(now, -1)
+		p.target(cookie, now).add(now, 1)
+		if m, ok := p.view.Cookies[cookie]; ok {
+			f.member = m
+		}
+	} else if len(f.tried) == 1 {
+		if p.roundTrip == 0 {
+			p.roundTrip = initialRoundTrip
+		}
+		p.roundTrip += time.Duration(roundTripShare * float64(now.Sub(f.opened)-p.roundTrip))
+	}
+	p.vouch(now, cookie)
+}
+
+func (p *Placer) close(now time.Time, f *Flow) {
+	if !f.idle {
+		p.target(f.member.Cookie, now).add(now, -1)
+	}
+	f.closed = true
+	p.ended(f.service, now.Sub(f.opened))
+}
+
+// Tick notes that time has passed and returns the openings to be tried elsewhere.
+// It is called every few milliseconds, after the packets that wait were read.
+func (p *Placer) Tick(now time.Time) []Retry {
+	gap := now.Sub(p.ticked)
+	stalled := !p.ticked.IsZero() && gap > stall
+	p.ticked = now
+	var retries []Retry
+	for key, f := range p.flows {
+		if stalled {
+			f.due = f.due.Add(gap)
+		}
+		switch {
+		case now.Sub(f.seen) > forgetAfter:
+			p.forget(now, f)
+			delete(p.flows, key)
+		case !f.answered && !f.closed && now.After(f.due):
+			if r, ok := p.retry(now, f); ok {
+				retries = append(retries, r)
+			}
+		case !f.idle && !f.closed && now.Sub(f.seen) > idleAfter:
+			f.idle = true
+			p.target(f.member.Cookie, now).add(now, -1)
+		}
+	}
+	return retries
+}
+
+func (p *Placer) forget(now time.Time, f *Flow) {
+	if !f.idle && !f.closed {
+		p.target(f.member.Cookie, now).add(now, -1)
+	}
+}
+
+// retry takes the silence of a target as evidence against it and moves the
+// opening to another target where there is one.
+func (p *Placer) retry(now time.Time, f *Flow) (Retry, bool) {
+	p.counters.Unanswered++
+	p.suspect(now, f.member, f.opened)
+	r := Retry{Key: f.key, Silent: f.member, Waited: now.Sub(f.opened)}
+	f.due = now.Add(idleAfter)
+	if len(f.tried) >= maxTries {
+		return r, false
+	}
+	m, err := p.choose(now, f.service, f.tried)
+	if err != nil {
+		return r, false
+	}
+	if !f.idle {
+		p.target(f.member.Cookie, now).add(now, -1)
+	}
+	f.idle = false
+	p.put(now, f, m)
+	p.counters.Retried++
+	r.Member, r.Opening = m, f.opening
+	return r, true
+}
--- /dev/null
+++ b/placement/report.go
@@ -0,0 +1,132 @@
+package placement
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/registry"
+)
+
+// reportLife is the age from which another host's report is no longer counted:
+// some of its usual intervals.
+const reportLife = time.Second
+
+// Report is what one host tells of the flows that it has open.
+type Report struct {
+	At time.Time
+	// Loads are the flows that were active at each target on average since the
+	// report before, by the target's cookie.
+	Loads map[uint32]float64
+}
+
+// Hear takes over the report of another host.
+func (p *Placer) Hear(from cornelbay.HostName, r Report) {
+	if p.reports == nil {
+		p.reports = make(map[cornelbay.HostName]Report)
+	}
+	p.reports[from] = r
+}
+
+// Report returns the own report and starts the next one.
+func (p *Placer) Report(now, since time.Time) Report {
+	r := Report{At: now, Loads: make(map[uint32]float64)}
+	elapsed := float64(now.Sub(since))
+	for cookie, t := range p.targets {
+		t.integrate(now)
+		if t.busy > 0 && elapsed > 0 {
+			r.Loads[cookie] = t.busy / elapsed
+		}
+		t.busy = 0
+		if t.open == 0 && t.unanswered == 0 && p.unknown(cookie) {
+			delete(p.targets, cookie)
+		}
+	}
+	for host, other := range p.reports {
+		if now.Sub(other.At) > reportLife {
+			delete(p.reports, host)
+		}
+	}
+	return r
+}
+
+func (p *Placer) unknown(cookie uint32) bool {
+	if p.view == nil {
+		return true
+	}
+	_, ok := p.view.Cookies[cookie]
+	return !ok
+}
+
+// Budget bounds the openings at a cold target. One host has the budget of a
+// target; the sum of its rate and its depth is half of what the target bears in
+// a second, so that two hosts that each take themselves for it stay within.
+type Budget struct {
+	// Rate is in openings a second, Depth in openings.
+	Rate, Depth float64
+
+	left   float64
+	filled time.Time
+}
+
+// Take uses up one opening where there is one.
+func (b *Budget) Take(now time.Time) bool {
+	if b.Depth < 1 {
+		return false
+	}
+	if b.filled.IsZero() {
+		b.left = b.Depth
+	} else {
+		b.left = min(b.Depth, b.left+b.Rate*now.Sub(b.filled).Seconds())
+	}
+	b.filled = now
+	if b.left < 1 {
+		return false
+	}
+	b.left--
+	return true
+}
+
+// budgetShare is the part of a cold target's bound that rate and depth take each.
+const budgetShare = 0.25
+
+// budget returns this host's budget of a cold target: an empty one where another
+// host has it.
+func (p *Placer) budget(m *registry.Member) *Budget {
+	if p.steward(m) != p.Self {
+		return &Budget{}
+	}
+	if p.budgets == nil {
+		p.budgets = make(map[uint32]*Budget)
+	}
+	b, ok := p.budgets[m.Cookie]
+	if !ok {
+		bound := m.ColdPerSecond*p.WarmUpFactor + p.WarmUpSlack
+		b = &Budget{Rate: bound * budgetShare, Depth: bound * budgetShare}
+		p.budgets[m.Cookie] = b
+	}
+	return b
+}
+
+// steward returns the host that has a cold target's budget: by rendezvous among
+// the hosts that are on record, alive or not, so that all find the same one. It
+// is one of the target's data centre where there are any.
+func (p *Placer) steward(m *registry.Member) cornelbay.HostName {
+	var best, near cornelbay.HostName
+	var top, nearTop uint64
+	for _, h := range p.view.Hosts {
+		score := xxhash.Sum64(binary.BigEndian.AppendUint64([]byte(h.Name), m.Number))
+		if score > top {
+			best, top = h.Name, score
+		}
+		if h.DataCentre == m.DataCentre && score > nearTop {
+			near, nearTop = h.Name, score
+		}
+	}
+	if near != "" {
+		return near
+	}
+	return best
+}
--- /dev/null
+++ b/placement/suspicion.go
@@ -0,0 +1,98 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/registry"
+)
+
+const (
+	// A suspect is tried again after firstTry, then after twice the time before,
+	// up to lastTry.
+	firstTry = 250 * time.Millisecond
+	lastTry  = 2 * time.Second
+	// placeSilent is the number of targets of a data centre that have to be
+	// silent before the whole data centre is suspected.
+	placeSilent = 2
+)
+
+// suspicion is the evidence against a target, or against a data centre: openings
+// that were not answered since the last one that was.
+type suspicion struct {
+	unanswered int
+	answered   time.Time
+	tryAt      time.Time
+	pause      time.Duration
+}
+
+// silent notes an opening that was not answered.
+func (s *suspicion) silent(now, opened time.Time) {
+	if opened.Before(s.answered) {
+		return // it has answered a later opening
+	}
+	s.unanswered++
+	s.pause = min(max(2*s.pause, firstTry), lastTry)
+	s.tryAt = now.Add(s.pause)
+}
+
+func (s *suspicion) vouch(now time.Time) {
+	s.unanswered, s.pause, s.answered = 0, 0, now
+}
+
+// suspected reports whether a target, or its whole data centre, is silent.
+func (p *Placer) suspected(m *registry.Member) bool {
+	if place, ok := p.places[m.DataCentre]; ok && place.unanswered >= placeSilent {
+		return true
+	}
+	t, ok := p.targets[m.Cookie]
+	return ok && t.unanswered > 0
+}
+
+// tryDue reports whether an opening may show if a suspect answers again.
+func (p *Placer) tryDue(now time.Time, m *registry.Member) bool {
+	if place, ok := p.places[m.DataCentre]; ok && place.unanswered >= placeSilent && now.Before(place.tryAt) {
+		return false
+	}
+	t, ok := p.targets[m.Cookie]
+	return !ok || t.unanswered == 0 || !now.Before(t.tryAt)
+}
+
+// try notes that an opening is sent to a suspect: no other is until its pause has
+// passed again.
+func (p *Placer) try(now time.Time, m *registry.Member) {
+	p.place(m).tried(now)
+	p.target(m.Cookie, now).tried(now)
+}
+
+func (s *suspicion) tried(now time.Time) { s.tryAt = now.Add(max(s.pause, firstTry)) }
+
+func (p *Placer) suspect(now time.Time, m *registry.Member, opened time.Time) {
+	p.target(m.Cookie, now).silent(now, opened)
+	p.place(m).silent(now, opened)
+}
+
+// vouch notes that the target with a cookie is alive and reached.
+func (p *Placer) vouch(now time.Time, cookie uint32) {
+	if t, ok := p.targets[cookie]; ok {
+		t.vouch(now)
+	}
+	if p.view == nil {
+		return
+	}
+	if m, ok := p.view.Cookies[cookie]; ok {
+		p.place(m).vouch(now)
+	}
+}
+
+func (p *Placer) place(m *registry.Member) *suspicion {
+	if p.places == nil {
+		p.places = make(map[cornelbay.DataCentreName]*suspicion)
+	}
+	s, ok := p.places[m.DataCentre]
+	if !ok {
+		s = &suspicion{}
+		p.places[m.DataCentre] = s
+	}
+	return s
+}
--- /dev/null
+++ b/registry/view.go
@@ -0,0 +1,175 @@
+package registry
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cornelbay/cornelbay"
+)
+
+// Tables are all tables of a host.
+type Tables struct {
+	Routing     Table[Routing]
+	Targets     Table[Target]
+	Evacuations Table[Evacuation]
+	Hosts       Table[Host]
+}
+
+// Prune drops what has been gone for long from every table, and reports whether
+// there was anything.
+func (t *Tables) Prune(now time.Time) bool {
+	routing, targets := t.Routing.Prune(now), t.Targets.Prune(now)
+	evacuations, hosts := t.Evacuations.Prune(now), t.Hosts.Prune(now)
+	return routing || targets || evacuations || hosts
+}
+
+// Known reports whether enough is known to open flows.
+func (t *Tables) Known() bool {
+	return t.Routing.Revision() > 0 && t.Targets.Revision() > 0 && t.Evacuations.Revision() > 0
+}
+
+// LapseGrace is how long after the store is back targets are still used that
+// have lapsed there meanwhile: those that live announce themselves within it.
+const LapseGrace = 2 * time.Second
+
+// Member is a target as the traffic path uses it.
+type Member struct {
+	Target
+	// Cookie names the target in the packets of its flows.
+	Cookie uint32
+	// ColdUntil is when the target is warm.
+	ColdUntil time.Time
+	// LapsedUntil is when a target that has lapsed without draining is no longer
+	// used; it is zero for targets that the store lists.
+	LapsedUntil time.Time
+	// Gone is true for a target that only gets packets of flows it may still hold.
+	Gone bool
+	// Out is true while the target's data centre is evacuated.
+	Out bool
+	// Shadowed is true when an earlier target has the same cookie.
+	Shadowed bool
+	// ColdPerSecond is the rate of requests that the target bears while cold.
+	ColdPerSecond float64
+}
+
+// Usable reports whether new flows may be opened at the target.
+func (m *Member) Usable(now time.Time) bool {
+	if m.Draining || m.Out || m.Shadowed {
+		return false
+	}
+	return !m.Gone || now.Before(m.LapsedUntil)
+}
+
+// View is an immutable picture of the tables for the traffic path.
+type View struct {
+	Version  uint64
+	Routes   map[netip.AddrPort]*Route
+	Services map[cornelbay.ServiceName][]*Member
+	Cookies  map[uint32]*Member
+	Hosts    []Host
+}
+
+// View returns a picture of the tables as they are now.
+func (t *Tables) View() *View {
+	v := &View{
+		Routes:   make(map[netip.AddrPort]*Route),
+		Services: make(map[cornelbay.ServiceName][]*Member),
+		Cookies:  make(map[uint32]*Member),
+	}
+	cold := make(map[cornelbay.ServiceName]float64)
+	for _, r := range t.Routing.All() {
+		if r.Gone {
+			continue
+		}
+		v.Version = r.Value.Version
+		for i := range r.Value.Routes {
+			v.Routes[r.Value.Routes[i].Address] = &r.Value.Routes[i]
+		}
+		for _, s := range r.Value.Services {
+			cold[s.Name] = s.ColdPerSecond
+		}
+	}
+	out := make(map[cornelbay.DataCentreName]bool)
+	for _, r := range t.Evacuations.All() {
+		out[r.Value.DataCentre] = out[r.Value.DataCentre] || !r.Gone
+	}
+	for _, r := range t.Targets.All() {
+		m := t.member(&r)
+		m.Out, m.ColdPerSecond = out[m.DataCentre], cold[m.Service]
+		v.add(m)
+	}
+	for _, r := range t.Hosts.All() {
+		if !r.Gone {
+			v.Hosts = append(v.Hosts, r.Value)
+		}
+	}
+	return v
+}
+
+func (t *Tables) member(r *Record[Target]) *Member {
+	m := &Member{Target: r.Value, Cookie: Cookie(r.Value.Number), Gone: r.Gone}
+	if r.Value.ColdFor > 0 {
+		m.ColdUntil = r.Learned.Add(r.Value.ColdFor)
+	}
+	back := t.Targets.Regained()
+	if r.Gone && !r.Value.Draining && !r.Learned.Before(back) && r.Learned.Before(back.Add(LapseGrace)) {
+		m.LapsedUntil = back.Add(LapseGrace)
+	}
+	return m
+}
+
+// add files a target under its service and its cookie. Of two targets with one
+// cookie the one that started first keeps it, and the other gets no flows.
+func (v *View) add(m *Member) {
+	if other, ok := v.Cookies[m.Cookie]; ok {
+		first, second := other, m
+		if second.Born < first.Born || second.Born == first.Born && second.Number < first.Number {
+			first, second = second, first
+		}
+		second.Shadowed = true
+		v.Cookies[m.Cookie] = first
+	} else {
+		v.Cookies[m.Cookie] = m
+	}
+	v.Services[m.Service] = append(v.Services[m.Service], m)
+}
+
+// Service returns the service that a flow over a route goes to: the same one at
+// every host, by the flow's source.
+func (r *Route) Service(source netip.AddrPort) (cornelbay.ServiceName, bool) {
+	if len(r.Shares) == 1 {
+		return r.Shares[0].Service, true
+	}
+	total := 0
+	for _, s := range r.Shares {
+		total += s.Weight
+	}
+	if total <= 0 {
+		return "", false
+	}
+	at := int(hashAddress(source) % uint64(total))
+	i := slices.IndexFunc(r.Shares, func(s Share) bool {
+		at -= s.Weight
+		return at < 0
+	})
+	return r.Shares[i].Service, true
+}
+
+func hashAddress(a netip.AddrPort) uint64 {
+	b := a.Addr().As16()
+	return xxhash.Sum64(binary.BigEndian.AppendUint16(b[:], a.Port()))
+}
+
+// Cookie returns the cookie of the target with a number: the number itself where
+// it fits, else a hash of it. It is the same at every host and never 0.
+func Cookie(number uint64) uint32 {
+	if number > 0 && number <= 0xffffffff {
+		return uint32(number)
+	}
+	h := uint32(xxhash.Sum64(binary.BigEndian.AppendUint64(nil, number)))
+	return max(h, 1)
+}
