--- a/registry/table.go
+++ b/registry/table.go
@@ -9,10 +9,14 @@
 // Record is one object at one revision. The record of an object that is gone
 // is kept for a while with its last value.
 type Record[T any] struct {
-	Name     string `json:"name"`
+	Name string `json:"name"`
+	// Revision is that of the object's last change before it was gone.
 	Revision uint64 `json:"revision"`
-	Gone     bool   `json:"gone,omitempty"`
-	Value    T      `json:"value"`
+	// Changed is the table's revision at which the record became what it is; it
+	// is later than Revision for an object that is gone.
+	Changed uint64 `json:"changed"`
+	Gone    bool   `json:"gone,omitempty"`
+	Value   T      `json:"value"`
 	// Learned is when some host learned of this revision of the object.
 	Learned time.Time `json:"-"`
 	// Age is the time since Learned, as one host tells another.
@@ -85,7 +89,7 @@
 	}
 	for name, r := range t.records {
 		if !listed[name] && !r.Gone && r.Revision <= revision {
-			r.Gone, r.Revision, r.Learned = true, revision, now
+			r.Gone, r.Changed, r.Learned = true, revision, now
 			changed = true
 		}
 	}
@@ -113,12 +117,12 @@
 	if !ok || r.Gone || r.Revision > c.Revision {
 		return false
 	}
-	r.Gone, r.Revision, r.Learned = true, revision, now
+	r.Gone, r.Changed, r.Learned = true, revision, now
 	return true
 }
 
 func (t *Table[T]) take(now time.Time, c *Record[T]) bool {
-	if r, ok := t.records[c.Name]; ok && r.Revision >= c.Revision {
+	if r, ok := t.records[c.Name]; ok && !c.after(r) {
 		return false
 	}
 	if t.records == nil {
@@ -126,16 +130,23 @@
 	}
 	r := *c
 	r.Learned, r.Age = now.Add(-c.Age), 0
+	r.Changed = max(r.Changed, r.Revision)
 	t.records[c.Name] = &r
 	return true
 }
 
+// after reports whether c is later than r: a later change, or the end of the
+// object that r shows.
+func (c *Record[T]) after(r *Record[T]) bool {
+	return c.Revision > r.Revision || c.Revision == r.Revision && c.Gone && !r.Gone
+}
+
 // Since returns what has changed since a revision, or the whole table where that
 // is too long ago.
 func (t *Table[T]) Since(now time.Time, revision uint64) Delta[T] {
 	d := Delta[T]{Since: revision, Revision: t.revision, Full: revision < t.floor || revision == 0}
 	for _, name := range slices.Sorted(maps.Keys(t.records)) {
-		if r := t.records[name]; d.Full || r.Revision > revision {
+		if r := t.records[name]; d.Full || r.Changed > revision {
 			out := *r
 			out.Age = now.Sub(r.Learned)
 			d.Records = append(d.Records, out)
@@ -171,7 +182,7 @@
 	for name, r := range t.records {
 		if r.Gone && now.Sub(r.Learned) > t.Keep {
 			delete(t.records, name)
-			t.floor = max(t.floor, r.Revision)
+			t.floor = max(t.floor, r.Changed)
 			pruned = true
 		}
 	}
--- a/registry/view.go
+++ b/registry/view.go
@@ -141,9 +141,6 @@
 // Service returns the service that a flow over a route goes to: the same one at
 // every host, by the flow's source.
 func (r *Route) Service(source netip.AddrPort) (cornelbay.ServiceName, bool) {
-	if len(r.Shares) == 1 {
-		return r.Shares[0].Service, true
-	}
 	total := 0
 	for _, s := range r.Shares {
 		total += s.Weight
--- /dev/null
+++ b/registry/view_test.go
@@ -0,0 +1,142 @@
+package registry
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cornelbay/cornelbay"
+)
+
+func target(name string, number uint64) Record[Target] {
+	return Record[Target]{Name: name, Revision: 1, Value: Target{
+		Name: cornelbay.TargetName(name), Number: number, Service: "s", DataCentre: "imlil", Slots: 2,
+	}}
+}
+
+func TestCookie(t *testing.T) {
+	for _, c := range []struct {
+		number uint64
+		own    bool
+	}{{1, true}, {0xffffffff, true}, {0, false}, {1 << 32, false}, {0xabcdef0123456789, false}} {
+		is := is.New(t)
+		is.True(Cookie(c.number) != 0)
+		is.Equal(Cookie(c.number) == uint32(c.number), c.own)
+		is.Equal(Cookie(c.number), Cookie(c.number))
+	}
+}
+
+func TestOfTwoTargetsWithOneCookieTheFirstKeepsIt(t *testing.T) {
+	clash := uint64(Cookie(1 << 40)) // a number that is its own cookie, and equal to the hash of another
+	old, young := target("old", 1<<40), target("young", clash)
+	old.Value.Born, young.Value.Born = 1, 2
+	for _, list := range [][]Record[Target]{{old, young}, {young, old}} {
+		is := is.New(t)
+		var tables Tables
+		tables.Targets.Replace(start, 1, list)
+		v := tables.View()
+		is.Equal(string(v.Cookies[Cookie(clash)].Name), "old")
+		for _, m := range v.Services["s"] {
+			is.Equal(m.Usable(start), m.Name == "old")
+		}
+	}
+}
+
+func TestUsable(t *testing.T) {
+	for _, c := range []struct {
+		title string
+		edit  func(*Tables)
+		want  bool
+	}{
+		{"ready", func(*Tables) {}, true},
+		{"draining", func(tables *Tables) {
+			r := target("a", 1)
+			r.Revision, r.Value.Draining = 2, true
+			tables.Targets.Apply(start, 2, []Record[Target]{r})
+		}, false},
+		{"gone", func(tables *Tables) {
+			tables.Targets.Apply(start.Add(time.Minute), 2, []Record[Target]{{Name: "a", Revision: 1, Gone: true}})
+		}, false},
+		{"evacuated", func(tables *Tables) {
+			tables.Evacuations.Replace(start, 2, []Record[Evacuation]{{Name: "imlil", Revision: 2, Value: Evacuation{"imlil"}}})
+		}, false},
+		{"another data centre evacuated", func(tables *Tables) {
+			tables.Evacuations.Replace(start, 2, []Record[Evacuation]{{Name: "todra", Revision: 2, Value: Evacuation{"todra"}}})
+		}, true},
+		{"taken back", func(tables *Tables) {
+			tables.Evacuations.Replace(start, 2, []Record[Evacuation]{{Name: "imlil", Revision: 2, Value: Evacuation{"imlil"}}})
+			tables.Evacuations.Apply(start, 3, []Record[Evacuation]{{Name: "imlil", Revision: 2, Gone: true}})
+		}, true},
+	} {
+		t.Run(c.title, func(t *testing.T) {
+			is := is.New(t)
+			var tables Tables
+			tables.Targets.Confirm(start)
+			tables.Targets.Replace(start, 1, []Record[Target]{target("a", 1)})
+			c.edit(&tables)
+			v := tables.View()
+			is.Equal(v.Services["s"][0].Usable(start.Add(time.Minute)), c.want)
+			is.Equal(string(v.Cookies[1].Name), "a") // flows that are open go on
+		})
+	}
+}
+
+// TestLapsedTargetsServeUntilTheyAnnounceThemselves plays an outage of the store
+// in which all announcements lapse.
+func TestLapsedTargetsServeUntilTheyAnnounceThemselves(t *testing.T) {
+	is := is.New(t)
+	var tables Tables
+	tables.Targets.Confirm(start)
+	draining := target("b", 2)
+	draining.Value.Draining = true
+	tables.Targets.Replace(start, 1, []Record[Target]{target("a", 1), draining})
+
+	back := start.Add(10 * time.Second)
+	tables.Targets.Confirm(back)
+	tables.Targets.Replace(back, 9, nil)
+	v := tables.View()
+	is.True(v.Cookies[1].Usable(back))
+	is.True(v.Cookies[1].Usable(back.Add(LapseGrace - time.Millisecond)))
+	is.True(!v.Cookies[1].Usable(back.Add(LapseGrace)))
+	is.True(!v.Cookies[2].Usable(back)) // was leaving anyway
+
+	// Without an outage, what is no longer listed is gone at once.
+	tables.Targets.Replace(back, 10, []Record[Target]{target("a", 1)})
+	again := target("a", 1)
+	again.Revision = 11
+	tables.Targets.Apply(back, 11, []Record[Target]{again})
+	later := back.Add(LapseGrace + time.Second)
+	tables.Targets.Confirm(later)
+	tables.Targets.Replace(later, 12, nil)
+	is.True(!tables.View().Cookies[1].Usable(later))
+}
+
+func TestColdTimeCountsFromWhenItWasLearned(t *testing.T) {
+	is := is.New(t)
+	var first, second Tables
+	r := target("a", 1)
+	r.Value.ColdFor = 2 * time.Second
+	first.Targets.Replace(start, 1, []Record[Target]{r})
+	later := start.Add(1500 * time.Millisecond)
+	second.Targets.Merge(later, first.Targets.Since(later, 0))
+	is.Equal(second.View().Cookies[1].ColdUntil, first.View().Cookies[1].ColdUntil)
+}
+
+func TestSharesAreTheSameAtEveryHost(t *testing.T) {
+	is := is.New(t)
+	r := Route{Shares: []Share{{"a", 90}, {"b", 10}}}
+	n := map[cornelbay.ServiceName]int{}
+	for port := range uint16(10000) {
+		from := netip.AddrPortFrom(netip.MustParseAddr("100.64.0.1"), port)
+		first, ok := r.Service(from)
+		is.True(ok)
+		again, _ := r.Service(from)
+		is.Equal(first, again)
+		n[first]++
+	}
+	is.True(n["a"] > 8500 && n["a"] < 9500)
+	_, ok := (&Route{Shares: []Share{{"a", 0}}}).Service(netip.AddrPort{})
+	is.True(!ok)
+}
