--- /dev/null
+++ b/balancer/balancer_test.go
@@ -0,0 +1,415 @@
+package balancer
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/fakeplatform"
+	"github.com/cornelbay/cornelbay/platform"
+)
+
+// The ports that are the same on all hosts of a world.
+const (
+	packetPort = 18172
+	readyPort  = 18167
+	peerPort   = 17720
+)
+
+var (
+	key      = make([]byte, 32)
+	service1 = netip.MustParseAddrPort("198.18.0.1:8080")
+	service2 = netip.MustParseAddrPort("198.18.0.1:8443")
+)
+
+// world is a store, targets and hosts on loopback; each test has addresses of its
+// own, by its net.
+type world struct {
+	t       *testing.T
+	is      *is.I
+	net     byte
+	store   *fakeplatform.Store
+	storeAt netip.AddrPort
+	hosts   map[int]*Balancer
+	callers int
+}
+
+func newWorld(t *testing.T, netNumber byte) *world {
+	w := &world{t: t, is: is.New(t), net: netNumber, store: &fakeplatform.Store{}, hosts: map[int]*Balancer{}}
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	w.is.NoErr(err)
+	srv := &http.Server{Handler: w.store}
+	go func() { _ = srv.Serve(l) }() // until it is closed
+	t.Cleanup(func() { _ = srv.Close() })
+	w.storeAt = netip.MustParseAddrPort(l.Addr().String())
+	w.route(1, route(service1, "s1"), route(service2, "s2"))
+	w.store.Put(platform.EvacuationKind, "nowhere", map[string]any{})
+	return w
+}
+
+func (w *world) address(kind, n byte) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, w.net, kind, n})
+}
+
+type wireRoute map[string]any
+
+func route(at netip.AddrPort, service string) wireRoute {
+	return wireRoute{"name": at.String(), "host": at.Addr().String(), "path_prefix": fmt.Sprintf("/%d/", at.Port()), "route_type": "safe", "service": service}
+}
+
+func (w *world) route(version int, routes ...wireRoute) {
+	w.store.Put(platform.RoutingKind, "main", map[string]any{
+		"version": version, "routes": routes, "services": []any{}, "limits": map[string]any{"idle_timeout_ms": 15000},
+	})
+}
+
+// target starts a target and announces it.
+func (w *world) target(n byte, service, dataCentre string) *fakeplatform.Target {
+	name := fmt.Sprintf("i-%d%d", w.net, n)
+	tg, err := fakeplatform.ListenTarget(netip.AddrPortFrom(w.address(2, n), 19000), name, number(name))
+	w.is.NoErr(err)
+	w.t.Cleanup(func() { _ = tg.Close() })
+	w.announce(tg, service, dataCentre, "ready")
+	return tg
+}
+
+func number(name string) uint64 {
+	t, err := platform.DecodeTarget(platform.Object{Name: name, Spec: []byte(
+		`{"service":"","address":"1.1.1.1:1","zone":"","version":"","slots":1,"state":"ready","warmup_left_ms":0,"seq_no":0}`)})
+	if err != nil {
+		panic(err)
+	}
+	return t.Number
+}
+
+func (w *world) announce(tg *fakeplatform.Target, service, dataCentre, state string) {
+	w.store.Put(platform.TargetKind, tg.Name, map[string]any{
+		"service": service, "address": tg.Address().String(), "zone": dataCentre, "version": "v1",
+		"slots": 2, "state": state, "warmup_left_ms": 0, "seq_no": 1, "born": 1,
+	})
+}
+
+func (w *world) settings(n int, dataCentre string) platform.Settings {
+	at := w.address(1, byte(n))
+	return platform.Settings{
+		Host: cornelbay.HostName(fmt.Sprintf("h%d", n)), DataCentre: cornelbay.DataCentreName(dataCentre), Address: at,
+		Packets: netip.AddrPortFrom(at, packetPort), Ready: netip.AddrPortFrom(at, readyPort), PeerPort: peerPort,
+		Seeds: []netip.Addr{w.address(1, 1)}, Store: w.storeAt, Grace: 6 * time.Second,
+		MaxFlowAge: time.Minute, WarmUpFactor: 1,
+	}
+}
+
+// host starts a host and waits until it is ready.
+func (w *world) host(n int, dataCentre string) *Balancer {
+	b := w.startHost(n, dataCentre)
+	w.eventually("host is ready", func() bool { return b.ready.Load() })
+	return b
+}
+
+func (w *world) startHost(n int, dataCentre string) *Balancer {
+	b, err := Start(Config{Settings: w.settings(n, dataCentre), Key: key})
+	w.is.NoErr(err)
+	w.hosts[n] = b
+	w.t.Cleanup(func() { _ = b.close() })
+	return b
+}
+
+// eventually waits for what has to come; the time is long so that only what never
+// comes fails.
+func (w *world) eventually(what string, ok func() bool) {
+	w.t.Helper()
+	for range 3000 {
+		if ok() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	w.t.Fatalf("never: %s", what)
+}
+
+func (w *world) at(n int) netip.AddrPort {
+	return netip.AddrPortFrom(w.address(1, byte(n)), packetPort)
+}
+
+func (w *world) caller() *fakeplatform.Caller {
+	w.callers++
+	c, err := fakeplatform.ListenCaller(netip.AddrPortFrom(w.address(3, byte(w.callers)), packetPort))
+	w.is.NoErr(err)
+	w.t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+// open opens a flow and returns it with the name of its target.
+func (w *world) open(n int, service netip.AddrPort) (*fakeplatform.Flow, string, error) {
+	f, err := w.caller().Open(w.t.Context(), w.at(n), service)
+	if err != nil {
+		return nil, "", err
+	}
+	name, err := f.Ask(w.t.Context(), w.at(n), answerTime)
+	return f, name, err
+}
+
+// answerTime is how long a test waits for the answer to a request.
+const answerTime = 10 * time.Second
+
+func (w *world) mustOpen(n int, service netip.AddrPort) (*fakeplatform.Flow, string) {
+	w.t.Helper()
+	f, name, err := w.open(n, service)
+	w.is.NoErr(err)
+	return f, name
+}
+
+func TestACalmDay(t *testing.T) {
+	w := newWorld(t, 101)
+	t1, t2 := w.target(1, "s1", "a"), w.target(2, "s2", "a")
+	w.host(1, "a")
+	for range 5 {
+		_, name := w.mustOpen(1, service1)
+		w.is.Equal(name, t1.Name)
+		_, name = w.mustOpen(1, service2)
+		w.is.Equal(name, t2.Name)
+	}
+	_, _, err := w.open(1, netip.MustParseAddrPort("198.18.0.1:99"))
+	w.is.True(errors.Is(err, fakeplatform.ErrReset)) // no route
+}
+
+func TestAFlowGoesOnThroughAnyHost(t *testing.T) {
+	w := newWorld(t, 102)
+	tg := w.target(1, "s1", "a")
+	w.target(2, "s1", "a")
+	w.target(3, "s1", "b")
+	w.host(1, "a")
+	f, name := w.mustOpen(1, service1)
+	w.host(2, "b") // has never seen the flow
+	w.is.NoErr(w.hosts[1].close())
+	for range 3 {
+		again, err := f.Ask(t.Context(), w.at(2), answerTime)
+		w.is.NoErr(err)
+		w.is.Equal(again, name)
+	}
+	w.is.Equal(tg.Stray(), 0)
+}
+
+func TestAFlowOutlivesItsTargetsAnnouncement(t *testing.T) {
+	w := newWorld(t, 103)
+	tg := w.target(1, "s1", "a")
+	w.host(1, "a")
+	f, _ := w.mustOpen(1, service1)
+	w.announce(tg, "s1", "a", "draining")
+	other := w.target(2, "s1", "a")
+	w.eventually("new flows leave the draining target", func() bool {
+		_, name := w.mustOpen(1, service1)
+		return name == other.Name
+	})
+	w.store.Put(platform.TargetKind, tg.Name, nil)
+	w.store.Put(platform.EvacuationKind, "a", map[string]any{})
+	w.eventually("evacuated", func() bool {
+		_, _, err := w.open(1, service1)
+		return errors.Is(err, fakeplatform.ErrReset)
+	})
+	name, err := f.Ask(t.Context(), w.at(1), answerTime)
+	w.is.NoErr(err)
+	w.is.Equal(name, tg.Name)
+	w.store.Put(platform.EvacuationKind, "a", nil)
+	w.eventually("taken back", func() bool {
+		_, name, err := w.open(1, service1)
+		return err == nil && name == other.Name
+	})
+}
+
+func TestADeadTargetCostsTheCallerSomeRoundTrips(t *testing.T) {
+	w := newWorld(t, 104)
+	dead, alive := w.target(1, "s1", "a"), w.target(2, "s1", "b")
+	w.host(1, "a")
+	dead.Silent.Store(true)
+	_, name := w.mustOpen(1, service1)
+	w.is.Equal(name, alive.Name)
+	b := w.hosts[1]
+	b.trafficMu.Lock()
+	defer b.trafficMu.Unlock()
+	w.is.True(b.placer.Counters().Retried > 0)
+}
+
+// TestAHostLearnsFromAnother plays a store that turns one host away while it
+// serves the others, and a host that starts meanwhile.
+func TestAHostLearnsFromAnother(t *testing.T) {
+	for i, refusal := range []fakeplatform.Refusal{fakeplatform.Busy, fakeplatform.Limited, fakeplatform.Resets, fakeplatform.Silent} {
+		t.Run(fmt.Sprint(refusal), func(t *testing.T) {
+			w := newWorld(t, byte(110+i))
+			w.target(1, "s1", "a")
+			w.target(2, "s2", "a")
+			w.host(1, "a")
+			w.store.Set(fakeplatform.Faults{Refuse: refusal})
+			w.host(2, "b") // all that it knows comes from the first
+			_, _ = w.mustOpen(2, service1)
+
+			w.store.Set(fakeplatform.Faults{})
+			w.eventually("the store serves again", func() bool {
+				w.route(2, route(service2, "s2"))
+				_, _, err := w.open(2, service1)
+				return errors.Is(err, fakeplatform.ErrReset)
+			})
+		})
+	}
+}
+
+func TestHistoryThatIsForgottenIsListedAnew(t *testing.T) {
+	w := newWorld(t, 105)
+	w.target(1, "s1", "a")
+	w.target(2, "s2", "a")
+	w.host(1, "a")
+	w.store.Set(fakeplatform.Faults{Deaf: true})
+	w.route(2, route(service2, "s2"))
+	w.store.Forget()
+	w.eventually("the route is gone", func() bool {
+		_, _, err := w.open(1, service1)
+		return errors.Is(err, fakeplatform.ErrReset)
+	})
+}
+
+func TestBrokenObjectsHideNoOthers(t *testing.T) {
+	w := newWorld(t, 106)
+	tg := w.target(1, "s1", "a")
+	w.store.Put(platform.TargetKind, "i-99", map[string]any{"service": 3})
+	w.store.Put(platform.TargetKind, "what", "text")
+	w.host(1, "a")
+	_, name := w.mustOpen(1, service1)
+	w.is.Equal(name, tg.Name)
+}
+
+func TestPlannedStop(t *testing.T) {
+	w := newWorld(t, 107)
+	w.target(1, "s1", "a")
+	b := w.host(1, "a")
+	ready := "http://" + b.settings.Load().Ready.String() + platform.ReadyPath
+	w.is.Equal(status(t, ready), http.StatusOK)
+	f, _ := w.mustOpen(1, service1)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		b.Stop()
+	}()
+	w.eventually("not ready", func() bool { return status(t, ready) == http.StatusServiceUnavailable })
+	_, err := f.Ask(t.Context(), w.at(1), answerTime) // it still forwards
+	w.is.NoErr(err)
+	_, _ = w.mustOpen(1, service1)
+	<-stopped
+}
+
+func status(t *testing.T, url string) int {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, url, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	res, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = res.Body.Close()
+	return res.StatusCode
+}
+
+// TestAnIncarnationIsLaterThanTheLast plays a host whose clock was set back
+// before it started again: the others would refuse its pulses as replays.
+func TestAnIncarnationIsLaterThanTheLast(t *testing.T) {
+	w := newWorld(t, 108)
+	w.target(1, "s1", "a")
+	first := w.host(1, "a")
+	second := w.host(2, "a")
+	w.eventually("the first hears the second", func() bool { return heard(first, "h2") > 0 })
+	was := heard(first, "h2")
+	second.stateMu.Lock()
+	second.codec.Incarnation = 1 // as if it had started with an early clock
+	second.stateMu.Unlock()
+	second.pullSeeds()
+	w.eventually("the second is heard again", func() bool { return heard(first, "h2") > was })
+}
+
+func heard(b *Balancer, name cornelbay.HostName) cornelbay.Incarnation {
+	b.stateMu.Lock()
+	defer b.stateMu.Unlock()
+	return b.members.Incarnation(name)
+}
+
+func TestOnlyReadersCallTheStore(t *testing.T) {
+	w := newWorld(t, 109)
+	w.target(1, "s1", "a")
+	for n := 1; n <= 4; n++ {
+		w.host(n, "a")
+	}
+	w.eventually("all hear each other", func() bool {
+		for _, b := range w.hosts {
+			b.stateMu.Lock()
+			n := len(b.members.Alive(time.Now()))
+			b.stateMu.Unlock()
+			if n < len(w.hosts)-1 {
+				return false
+			}
+		}
+		return true
+	})
+	reads := 0
+	for _, b := range w.hosts {
+		b.stateMu.Lock()
+		if b.members.Reads(time.Now()) {
+			reads++
+		}
+		b.stateMu.Unlock()
+	}
+	w.is.Equal(reads, 1)
+	w.route(2, route(service2, "s2"))
+	w.eventually("all know of the change", func() bool {
+		for _, b := range w.hosts {
+			if b.version() != 2 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func TestForeignPacketsAreDroppedAndCounted(t *testing.T) {
+	w := newWorld(t, 114)
+	w.target(1, "s1", "a")
+	w.host(1, "a")
+	c, err := net.Dial("udp4", w.at(1).String())
+	w.is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	for _, n := range []int{0, 1, 30, 32, 1231, 1232, 1400} {
+		_, err := c.Write(make([]byte, n))
+		w.is.NoErr(err)
+	}
+	want := map[string]float64{reasonTruncated: 3, reasonLength: 0, reasonOverlong: 2}
+	// A packet of 32 to 1231 zero bytes has a length field that is wrong.
+	want[reasonLength] = 2
+	for reason, n := range want {
+		w.eventually(reason, func() bool { return counted(t, w.hosts[1], reason) == n })
+	}
+}
+
+// counted returns how often a verdict was counted.
+func counted(t *testing.T, b *Balancer, verdict string) float64 {
+	t.Helper()
+	families, err := b.metrics.registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range families {
+		for _, m := range f.GetMetric() {
+			for _, l := range m.GetLabel() {
+				if f.GetName() == "cornelbay_packets_total" && l.GetValue() == verdict {
+					return m.GetCounter().GetValue()
+				}
+			}
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/gossip/gossip_test.go
@@ -0,0 +1,157 @@
+package gossip
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/peer"
+	"github.com/cornelbay/cornelbay/registry"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func host(name cornelbay.HostName, dataCentre cornelbay.DataCentreName) registry.Host {
+	return registry.Host{Name: name, DataCentre: dataCentre, Address: netip.MustParseAddrPort("10.0.0.1:7000")}
+}
+
+func TestOneHostOfADataCentreReads(t *testing.T) {
+	hosts := []registry.Host{host("a1", "a"), host("a2", "a"), host("a3", "a"), host("b1", "b")}
+	for _, c := range []struct {
+		title string
+		alive []cornelbay.HostName
+		stops cornelbay.HostName
+		want  []cornelbay.HostName
+	}{
+		{"all alive", []cornelbay.HostName{"a1", "a2", "a3", "b1"}, "", []cornelbay.HostName{"a1", "b1"}},
+		{"reader dead", []cornelbay.HostName{"a2", "a3", "b1"}, "", []cornelbay.HostName{"a2", "b1"}},
+		{"reader stops", []cornelbay.HostName{"a1", "a2", "a3", "b1"}, "a1", []cornelbay.HostName{"a1", "a2", "b1"}},
+		{"alone", []cornelbay.HostName{"a3"}, "", []cornelbay.HostName{"a3"}},
+	} {
+		t.Run(c.title, func(t *testing.T) {
+			is := is.New(t)
+			var readers []cornelbay.HostName
+			for _, self := range hosts {
+				if !contains(c.alive, self.Name) {
+					continue
+				}
+				m := Members{Self: self}
+				for _, other := range hosts {
+					if other.Name != self.Name {
+						at := start
+						if !contains(c.alive, other.Name) {
+							at = start.Add(-2 * silentAfter)
+						}
+						m.Hear(at, 1, Pulse{Host: other, Stopping: other.Name == c.stops})
+					}
+				}
+				if m.Reads(start) {
+					readers = append(readers, self.Name)
+				}
+			}
+			is.Equal(readers, c.want)
+		})
+	}
+}
+
+func contains(names []cornelbay.HostName, name cornelbay.HostName) bool {
+	for _, n := range names {
+		if n == name {
+			return true
+		}
+	}
+	return false
+}
+
+func TestLostHostsAreToldOnce(t *testing.T) {
+	is := is.New(t)
+	m := Members{Self: host("a", "x")}
+	is.True(m.Hear(start, 7, Pulse{Host: host("b", "x")}))
+	is.True(!m.Hear(start.Add(Interval), 7, Pulse{Host: host("b", "x")}))
+	is.Equal(m.Incarnation("b"), cornelbay.Incarnation(7))
+	told := 0
+	for i := range 20 {
+		told += len(m.Lost(start.Add(Interval + time.Duration(i)*Interval)))
+	}
+	is.Equal(told, 1)
+	is.True(m.Hear(start.Add(time.Minute), 8, Pulse{Host: host("b", "x")}))
+}
+
+// full returns tables with one record each.
+func full(at uint64) *registry.Tables {
+	var t registry.Tables
+	t.Routing.Replace(start, at, []registry.Record[registry.Routing]{{
+		Name: "main", Revision: at, Value: registry.Routing{Version: at, Routes: []registry.Route{{
+			Name: "r", Address: netip.MustParseAddrPort("198.18.0.1:80"), Shares: []registry.Share{{Service: "s", Weight: 1}},
+		}}},
+	}})
+	t.Targets.Replace(start, at, []registry.Record[registry.Target]{{
+		Name: "i-1", Revision: at, Value: registry.Target{Name: "i-1", Number: 1, Service: "s", Address: netip.MustParseAddrPort("10.0.0.2:80")},
+	}})
+	t.Evacuations.Replace(start, at, nil)
+	t.Hosts.Replace(start, at, nil)
+	for _, confirm := range []func(time.Time) bool{t.Routing.Confirm, t.Targets.Confirm, t.Evacuations.Confirm} {
+		confirm(start)
+	}
+	return &t
+}
+
+func TestAPullFillsAnEmptyHost(t *testing.T) {
+	is := is.New(t)
+	from := full(5)
+	var to registry.Tables
+	is.True(RevisionsOf(&to).Lacks(RevisionsOf(from)))
+	later := start.Add(time.Second)
+	r := Pull{Since: RevisionsOf(&to)}.Answer(later, from)
+	is.True(r.Merge(later, &to))
+	is.True(to.Known())
+	is.Equal(to.Targets.Confirmed(), start) // as fresh as the teller, not fresher
+	is.Equal(len(to.View().Routes), 1)
+	is.True(!RevisionsOf(&to).Lacks(RevisionsOf(from)))
+	is.True(!r.Merge(later, &to)) // the same again
+}
+
+func TestAConfirmationCountsOnlyAtItsRevision(t *testing.T) {
+	is := is.New(t)
+	behind, ahead := full(5), full(6)
+	now := start.Add(time.Minute)
+	Ages{Routing: 10, Targets: 10, Evacuations: 10}.Confirm(now, RevisionsOf(ahead), behind)
+	is.Equal(behind.Targets.Confirmed(), start)
+	Ages{Routing: 10, Targets: maxAge, Evacuations: 10}.Confirm(now, RevisionsOf(behind), behind)
+	is.Equal(behind.Targets.Confirmed(), start) // its teller does not know
+	is.Equal(behind.Routing.Confirmed(), now.Add(-10*time.Millisecond))
+}
+
+func TestPulseFitsADatagram(t *testing.T) {
+	is := is.New(t)
+	p := Pulse{Host: host("edge-ait-bouguemez-12", "ait-bouguemez"), Loads: map[uint32]uint32{}}
+	for i := range uint32(100) {
+		p.Loads[0xf0000000+i] = 200
+	}
+	c := peer.Codec{Self: "edge-ait-bouguemez-12", Incarnation: 1, Keys: [][]byte{make([]byte, 32)}}
+	b, err := c.Seal(p)
+	is.NoErr(err)
+	_, got, err := (&peer.Codec{Self: "x", Keys: c.Keys}).Open(b)
+	is.NoErr(err)
+	is.Equal(got.(Pulse), p)
+}
+
+func FuzzOpenPulse(f *testing.F) {
+	c := peer.Codec{Self: "a", Incarnation: 1, Keys: [][]byte{make([]byte, 32)}}
+	b, err := c.Seal(Pulse{Host: host("a", "x"), Loads: map[uint32]uint32{1: 2}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		open := peer.Codec{Self: "b", Keys: [][]byte{make([]byte, 32)}}
+		if _, m, err := open.Open(b); err == nil {
+			if _, ok := m.(cornelbay.Message); !ok {
+				t.Fatal("no message")
+			}
+		}
+	})
+}
--- a/oplog/oplog.go
+++ b/oplog/oplog.go
@@ -123,8 +123,10 @@
 	}
 	h.mu.Unlock()
 	for message, n := range omitted {
-		e := log.NewEntry(log.Log.(*log.Logger)).WithFields(log.Fields{"of": message, "lines": n})
-		e.Level, e.Message, e.Timestamp = log.WarnLevel, "lines left out", time.Now()
+		e := &log.Entry{
+			Fields: log.Fields{"of": message, "lines": n}, Level: log.WarnLevel,
+			Message: "lines left out", Timestamp: time.Now(),
+		}
 		h.write(e)
 	}
 }
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,298 @@
+package placement
+
+import (
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/registry"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+const service = cornelbay.ServiceName("s")
+
+func key(port int) cornelbay.FlowKey {
+	return cornelbay.FlowKey{
+		Source:      netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(port >> 16), 1}), uint16(port)),
+		Destination: netip.MustParseAddrPort("198.18.0.1:443"),
+	}
+}
+
+// member returns a warm target with two slots.
+func member(cookie uint32, dataCentre cornelbay.DataCentreName) *registry.Member {
+	return &registry.Member{
+		Target: registry.Target{Number: uint64(cookie), Service: service, DataCentre: dataCentre, Slots: 2},
+		Cookie: cookie,
+	}
+}
+
+func view(members ...*registry.Member) *registry.View {
+	v := &registry.View{
+		Services: map[cornelbay.ServiceName][]*registry.Member{service: members},
+		Cookies:  map[uint32]*registry.Member{},
+	}
+	for _, m := range members {
+		v.Cookies[m.Cookie] = m
+	}
+	return v
+}
+
+func placer(v *registry.View) *Placer {
+	p := &Placer{Self: "h", DataCentre: "near"}
+	p.SetView(v)
+	return p
+}
+
+func open(t *testing.T, p *Placer, now time.Time, port int) uint32 {
+	t.Helper()
+	m, err := p.Open(now, key(port), service, []byte("opening"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return m.Cookie
+}
+
+// tickTo ticks as a host does, up to a time, and returns the retries; those at
+// targets that are alive are answered.
+func tickTo(p *Placer, from, to time.Time, alive ...uint32) []Retry {
+	var all []Retry
+	for now := from; !now.After(to); now = now.Add(10 * time.Millisecond) {
+		retries := p.Tick(now)
+		all = append(all, retries...)
+		for _, r := range retries {
+			if slices.Contains(alive, r.Member.Cookie) {
+				p.Progress(now.Add(5*time.Millisecond), r.Key, r.Member.Cookie, false)
+			}
+		}
+	}
+	return all
+}
+
+func TestFlowsStayNearWhileASlotIsFree(t *testing.T) {
+	is := is.New(t)
+	p := placer(view(member(1, "near"), member(2, "far"), member(3, "near")))
+	got := map[uint32]int{}
+	for port := range 4 {
+		got[open(t, p, start, port)]++
+	}
+	is.Equal(got, map[uint32]int{1: 2, 3: 2})
+	is.Equal(open(t, p, start, 5), uint32(2)) // the way is shorter than the wait
+}
+
+func TestReportsOfOthersCount(t *testing.T) {
+	is := is.New(t)
+	p := placer(view(member(1, "near"), member(2, "near")))
+	p.Hear("other", Report{At: start, Loads: map[uint32]float64{1: 2}})
+	is.Equal(open(t, p, start, 1), uint32(2))
+	is.Equal(open(t, p, start, 2), uint32(2))
+	later := start.Add(reportLife + time.Millisecond)
+	is.Equal(open(t, p, later, 3), uint32(1)) // the report is too old to count
+}
+
+func TestReportIsAMeanOverTime(t *testing.T) {
+	is := is.New(t)
+	p := placer(view(member(1, "near")))
+	open(t, p, start, 1)
+	p.Progress(start.Add(5*time.Millisecond), key(1), 1, false)
+	p.Progress(start.Add(50*time.Millisecond), key(1), 1, true)
+	r := p.Report(start.Add(100*time.Millisecond), start)
+	is.Equal(r.Loads, map[uint32]float64{1: 0.5})
+	is.Equal(len(p.Report(start.Add(200*time.Millisecond), start.Add(100*time.Millisecond)).Loads), 0)
+}
+
+func TestACopyGoesWhereTheOpeningWent(t *testing.T) {
+	is := is.New(t)
+	p := placer(view(member(1, "near"), member(2, "near")))
+	first := open(t, p, start, 1)
+	is.Equal(open(t, p, start.Add(200*time.Millisecond), 1), first)
+	is.Equal(p.Counters().Opened, uint64(1))
+}
+
+// TestOpeningAtADeadTargetIsTriedElsewhere plays a target that falls silent: the
+// caller gets its answer within some round trips, not after its own 200 ms.
+func TestOpeningAtADeadTargetIsTriedElsewhere(t *testing.T) {
+	is := is.New(t)
+	p := placer(view(member(1, "near"), member(2, "far")))
+	is.Equal(open(t, p, start, 1), uint32(1))
+	retries := tickTo(p, start, start.Add(maxAnswerTime), 2)
+	is.True(len(retries) > 0)
+	is.Equal(retries[0].Member.Cookie, uint32(2))
+	is.Equal(string(retries[0].Opening), "opening")
+	is.True(retries[0].Waited <= 60*time.Millisecond)
+
+	// The next flows avoid it until it is tried again.
+	now := start.Add(maxAnswerTime)
+	is.Equal(open(t, p, now, 2), uint32(2))
+	p.Progress(now, key(2), 2, false)
+	now = start.Add(firstTry + 100*time.Millisecond)
+	is.Equal(open(t, p, now, 3), uint32(1)) // one flow tries it
+	is.Equal(open(t, p, now, 4), uint32(2)) // only one
+	p.Progress(now.Add(4*time.Millisecond), key(3), 1, false)
+	is.Equal(open(t, p, now.Add(5*time.Millisecond), 5), uint32(1)) // it answers again
+}
+
+// TestALateAnswerDoesNotMoveTheFlow plays a target that answers after its opening
+// was tried elsewhere: the caller may repeat either cookie from then on.
+func TestALateAnswerDoesNotMoveTheFlow(t *testing.T) {
+	is := is.New(t)
+	p := placer(view(member(1, "near"), member(2, "near")))
+	first := open(t, p, start, 1)
+	retries := tickTo(p, start, start.Add(100*time.Millisecond))
+	second := retries[0].Member.Cookie
+	now := start.Add(101 * time.Millisecond)
+	is.Equal(p.Progress(now, key(1), first, false), first)
+	is.Equal(p.Progress(now, key(1), second, false), first)
+	is.Equal(len(tickTo(p, now, now.Add(time.Second))), 0)
+}
+
+func TestAFlowOfAnotherHostKeepsItsCookie(t *testing.T) {
+	is := is.New(t)
+	p := placer(view(member(1, "near")))
+	is.Equal(p.Progress(start, key(1), 77, false), uint32(77))
+}
+
+// TestAStallIsNoEvidence plays a host that stood still: the answers wait in its
+// socket, and no target may be suspected for it.
+func TestAStallIsNoEvidence(t *testing.T) {
+	is := is.New(t)
+	p := placer(view(member(1, "near"), member(2, "near")))
+	p.Tick(start)
+	cookie := open(t, p, start, 1)
+	woken := start.Add(4 * time.Second)
+	is.Equal(len(p.Tick(woken)), 0)
+	p.Progress(woken, key(1), cookie, false)
+	is.Equal(p.Counters().Unanswered, uint64(0))
+}
+
+// TestADataCentreThatIsCutOffIsLeftAtOnce: after two silent targets the others of
+// the data centre are not tried by one caller each.
+func TestADataCentreThatIsCutOffIsLeftAtOnce(t *testing.T) {
+	is := is.New(t)
+	far := []*registry.Member{member(1, "cut"), member(2, "cut"), member(3, "cut"), member(4, "cut"), member(5, "cut")}
+	p := placer(view(append(far, member(9, "other"))...))
+	open(t, p, start, 1)
+	open(t, p, start, 2)
+	tickTo(p, start, start.Add(100*time.Millisecond), 9)
+	for port := 10; port < 20; port++ {
+		is.Equal(open(t, p, start.Add(101*time.Millisecond), port), uint32(9))
+		p.Progress(start.Add(102*time.Millisecond), key(port), 9, true)
+	}
+}
+
+func TestAServiceIsNeverEmptiedBySuspicion(t *testing.T) {
+	is := is.New(t)
+	p := placer(view(member(1, "near")))
+	open(t, p, start, 1)
+	tickTo(p, start, start.Add(100*time.Millisecond))
+	is.Equal(open(t, p, start.Add(101*time.Millisecond), 2), uint32(1))
+}
+
+func TestWhatCanNotBeServedIsRefused(t *testing.T) {
+	is := is.New(t)
+	m := member(1, "near")
+	m.Draining = true
+	p := placer(view(m))
+	_, err := p.Open(start, key(1), service, nil)
+	is.Equal(err, ErrNoTarget)
+	_, err = (&Placer{}).Open(start, key(1), service, nil)
+	is.Equal(err, ErrNoTarget)
+}
+
+// TestColdTargetsShareOneBudget plays hosts that know nothing of each other's
+// flows, with a service that has only cold targets: in no second does a target
+// get more than it bears.
+func TestColdTargetsShareOneBudget(t *testing.T) {
+	for _, c := range []struct {
+		title               string
+		rate, factor, slack float64
+	}{
+		{"small", 0, 1.5, 5},
+		{"large", 20, 1.5, 5},
+		{"none", 0, 1, 0},
+	} {
+		t.Run(c.title, func(t *testing.T) {
+			is := is.New(t)
+			var hosts []registry.Host
+			for _, name := range []cornelbay.HostName{"a", "b", "c", "d", "e", "f"} {
+				hosts = append(hosts, registry.Host{Name: name, DataCentre: "near"})
+			}
+			var members []*registry.Member
+			for cookie := range uint32(3) {
+				m := member(cookie+1, "near")
+				m.ColdUntil, m.ColdPerSecond = start.Add(time.Minute), c.rate
+				members = append(members, m)
+			}
+			v := view(members...)
+			v.Hosts = hosts
+			got := map[uint32][]time.Time{}
+			port := 0
+			placers := make([]*Placer, len(hosts))
+			for i, h := range hosts {
+				placers[i] = &Placer{Self: h.Name, DataCentre: "near", WarmUpFactor: c.factor, WarmUpSlack: c.slack}
+				placers[i].SetView(v)
+			}
+			for ms := range 5000 {
+				now := start.Add(time.Duration(ms) * time.Millisecond)
+				for _, p := range placers {
+					port++
+					if m, err := p.Open(now, key(port), service, nil); err == nil {
+						got[m.Cookie] = append(got[m.Cookie], now)
+					}
+				}
+			}
+			bound := c.rate*c.factor + c.slack
+			for _, times := range got {
+				for i := range times {
+					n := 0
+					for _, at := range times[i:] {
+						if at.Sub(times[i]) < time.Second {
+							n++
+						}
+					}
+					is.True(float64(n) <= bound)
+				}
+			}
+			is.Equal(len(got) > 0, bound > 0)
+		})
+	}
+}
+
+func TestColdTargetsAreLeftWhileWarmOnesHaveRoom(t *testing.T) {
+	is := is.New(t)
+	cold := member(1, "near")
+	cold.ColdUntil = start.Add(time.Second)
+	p := placer(view(cold, member(2, "far")))
+	is.Equal(open(t, p, start, 1), uint32(2))
+	is.Equal(open(t, p, start.Add(2*time.Second), 2), uint32(1))
+}
+
+func TestFlowsThatFallSilentNoLongerCount(t *testing.T) {
+	is := is.New(t)
+	p := placer(view(member(1, "near")))
+	open(t, p, start, 1)
+	p.Progress(start, key(1), 1, false)
+	tickTo(p, start, start.Add(2*time.Second))
+	is.Equal(p.load(start.Add(2*time.Second), 1), 0.0)
+	p.Progress(start.Add(2*time.Second), key(1), 1, false)
+	is.Equal(p.load(start.Add(2*time.Second), 1), 1.0)
+	tickTo(p, start.Add(2*time.Second), start.Add(2*time.Second+forgetAfter+time.Second))
+	is.Equal(len(p.flows), 0)
+	is.Equal(p.load(start.Add(2*time.Second), 1), 0.0)
+}
+
+func BenchmarkKnownFlow(b *testing.B) {
+	p := placer(view(member(1, "near"), member(2, "far")))
+	if _, err := p.Open(start, key(1), service, nil); err != nil {
+		b.Fatal(err)
+	}
+	p.Progress(start, key(1), 1, false)
+	b.ReportAllocs()
+	for b.Loop() {
+		p.Progress(start, key(1), 1, false)
+	}
+}
