Take no evidence from flows that the routers send elsewhere, and test processes

Cause: when a host joins or leaves, nearly all flows move to other hosts within one round trip. The host that opened a flow then sees no later packet of it and sent the opening to a second target, whose answer can move the caller's cookie. Ruled out: slow targets (their silence shows at all hosts). Change: the first packet of a flow that another host opened marks the time; an opening near it is tried elsewhere only after the caller's own copy. Such flows count as load where they are now.

A test runs three hosts as processes between the stand-ins, kills one, changes the settings with and without a signal and stops one as planned.

--- /dev/null
+++ b/cmd/cornelbayd/platform_test.go
@@ -0,0 +1,209 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cornelbay/cornelbay/fakeplatform"
+	"github.com/cornelbay/cornelbay/platform"
+)
+
+const settingsFormat = `
+node_name = "h%d"
+ip = "127.120.1.%d"
+zone = "%s"
+internal_port_range = [17720, 17735]
+seeds = ["127.120.1.1:18166"]
+ecmp_hash = "mod"
+form = "echo"
+[bind_addrs]
+datagram_addr = "127.120.1.%d:18172"
+ready = "127.120.1.%d:18167"
+[bounds]
+grace_s = 6
+%s
+[platform]
+address = "%s"
+form = "objects"
+`
+
+// process is one host that runs as a process of its own.
+type process struct {
+	cmd      *exec.Cmd
+	settings string
+
+	mu    sync.Mutex
+	lines []string
+}
+
+func (p *process) read(r io.Reader) {
+	s := bufio.NewScanner(r)
+	for s.Scan() {
+		p.mu.Lock()
+		p.lines = append(p.lines, s.Text())
+		p.mu.Unlock()
+	}
+}
+
+func (p *process) said(what string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return strings.Contains(strings.Join(p.lines, "\n"), what)
+}
+
+func startProcess(t *testing.T, binary string, n int, dataCentre string, store netip.AddrPort) *process {
+	t.Helper()
+	p := &process{settings: filepath.Join(t.TempDir(), "boot.toml")}
+	p.write(t, n, dataCentre, "", store)
+	p.cmd = exec.Command(binary, "platform")
+	p.cmd.Env = []string{platform.SettingsVariable + "=" + p.settings, "CORNELBAY_KEY=" + hex32}
+	out, err := p.cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.cmd.Stderr = os.Stderr
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go p.read(out)
+	t.Cleanup(func() {
+		_ = p.cmd.Process.Kill() // may have ended
+		_ = p.cmd.Wait()
+	})
+	waitFor(t, "ready", func() bool { return p.said(`"message":"ready"`) })
+	return p
+}
+
+func (p *process) write(t *testing.T, n int, dataCentre, bounds string, store netip.AddrPort) {
+	t.Helper()
+	b := fmt.Sprintf(settingsFormat, n, n, dataCentre, n, n, bounds, store)
+	if err := os.WriteFile(p.settings, []byte(b), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// waitFor waits for what has to come; only what never comes fails.
+func waitFor(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for range 3000 {
+		if ok() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("never: %s", what)
+}
+
+// TestProcessesOnThePlatform runs three hosts as processes between the stand-ins:
+// a configuration is applied, flows open, and those of a host that is killed go
+// on through the others.
+func TestProcessesOnThePlatform(t *testing.T) {
+	is := is.New(t)
+	binary := filepath.Join(t.TempDir(), "cornelbayd")
+	out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput()
+	if err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	store := &fakeplatform.Store{}
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	srv := &http.Server{Handler: store}
+	go func() { _ = srv.Serve(l) }() // until it is closed
+	defer func() { _ = srv.Close() }()
+	at := netip.MustParseAddrPort(l.Addr().String())
+
+	service := netip.MustParseAddrPort("198.18.0.1:8080")
+	added := netip.MustParseAddrPort("198.18.0.1:8443")
+	put := func(version int, routes ...netip.AddrPort) {
+		list := []any{}
+		for _, r := range routes {
+			list = append(list, map[string]any{"name": r.String(), "host": r.Addr().String(), "path_prefix": fmt.Sprintf("/%d/", r.Port()), "service": "s"})
+		}
+		store.Put(platform.RoutingKind, "main", map[string]any{"version": version, "routes": list, "limits": map[string]any{}})
+	}
+	put(1, service)
+	for n := byte(1); n <= 3; n++ {
+		tg, err := fakeplatform.ListenTarget(netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 120, 2, n}), 19000), fmt.Sprintf("i-%d", n), uint64(n))
+		is.NoErr(err)
+		defer func() { _ = tg.Close() }()
+		store.Put(platform.TargetKind, tg.Name, map[string]any{
+			"service": "s", "address": tg.Address().String(), "zone": "a", "version": "v1", "slots": 2, "state": "ready", "warmup_left_ms": 0, "seq_no": 1,
+		})
+	}
+	hosts := map[int]*process{}
+	for n, dataCentre := range []string{"a", "a", "b"} {
+		hosts[n+1] = startProcess(t, binary, n+1, dataCentre, at)
+	}
+	packets := func(n int) netip.AddrPort {
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 120, 1, byte(n)}), 18172)
+	}
+	callers := byte(0)
+	open := func(n int, service netip.AddrPort) (*fakeplatform.Flow, error) {
+		callers++
+		c, err := fakeplatform.ListenCaller(netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 120, 3, callers}), 18172))
+		is.NoErr(err)
+		t.Cleanup(func() { _ = c.Close() })
+		return c.Open(t.Context(), packets(n), service)
+	}
+	type flow struct {
+		*fakeplatform.Flow
+		target string
+	}
+	var flows []flow
+	for range 5 {
+		f, err := open(1, service)
+		is.NoErr(err)
+		name, err := f.Ask(t.Context(), packets(1), 10*time.Second)
+		is.NoErr(err)
+		flows = append(flows, flow{f, name})
+	}
+
+	is.NoErr(hosts[1].cmd.Process.Kill())
+	_ = hosts[1].cmd.Wait() // killed
+	for i, f := range flows {
+		name, err := f.Ask(t.Context(), packets(2+i%2), 10*time.Second)
+		is.NoErr(err)
+		is.Equal(name, f.target)
+	}
+
+	put(2, service, added)
+	waitFor(t, "the added route is served by all", func() bool {
+		for _, n := range []int{2, 3} {
+			if _, err := open(n, added); err != nil {
+				return false
+			}
+		}
+		return true
+	})
+
+	// A settings file that changes is taken over with and without a signal; one
+	// that is wrong is refused and the host goes on.
+	hosts[2].write(t, 2, "a", "drain_ms = 2000", at)
+	is.NoErr(hosts[2].cmd.Process.Signal(syscall.SIGHUP))
+	waitFor(t, "reloaded", func() bool { return hosts[2].said("settings reloaded") })
+	hosts[3].write(t, 3, "b", "drain_ms = 2000", at)
+	waitFor(t, "reloaded without a signal", func() bool { return hosts[3].said("settings reloaded") })
+	is.NoErr(os.WriteFile(hosts[3].settings, []byte("node_name = 3"), 0o600))
+	is.NoErr(hosts[3].cmd.Process.Signal(syscall.SIGHUP))
+	waitFor(t, "refused", func() bool { return hosts[3].said("changed settings refused") })
+
+	is.NoErr(hosts[2].cmd.Process.Signal(syscall.SIGTERM))
+	is.NoErr(hosts[2].cmd.Wait())
+	is.True(hosts[2].said(`"message":"stopped"`))
+	_, err = open(3, service)
+	is.NoErr(err)
+}
--- a/placement/flow.go
+++ b/placement/flow.go
@@ -19,11 +19,21 @@
 	// maxTries is the number of targets that one opening is tried at: callers
 	// give an opening up after 1.4 s.
 	maxTries = 6
+	// copyTime is when callers send the first copy of an opening that has not been
+	// answered, and some time for it to come.
+	copyTime = 220 * time.Millisecond
 	// idleAfter is the silence after which a flow no longer counts as load.
 	idleAfter = time.Second
 	// forgetAfter is the silence after which a flow is forgotten. Its later
 	// packets name their target themselves.
 	forgetAfter = 10 * time.Second
+	// strayTime is how long after a packet of a flow that another host opened an
+	// opening without an answer is no evidence: the routers send flows to other
+	// hosts than before, and the answer to it may be seen there.
+	strayTime = 60 * time.Millisecond
+	// maxFlows bounds the flows on record; those beyond it are forwarded as well,
+	// but are not counted as load and not tried elsewhere.
+	maxFlows = 1 << 17
 	// stall is a gap between two ticks that shows that this host stood still, so
 	// that silence is no evidence against targets.
 	stall = 100 * time.Millisecond
@@ -43,6 +53,10 @@
 	answered bool
 	idle     bool
 	closed   bool
+	// adopted is true for a flow that another host opened.
+	adopted bool
+	// copies counts the copies of the opening that came.
+	copies int
 }
 
 // Retry is an opening that is to be sent to another target.
@@ -71,6 +85,9 @@
 	f, ok := p.flows[key]
 	if !ok {
 		p.vouch(now, cookie)
+		if !finishing {
+			p.adopt(now, key, cookie)
+		}
 		return cookie
 	}
 	f.seen = now
@@ -90,6 +107,29 @@
 	return f.member.Cookie
 }
 
+// adopt records a flow that another host has opened and that the routers send
+// here now.
+func (p *Placer) adopt(now time.Time, key cornelbay.FlowKey, cookie uint32) {
+	p.stray = now
+	if p.view == nil || len(p.flows) >= maxFlows {
+		return
+	}
+	m, ok := p.view.Cookies[cookie]
+	if !ok {
+		return
+	}
+	f := &Flow{key: key, service: m.Service, member: m, seen: now, answered: true, adopted: true}
+	p.record(f)
+	p.target(cookie, now).add(now, 1)
+}
+
+func (p *Placer) record(f *Flow) {
+	if p.flows == nil {
+		p.flows = make(map[cornelbay.FlowKey]*Flow)
+	}
+	p.flows[f.key] = f
+}
+
 // answer notes that the target with a cookie has taken the flow.
 func (p *Placer) answer(now time.Time, f *Flow, cookie uint32) {
 	f.answered, f.opening = true, nil
@@ -114,6 +154,9 @@
 		p.target(f.member.Cookie, now).add(now, -1)
 	}
 	f.closed = true
+	if f.adopted {
+		return // when it was opened is not known
+	}
 	p.ended(f.service, now.Sub(f.opened))
 }
 
@@ -132,6 +175,8 @@
 		case now.Sub(f.seen) > forgetAfter:
 			p.forget(now, f)
 			delete(p.flows, key)
+		case !f.answered && !f.closed && now.After(f.due) && f.copies == 0 && p.rerouted(f):
+			f.due = f.opened.Add(copyTime)
 		case !f.answered && !f.closed && now.After(f.due):
 			if r, ok := p.retry(now, f); ok {
 				retries = append(retries, r)
@@ -144,6 +189,13 @@
 	return retries
 }
 
+// rerouted reports whether the routers seem to have sent flows to other hosts
+// about the time of an opening. Then only a copy of it shows that the caller has
+// had no answer.
+func (p *Placer) rerouted(f *Flow) bool {
+	return !p.stray.IsZero() && p.stray.Sub(f.opened).Abs() < strayTime
+}
+
 func (p *Placer) forget(now time.Time, f *Flow) {
 	if !f.idle && !f.closed {
 		p.target(f.member.Cookie, now).add(now, -1)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -56,6 +56,8 @@
 	budgets   map[uint32]*Budget
 	roundTrip time.Duration
 	ticked    time.Time
+	// stray is when the last packet came of a flow that another host opened.
+	stray time.Time
 	turn      uint64
 	counters  Counters
 }
@@ -98,6 +100,7 @@
 func (p *Placer) Open(now time.Time, key cornelbay.FlowKey, service cornelbay.ServiceName, opening []byte) (*registry.Member, error) {
 	if f, ok := p.flows[key]; ok && !f.closed {
 		f.seen = now
+		f.copies++
 		return f.member, nil
 	}
 	m, err := p.choose(now, service, nil)
@@ -105,12 +108,12 @@
 		p.counters.Refused++
 		return nil, err
 	}
-	f := &Flow{key: key, service: service, opened: now, seen: now, opening: slices.Clone(opening)}
-	if p.flows == nil {
-		p.flows = make(map[cornelbay.FlowKey]*Flow)
-	}
-	p.flows[key] = f
 	p.counters.Opened++
+	if len(p.flows) >= maxFlows {
+		return m, nil
+	}
+	f := &Flow{key: key, service: service, opened: now, seen: now, opening: slices.Clone(opening)}
+	p.record(f)
 	p.put(now, f, m)
 	return m, nil
 }
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -154,6 +154,38 @@
 	is := is.New(t)
 	p := placer(view(member(1, "near")))
 	is.Equal(p.Progress(start, key(1), 77, false), uint32(77))
+	is.Equal(len(p.flows), 0) // leads to no target that is known
+	is.Equal(p.Progress(start, key(2), 1, false), uint32(1))
+	is.Equal(p.load(start, 1), 1.0) // counts as load here from now on
+	p.Progress(start, key(2), 1, true)
+	is.Equal(p.load(start, 1), 0.0)
+}
+
+// TestLongFlowsOfOthersAreNoLastingDoubt: only the first packet of a flow shows
+// that the routers have changed.
+func TestLongFlowsOfOthersAreNoLastingDoubt(t *testing.T) {
+	is := is.New(t)
+	p := placer(view(member(1, "near"), member(2, "near")))
+	p.Progress(start, key(99), 2, false)
+	now := start.Add(time.Second)
+	open(t, p, now, 1)
+	p.Progress(now.Add(8*time.Millisecond), key(99), 2, false)
+	is.True(len(tickTo(p, now, now.Add(100*time.Millisecond))) > 0)
+}
+
+// TestFlowsThatAreReroutedAreNoEvidence plays routers that send flows to other
+// hosts than before: the answer to an opening shows at another host. A copy of
+// the opening shows that there was none.
+func TestFlowsThatAreReroutedAreNoEvidence(t *testing.T) {
+	is := is.New(t)
+	p := placer(view(member(1, "near"), member(2, "near")))
+	cookie := open(t, p, start, 1)
+	p.Progress(start.Add(8*time.Millisecond), key(99), 2, false) // opened elsewhere
+	is.Equal(len(tickTo(p, start, start.Add(190*time.Millisecond))), 0)
+	is.Equal(p.Counters().Unanswered, uint64(0))
+
+	is.Equal(open(t, p, start.Add(200*time.Millisecond), 1), cookie)
+	is.True(len(tickTo(p, start.Add(200*time.Millisecond), start.Add(300*time.Millisecond))) > 0)
 }
 
 // TestAStallIsNoEvidence plays a host that stood still: the answers wait in its
