Tell changes in datagrams and keep pulses few in a large fleet

A configuration was one record, pulled whole by each host at each change. Change: in a fleet of more than 12 hosts a host tells those of its data centre, readers some of each other one, and no host sends over 50 datagrams a second. Readers push changes that fit a datagram; routes are records of their own, so that a change tells only what changed. Deltas carry a digest of the teller's table: a host that listed the store after an object was gone can't tell that it is (found by the property test), and such a delta no longer moves the revision. A host that starts asks the seeds before it reads the store.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -83,8 +83,10 @@
 	codec   peer.Codec
 
 	// changed wakes the pulse when the tables have changed.
-	changed  chan struct{}
-	pulls    chan registry.Host
+	changed chan struct{}
+	pulls   chan wanted
+	// seeded is closed when the seeds have answered or failed.
+	seeded   chan struct{}
 	ready    atomic.Bool
 	stopping atomic.Bool
 	// lastPacket is the time of the last packet in nanoseconds since started.
@@ -107,7 +109,8 @@
 			Name: s.Host, DataCentre: s.DataCentre, Address: netip.AddrPortFrom(s.Address, s.PeerPort),
 		},
 		changed: make(chan struct{}, 1),
-		pulls:   make(chan registry.Host, 16),
+		pulls:   make(chan wanted, 16),
+		seeded:  make(chan struct{}),
 		started: time.Now(),
 	}
 	b.settings.Store(&s)
@@ -119,9 +122,7 @@
 	b.store = platform.NewStore(func() netip.AddrPort { return b.settings.Load().Store })
 	b.store.Observe = b.observeCall
 	b.metrics.init(b)
-	keep := s.MaxFlowAge + goneSlack
-	b.tables.Routing.Keep, b.tables.Targets.Keep = keep, keep
-	b.tables.Evacuations.Keep, b.tables.Hosts.Keep = keep, keep
+	b.tables.Keep(s.MaxFlowAge + goneSlack)
 	if err := b.open(); err != nil {
 		if closed := b.close(); closed != nil {
 			log.WithError(closed).Warn("not all closed")
@@ -139,9 +140,9 @@
 	b.goRun(b.pulse)
 	b.goRun(b.pull)
 	b.goRun(b.register)
-	b.goRun(func() { follow(b, routing) })
-	b.goRun(func() { follow(b, targets) })
-	b.goRun(func() { follow(b, evacuations) })
+	for _, f := range []followed{routing, targets, evacuations, hosts} {
+		b.goRun(func() { b.follow(f) })
+	}
 	b.goRun(b.pullSeeds)
 }
 
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -103,6 +103,7 @@
 		Packets: netip.AddrPortFrom(at, packetPort), Ready: netip.AddrPortFrom(at, readyPort), PeerPort: peerPort,
 		Seeds: []netip.Addr{w.address(1, 1)}, Store: w.storeAt, Grace: 6 * time.Second,
 		MaxFlowAge: time.Minute, WarmUpFactor: 1,
+		ConfigBound: 3 * time.Second, DrainBound: 3 * time.Second, EvacuationBound: 5 * time.Second,
 	}
 }
 
@@ -274,6 +275,25 @@
 	})
 }
 
+// TestAHostThatStartsBeforeTheFirstConfiguration waits for it: without routes it
+// would reset flows that have one.
+func TestAHostThatStartsBeforeTheFirstConfiguration(t *testing.T) {
+	w := newWorld(t, 115)
+	w.store.Put(platform.RoutingKind, "main", nil)
+	tg := w.target(1, "s1", "a")
+	b := w.startHost(1, "a")
+	w.eventually("targets are known", func() bool {
+		b.stateMu.Lock()
+		defer b.stateMu.Unlock()
+		return b.tables.Targets.Revision() > 0
+	})
+	w.is.True(!b.ready.Load())
+	w.route(1, route(service1, "s1"))
+	w.eventually("ready", func() bool { return b.ready.Load() })
+	_, name := w.mustOpen(1, service1)
+	w.is.Equal(name, tg.Name)
+}
+
 func TestBrokenObjectsHideNoOthers(t *testing.T) {
 	w := newWorld(t, 106)
 	tg := w.target(1, "s1", "a")
@@ -329,7 +349,7 @@
 	second.stateMu.Lock()
 	second.codec.Incarnation = 1 // as if it had started with an early clock
 	second.stateMu.Unlock()
-	second.pullSeeds()
+	second.pullFrom(first.self)
 	w.eventually("the second is heard again", func() bool { return heard(first, "h2") > was })
 }
 
--- a/balancer/follow.go
+++ b/balancer/follow.go
@@ -8,21 +8,28 @@
 
 	"github.com/apex/log"
 
+	"github.com/cornelbay/cornelbay/gossip"
 	"github.com/cornelbay/cornelbay/platform"
 	"github.com/cornelbay/cornelbay/registry"
 )
 
 const (
-	// watchWait is how long a watch waits for changes: half of the shortest time
-	// in which a change has to be in force, since a watch may hear nothing and
-	// only the next call shows it.
-	watchWait = 1500 * time.Millisecond
-	// readAfter is the age of the last confirmation from which a host reads for
-	// itself: a watch of the readers and a pulse are overdue.
-	readAfter = watchWait + 500*time.Millisecond
+	// watchShare is the part of the shortest bound within which a change has to be
+	// in force that a watch waits: one may hear nothing, which only the next call
+	// shows.
+	watchShare = 2
+	// readSlack is how much longer than a watch the last confirmation may be ago
+	// before a host reads for itself: a pulse of the readers is overdue then.
+	readSlack = 500 * time.Millisecond
+	// hostsWait is how long a watch of the hosts on record waits: no promise hangs
+	// on its time.
+	hostsWait = 10 * time.Second
 	// settle is the pause after changes, in which others that come with them are
 	// collected for one call.
 	settle = 60 * time.Millisecond
+	// seedHeadStart is how long a host that starts waits for what others know
+	// before it reads the store: some round trips.
+	seedHeadStart = 15 * time.Millisecond
 	// firstPause and lastPause bound the pause after a call that failed.
 	firstPause = 100 * time.Millisecond
 	lastPause  = 800 * time.Millisecond
@@ -30,87 +37,171 @@
 	readCheck = 100 * time.Millisecond
 )
 
+// watchWait returns how long a watch waits for changes.
+func (b *Balancer) watchWait(kind string) time.Duration {
+	if kind == platform.HostKind {
+		return hostsWait
+	}
+	s := b.settings.Load()
+	return min(s.ConfigBound, s.DrainBound, s.EvacuationBound) / watchShare
+}
+
+// table is what follow needs of a registry.Table.
+type table interface {
+	Revision() uint64
+	Confirm(at time.Time) bool
+	Confirmed() time.Time
+}
+
 // followed is one kind of objects in the store and the table that it fills.
-type followed[T any] struct {
-	kind   string
-	decode func(platform.Object) (T, error)
-	table  func(*registry.Tables) *registry.Table[T]
+type followed struct {
+	kind  string
+	table func(*registry.Tables) table
+	// list takes over all objects of the kind, and events changes of them, which
+	// lead to a revision; both report whether the table changed.
+	list   func(now time.Time, t *registry.Tables, revision uint64, objects []platform.Object) bool
+	events func(now time.Time, t *registry.Tables, revision uint64, events []platform.Event) bool
 }
 
 var (
-	routing = followed[registry.Routing]{
-		platform.RoutingKind, platform.DecodeRouting,
-		func(t *registry.Tables) *registry.Table[registry.Routing] { return &t.Routing },
+	targets = plain(platform.TargetKind, platform.DecodeTarget, func(t *registry.Tables) *registry.Table[registry.Target] {
+		return &t.Targets
+	})
+	evacuations = plain(platform.EvacuationKind, platform.DecodeEvacuation, func(t *registry.Tables) *registry.Table[registry.Evacuation] {
+		return &t.Evacuations
+	})
+	hosts = plain(platform.HostKind, platform.DecodeHost, func(t *registry.Tables) *registry.Table[registry.Host] {
+		return &t.Hosts
+	})
+	routing = followed{
+		kind:  platform.RoutingKind,
+		table: func(t *registry.Tables) table { return &t.Routes },
+		list: func(now time.Time, t *registry.Tables, revision uint64, objects []platform.Object) bool {
+			changed := false
+			for _, o := range objects {
+				changed = takeRouting(now, t, revision, o) || changed
+			}
+			return changed
+		},
+		events: func(now time.Time, t *registry.Tables, revision uint64, events []platform.Event) bool {
+			changed := false
+			for _, e := range events {
+				if !e.Deleted {
+					changed = takeRouting(now, t, revision, e.Object) || changed
+				}
+			}
+			return changed
+		},
 	}
-	targets = followed[registry.Target]{
-		platform.TargetKind, platform.DecodeTarget,
-		func(t *registry.Tables) *registry.Table[registry.Target] { return &t.Targets },
+)
+
+// takeRouting takes over a configuration; one that can't be read leaves the last.
+func takeRouting(now time.Time, t *registry.Tables, revision uint64, o platform.Object) bool {
+	r, err := platform.DecodeRouting(o)
+	if err != nil {
+		logSkipped(platform.RoutingKind, o, err)
+		return false
 	}
-	evacuations = followed[registry.Evacuation]{
-		platform.EvacuationKind, platform.DecodeEvacuation,
-		func(t *registry.Tables) *registry.Table[registry.Evacuation] { return &t.Evacuations },
+	return t.TakeRouting(now, revision, o.Revision, r)
+}
+
+// plain returns a kind whose objects are the records of a table.
+func plain[T any](kind string, decode func(platform.Object) (T, error), of func(*registry.Tables) *registry.Table[T]) followed {
+	record := func(o platform.Object) (registry.Record[T], bool) {
+		v, err := decode(o)
+		if err != nil {
+			logSkipped(kind, o, err)
+			return registry.Record[T]{Name: o.Name, Revision: o.Revision, Gone: true}, false
+		}
+		return registry.Record[T]{Name: o.Name, Revision: o.Revision, Value: v}, true
 	}
-	hosts = followed[registry.Host]{
-		platform.HostKind, platform.DecodeHost,
-		func(t *registry.Tables) *registry.Table[registry.Host] { return &t.Hosts },
+	return followed{
+		kind:  kind,
+		table: func(t *registry.Tables) table { return of(t) },
+		list: func(now time.Time, t *registry.Tables, revision uint64, objects []platform.Object) bool {
+			var records []registry.Record[T]
+			for _, o := range objects {
+				if r, ok := record(o); ok {
+					records = append(records, r)
+				}
+			}
+			return of(t).Replace(now, revision, records)
+		},
+		events: func(now time.Time, t *registry.Tables, revision uint64, events []platform.Event) bool {
+			var records []registry.Record[T]
+			for _, e := range events {
+				r, _ := record(e.Object)
+				r.Gone = r.Gone || e.Deleted
+				records = append(records, r)
+			}
+			return of(t).Apply(now, revision, records)
+		},
 	}
-)
+}
+
+// logSkipped tells of an object that another writer left broken: it names nothing
+// to use.
+func logSkipped(kind string, o platform.Object, err error) {
+	log.WithError(err).WithFields(log.Fields{"kind": kind, "name": o.Name, "revision": o.Revision}).Warn("object skipped")
+}
 
 // follow keeps a table up to date: from the store while the host is a reader or
 // nobody else has confirmed the table of late, else other hosts do.
-func follow[T any](b *Balancer, f followed[T]) {
+func (b *Balancer) follow(f followed) {
+	select {
+	case <-b.seeded:
+	case <-time.After(seedHeadStart):
+	}
 	pause := firstPause
-	lost := false
-	listed := false
+	lost, listed := false, false
 	for b.ctx.Err() == nil {
-		if !b.mustRead(f.kind, confirmedOf(b, f)) {
+		if !b.mustRead(f) {
 			listed = false
 			b.sleep(readCheck)
 			continue
 		}
-		var changed bool
-		var err error
-		if listed {
-			changed, err = watch(b, f)
-		} else {
-			changed, err = list(b, f)
-		}
+		changed, err := b.read(f, listed)
 		listed = err == nil
-		if err != nil && b.ctx.Err() == nil {
-			if !lost && !errors.Is(err, platform.ErrHistoryGone) {
-				lost = true
+		switch {
+		case b.ctx.Err() != nil:
+		case errors.Is(err, platform.ErrHistoryGone):
+			log.WithField("kind", f.kind).Info("history of the store is gone: listing anew")
+		case err == nil && b.empty(f):
+			listed = false // the store does not hold it yet: there is no revision to watch from
+			b.sleep(firstPause)
+		case err != nil:
+			if !lost {
 				log.WithError(err).WithField("kind", f.kind).Warn("store lost")
 			}
-			if errors.Is(err, platform.ErrHistoryGone) {
-				log.WithField("kind", f.kind).Info("history of the store is gone: listing anew")
-				continue
-			}
+			lost = true
 			b.sleep(pause/2 + rand.N(pause))
 			pause = min(2*pause, lastPause)
-			continue
-		}
-		if lost {
-			lost = false
-			log.WithField("kind", f.kind).Info("store regained")
-		}
-		pause = firstPause
-		if changed {
-			b.sleep(settle)
+		default:
+			if lost {
+				log.WithField("kind", f.kind).Info("store regained")
+			}
+			lost, pause = false, firstPause
+			if changed {
+				b.sleep(settle)
+			}
 		}
 	}
 }
 
-func confirmedOf[T any](b *Balancer, f followed[T]) time.Time {
+func (b *Balancer) empty(f followed) bool {
 	b.stateMu.Lock()
 	defer b.stateMu.Unlock()
-	return f.table(&b.tables).Confirmed()
+	return f.table(&b.tables).Revision() == 0
 }
 
-func (b *Balancer) mustRead(kind string, confirmed time.Time) bool {
+// mustRead reports whether the host reads a kind itself: as a reader, or because
+// nobody has confirmed the table for longer than a reader takes.
+func (b *Balancer) mustRead(f followed) bool {
 	b.stateMu.Lock()
 	defer b.stateMu.Unlock()
 	now := time.Now()
-	return confirmed.IsZero() || now.Sub(confirmed) > readAfter || b.members.Reads(now)
+	confirmed := f.table(&b.tables).Confirmed()
+	return confirmed.IsZero() || now.Sub(confirmed) > b.watchWait(f.kind)+readSlack || b.members.Reads(now)
 }
 
 func (b *Balancer) sleep(d time.Duration) {
@@ -122,78 +213,52 @@
 	}
 }
 
-func list[T any](b *Balancer, f followed[T]) (bool, error) {
-	began := time.Now()
-	objects, revision, err := b.store.List(b.ctx, f.kind)
-	if err != nil {
-		return false, err
-	}
-	var records []registry.Record[T]
-	for _, o := range objects {
-		if r, ok := decode(f, o); ok {
-			records = append(records, r)
+// read calls the store for a kind: a watch where the table has been listed, else
+// a list. It reports whether the table changed.
+func (b *Balancer) read(f followed, listed bool) (bool, error) {
+	if !listed {
+		began := time.Now()
+		objects, revision, err := b.store.List(b.ctx, f.kind)
+		if err != nil {
+			return false, err
 		}
+		return b.take(f, "list", began, revision, func(now time.Time, t *registry.Tables) bool {
+			return f.list(now, t, revision, objects)
+		}), nil
 	}
-	changed := false
-	b.change(func(now time.Time, t *registry.Tables) bool {
-		table := f.table(t)
-		again := table.Confirm(began)
-		changed = table.Replace(now, revision, records)
-		return changed || again
-	})
-	b.logChange(f.kind, revision, "list", changed)
-	return changed, nil
-}
-
-func watch[T any](b *Balancer, f followed[T]) (bool, error) {
 	b.stateMu.Lock()
 	since := f.table(&b.tables).Revision()
 	b.stateMu.Unlock()
-	events, revision, err := b.store.Watch(b.ctx, f.kind, since, watchWait)
+	events, revision, err := b.store.Watch(b.ctx, f.kind, since, b.watchWait(f.kind))
 	if err != nil {
 		return false, err
 	}
-	var records []registry.Record[T]
-	for _, e := range events {
-		r, ok := decode(f, e.Object)
-		if !ok || e.Deleted {
-			r = registry.Record[T]{Name: e.Object.Name, Revision: e.Object.Revision, Gone: true}
-		}
-		records = append(records, r)
-	}
+	return b.take(f, "watch", time.Now(), revision, func(now time.Time, t *registry.Tables) bool {
+		// An answer without events does not move the revision: a watch that heard
+		// nothing is continued where it began.
+		return len(events) > 0 && f.events(now, t, revision, events)
+	}), nil
+}
+
+// take changes the tables, tells the hosts of the data centre what is new, and
+// reports whether anything changed.
+func (b *Balancer) take(f followed, by string, confirmed time.Time, revision uint64, change func(time.Time, *registry.Tables) bool) bool {
+	var before gossip.Revisions
 	changed := false
 	b.change(func(now time.Time, t *registry.Tables) bool {
-		table := f.table(t)
-		again := table.Confirm(now)
-		if len(records) > 0 {
-			// An answer without events does not move the revision: a watch that
-			// heard nothing is continued where it began.
-			changed = table.Apply(now, revision, records)
-		}
+		before = gossip.RevisionsOf(t)
+		again := f.table(t).Confirm(confirmed)
+		changed = change(now, t)
 		return changed || again
 	})
-	b.logChange(f.kind, revision, "watch", changed)
-	return changed, nil
-}
-
-func (b *Balancer) logChange(kind string, revision uint64, by string, changed bool) {
 	if changed {
-		log.WithFields(log.Fields{"kind": kind, "revision": revision, "by": by, "version": b.version()}).Info("table changed")
+		log.WithFields(log.Fields{"kind": f.kind, "revision": revision, "by": by, "version": b.version()}).Info("table changed")
+		b.tellNews(before)
 	}
+	return changed
 }
 
-// decode returns the record of an object; one that another writer left broken
-// names nothing to use.
-func decode[T any](f followed[T], o platform.Object) (registry.Record[T], bool) {
-	v, err := f.decode(o)
-	if err != nil {
-		log.WithError(err).WithFields(log.Fields{"kind": f.kind, "name": o.Name, "revision": o.Revision}).Warn("object skipped")
-		return registry.Record[T]{}, false
-	}
-	return registry.Record[T]{Name: o.Name, Revision: o.Revision, Value: v}, true
-}
-
-// register puts the own host on record and learns of the others.
+// register puts the own host on record.
 func (b *Balancer) register() {
 	spec, err := json.Marshal(b.self)
 	if err != nil {
@@ -202,9 +267,6 @@
 	}
 	for pause := firstPause; b.ctx.Err() == nil; pause = min(2*pause, lastPause) {
 		err := b.store.Put(b.ctx, platform.HostKind, string(b.self.Name), spec)
-		if err == nil {
-			_, err = list(b, hosts)
-		}
 		if err == nil {
 			return
 		}
--- a/balancer/metrics.go
+++ b/balancer/metrics.go
@@ -35,13 +35,13 @@
 		value      func(c *Balancer, now time.Time) float64
 	}{
 		{"cornelbay_routing_age_seconds", "Time since the routes were confirmed.", func(b *Balancer, now time.Time) float64 {
-			return now.Sub(b.tables.Routing.Confirmed()).Seconds()
+			return now.Sub(b.tables.Routes.Confirmed()).Seconds()
 		}},
 		{"cornelbay_targets_age_seconds", "Time since the targets were confirmed.", func(b *Balancer, now time.Time) float64 {
 			return now.Sub(b.tables.Targets.Confirmed()).Seconds()
 		}},
 		{"cornelbay_routing_revision", "Revision of the routes.", func(b *Balancer, _ time.Time) float64 {
-			return float64(b.tables.Routing.Revision())
+			return float64(b.tables.Routes.Revision())
 		}},
 		{"cornelbay_targets_revision", "Revision of the targets.", func(b *Balancer, _ time.Time) float64 {
 			return float64(b.tables.Targets.Revision())
--- a/balancer/peers.go
+++ b/balancer/peers.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -19,8 +20,10 @@
 
 const (
 	pullTimeout = 600 * time.Millisecond
-	// farPullDelay lets a pull within the data centre come first.
-	farPullDelay = 40 * time.Millisecond
+	// nearPullDelay lets news come that are on their way, and farPullDelay a pull
+	// within the data centre.
+	nearPullDelay = 20 * time.Millisecond
+	farPullDelay  = 100 * time.Millisecond
 	// loadScale is the number of steps that a pulse tells of one active flow.
 	loadScale = 100
 )
@@ -51,11 +54,17 @@
 		b.metrics.refused(err)
 		return
 	}
+	now := time.Now()
+	if n, ok := m.(gossip.News); ok {
+		if n.Merge(now, &b.tables) {
+			b.apply(now)
+		}
+		return
+	}
 	p, ok := m.(gossip.Pulse)
 	if !ok || p.Host.Name != e.From || e.From == b.self.Name {
 		return
 	}
-	now := time.Now()
 	if b.members.Hear(now, e.Incarnation, p) {
 		log.WithFields(log.Fields{"host": e.From, "incarnation": e.Incarnation}).Info("host heard")
 	}
@@ -71,38 +80,43 @@
 	b.trafficMu.Lock()
 	b.placer.Hear(e.From, placement.Report{At: now, Loads: loads})
 	b.trafficMu.Unlock()
-	if gossip.RevisionsOf(&b.tables).Lacks(p.Revisions) {
+	own := gossip.RevisionsOf(&b.tables)
+	if p.Revisions.Lacks(own) && b.members.Reply(now, e.From) {
+		b.sendPeers(b.seal(now, gossip.Pulse{Host: b.self}), []netip.AddrPort{p.Host.Address})
+	}
+	if own.Lacks(p.Revisions) {
 		select {
-		case b.pulls <- p.Host:
+		case b.pulls <- wanted{p.Host, p.Revisions}:
 		default: // others that wait have the same
 		}
 	}
 }
 
-// pulse tells the other hosts at each interval, and soon after a change, what
-// this one knows.
+// pulse tells other hosts at each interval, and soon after a change, what this
+// one knows.
 func (b *Balancer) pulse() {
-	t := time.NewTicker(gossip.Interval)
-	defer t.Stop()
+	every := gossip.Interval
 	reported := time.Now()
-	for {
+	for b.ctx.Err() == nil {
+		t := time.NewTimer(every)
 		select {
 		case <-b.ctx.Done():
-			return
 		case <-t.C:
-			b.tellLost()
 		case <-b.changed:
 		}
+		t.Stop()
 		now := time.Now()
+		b.logLost(reported, now)
 		b.trafficMu.Lock()
 		r := b.placer.Report(now, reported)
 		b.trafficMu.Unlock()
 		reported = now
-		b.tell(now, r)
+		every = b.tell(now, r)
 	}
 }
 
-func (b *Balancer) tell(now time.Time, r placement.Report) {
+// tell sends a pulse and returns the interval until the next one.
+func (b *Balancer) tell(now time.Time, r placement.Report) time.Duration {
 	p := gossip.Pulse{Host: b.self, Loads: make(map[uint32]uint32), Stopping: b.stopping.Load()}
 	for cookie, n := range r.Loads {
 		if steps := uint32(n*loadScale + 0.5); steps > 0 {
@@ -110,6 +124,18 @@
 		}
 	}
 	b.stateMu.Lock()
+	to := b.recipients(now)
+	every := gossip.Every(len(to))
+	p.EveryMs = uint32(every.Milliseconds())
+	datagram := b.seal(now, p)
+	b.stateMu.Unlock()
+	b.sendPeers(datagram, to)
+	return every
+}
+
+// seal completes a pulse with what is known and returns its datagram, or nil
+// after an error. It is called with stateMu held.
+func (b *Balancer) seal(now time.Time, p gossip.Pulse) []byte {
 	p.Revisions, p.Ages = gossip.RevisionsOf(&b.tables), gossip.AgesOf(now, &b.tables)
 	p.Reads = b.members.Reads(now)
 	datagram, err := b.codec.Seal(p)
@@ -117,10 +143,15 @@
 		p.Loads = nil // what hosts know goes before what they have open
 		datagram, err = b.codec.Seal(p)
 	}
-	to := b.others(now)
-	b.stateMu.Unlock()
 	if err != nil {
 		log.WithError(err).Error("pulse not sealed")
+		return nil
+	}
+	return datagram
+}
+
+func (b *Balancer) sendPeers(datagram []byte, to []netip.AddrPort) {
+	if datagram == nil {
 		return
 	}
 	for _, at := range to {
@@ -130,9 +161,16 @@
 	}
 }
 
-// others returns the addresses of all hosts that are on record, heard or named as
-// seeds. It is called with stateMu held.
-func (b *Balancer) others(now time.Time) []netip.AddrPort {
+// recipients returns the addresses of the hosts to tell and of the seeds. It is
+// called with stateMu held.
+func (b *Balancer) recipients(now time.Time) []netip.AddrPort {
+	var onRecord []registry.Host
+	for _, r := range b.tables.Hosts.All() {
+		if !r.Gone {
+			onRecord = append(onRecord, r.Value)
+		}
+	}
+	reads := b.members.Reads(now) || now.Sub(b.tables.Targets.Confirmed()) > registry.StaleAfter
 	seen := map[netip.AddrPort]bool{b.self.Address: true}
 	var to []netip.AddrPort
 	add := func(at netip.AddrPort) {
@@ -141,40 +179,71 @@
 			to = append(to, at)
 		}
 	}
-	for _, h := range b.members.Alive(now) {
+	for _, h := range b.members.Recipients(now, onRecord, reads) {
 		add(h.Address)
 	}
-	for _, r := range b.tables.Hosts.All() {
-		if !r.Gone {
-			add(r.Value.Address)
-		}
-	}
 	for _, seed := range b.settings.Load().Seeds {
 		add(netip.AddrPortFrom(seed, b.settings.Load().PeerPort))
 	}
 	return to
 }
 
-func (b *Balancer) tellLost() {
+// tellNews tells the hosts of the data centre what has changed since some
+// revisions. What does not fit a datagram they pull when the next pulse comes.
+func (b *Balancer) tellNews(since gossip.Revisions) {
+	b.stateMu.Lock()
+	now := time.Now()
+	news := gossip.News{PullReply: gossip.Pull{Since: since}.Answer(now, &b.tables)}
+	var to []netip.AddrPort
+	for _, h := range b.members.Alive(now) {
+		if h.DataCentre == b.self.DataCentre {
+			to = append(to, h.Address)
+		}
+	}
+	datagram, err := b.codec.Seal(news)
+	b.stateMu.Unlock()
+	if err != nil {
+		if !errors.Is(err, peer.ErrTooLarge) {
+			log.WithError(err).Error("news not sealed")
+		}
+		return
+	}
+	b.sendPeers(datagram, to)
+}
+
+func (b *Balancer) logLost(before, now time.Time) {
 	b.stateMu.Lock()
-	lost := b.members.Lost(time.Now())
+	lost := b.members.Lost(before, now)
 	b.stateMu.Unlock()
 	for _, h := range lost {
 		log.WithFields(log.Fields{"host": h.Name, "dataCentre": h.DataCentre}).Warn("host silent")
 	}
 }
 
+// wanted is what the pulse of a host showed this one to lack.
+type wanted struct {
+	from      registry.Host
+	revisions gossip.Revisions
+}
+
 // pull fetches from other hosts what their pulses show this one to lack.
 func (b *Balancer) pull() {
 	for {
 		select {
 		case <-b.ctx.Done():
 			return
-		case h := <-b.pulls:
-			if h.DataCentre != b.self.DataCentre {
-				b.sleep(farPullDelay)
+		case w := <-b.pulls:
+			delay := nearPullDelay
+			if w.from.DataCentre != b.self.DataCentre {
+				delay = farPullDelay
+			}
+			b.sleep(delay)
+			b.stateMu.Lock()
+			lacks := gossip.RevisionsOf(&b.tables).Lacks(w.revisions)
+			b.stateMu.Unlock()
+			if lacks {
+				b.pullFrom(w.from)
 			}
-			b.pullFrom(h)
 		}
 	}
 }
@@ -182,17 +251,20 @@
 // pullSeeds asks the hosts that the settings name, which may know what the store
 // cannot tell now.
 func (b *Balancer) pullSeeds() {
+	defer close(b.seeded)
+	var all sync.WaitGroup
 	for _, seed := range b.settings.Load().Seeds {
 		at := netip.AddrPortFrom(seed, b.settings.Load().PeerPort)
 		if at != b.self.Address {
-			b.goRun(func() { b.pullFrom(registry.Host{Address: at}) })
+			all.Go(func() { b.pullFrom(registry.Host{Address: at}) })
 		}
 	}
+	all.Wait()
 }
 
 func (b *Balancer) pullFrom(h registry.Host) {
 	b.stateMu.Lock()
-	since := gossip.RevisionsOf(&b.tables)
+	since := gossip.BasesOf(&b.tables)
 	b.stateMu.Unlock()
 	ctx, cancel := context.WithTimeout(b.ctx, pullTimeout)
 	defer cancel()
@@ -215,7 +287,7 @@
 	})
 	if changed {
 		log.WithFields(log.Fields{
-			"from": h.Address.String(), "routing": r.Routing.Revision, "targets": r.Targets.Revision,
+			"from": h.Address.String(), "routing": r.Routes.Revision, "targets": r.Targets.Revision,
 			"evacuations": r.Evacuations.Revision, "version": b.version(),
 		}).Info("tables pulled")
 	}
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -43,7 +44,7 @@
 					if other.Name != self.Name {
 						at := start
 						if !contains(c.alive, other.Name) {
-							at = start.Add(-2 * silentAfter)
+							at = start.Add(-2 * silentPulses * Interval)
 						}
 						m.Hear(at, 1, Pulse{Host: other, Stopping: other.Name == c.stops})
 					}
@@ -74,7 +75,8 @@
 	is.Equal(m.Incarnation("b"), cornelbay.Incarnation(7))
 	told := 0
 	for i := range 20 {
-		told += len(m.Lost(start.Add(Interval + time.Duration(i)*Interval)))
+		before := start.Add(time.Duration(i) * Interval)
+		told += len(m.Lost(before, before.Add(Interval)))
 	}
 	is.Equal(told, 1)
 	is.True(m.Hear(start.Add(time.Minute), 8, Pulse{Host: host("b", "x")}))
@@ -83,17 +85,15 @@
 // full returns tables with one record each.
 func full(at uint64) *registry.Tables {
 	var t registry.Tables
-	t.Routing.Replace(start, at, []registry.Record[registry.Routing]{{
-		Name: "main", Revision: at, Value: registry.Routing{Version: at, Routes: []registry.Route{{
-			Name: "r", Address: netip.MustParseAddrPort("198.18.0.1:80"), Shares: []registry.Share{{Service: "s", Weight: 1}},
-		}}},
-	}})
+	t.TakeRouting(start, at, at, registry.Routing{Policy: registry.Policy{Version: at}, Routes: []registry.Route{{
+		Name: "r", Address: netip.MustParseAddrPort("198.18.0.1:80"), Shares: []registry.Share{{Service: "s", Weight: 1}},
+	}}})
 	t.Targets.Replace(start, at, []registry.Record[registry.Target]{{
 		Name: "i-1", Revision: at, Value: registry.Target{Name: "i-1", Number: 1, Service: "s", Address: netip.MustParseAddrPort("10.0.0.2:80")},
 	}})
 	t.Evacuations.Replace(start, at, nil)
 	t.Hosts.Replace(start, at, nil)
-	for _, confirm := range []func(time.Time) bool{t.Routing.Confirm, t.Targets.Confirm, t.Evacuations.Confirm} {
+	for _, confirm := range []func(time.Time) bool{t.Routes.Confirm, t.Targets.Confirm, t.Evacuations.Confirm} {
 		confirm(start)
 	}
 	return &t
@@ -122,7 +122,7 @@
 	is.Equal(behind.Targets.Confirmed(), start)
 	Ages{Routing: 10, Targets: maxAge, Evacuations: 10}.Confirm(now, RevisionsOf(behind), behind)
 	is.Equal(behind.Targets.Confirmed(), start) // its teller does not know
-	is.Equal(behind.Routing.Confirmed(), now.Add(-10*time.Millisecond))
+	is.Equal(behind.Routes.Confirmed(), now.Add(-10*time.Millisecond))
 }
 
 func TestPulseFitsADatagram(t *testing.T) {
@@ -155,3 +155,43 @@
 		}
 	})
 }
+
+// TestPulsesStayFewInALargeFleet: what a host sends a second does not grow with
+// the fleet.
+func TestPulsesStayFewInALargeFleet(t *testing.T) {
+	for _, c := range []struct {
+		perDataCentre int
+		reads         bool
+		want          int
+	}{
+		{2, false, 7}, {2, true, 7}, {20, false, 19}, {20, true, 19 + 3*contactsPerDataCentre},
+	} {
+		is := is.New(t)
+		m := Members{Self: host("a-00", "a")}
+		var all []registry.Host
+		for _, dc := range []cornelbay.DataCentreName{"a", "b", "c", "d"} {
+			for i := range c.perDataCentre {
+				h := host(cornelbay.HostName(fmt.Sprintf("%s-%02d", dc, i)), dc)
+				all = append(all, h)
+				if i%2 == 1 {
+					m.Hear(start, 1, Pulse{Host: h}) // the others are on record only
+				}
+			}
+		}
+		to := m.Recipients(start, all, c.reads)
+		is.Equal(len(to), c.want)
+		perSecond := float64(len(to)) / Every(len(to)).Seconds()
+		is.True(perSecond <= 50.1)
+	}
+}
+
+func TestAFarHostThatIsBehindIsAnsweredAtTimes(t *testing.T) {
+	is := is.New(t)
+	m := Members{Self: host("a", "a")}
+	m.Hear(start, 1, Pulse{Host: host("b", "b")})
+	m.Hear(start, 1, Pulse{Host: host("c", "a")})
+	is.True(m.Reply(start, "b"))
+	is.True(!m.Reply(start, "b"))
+	is.True(!m.Reply(start, "c")) // is told anyway
+	is.True(m.Reply(start.Add(replyPause), "b"))
+}
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -10,14 +10,24 @@
 )
 
 const (
-	// Interval is the time between two pulses of a host.
+	// Interval is the least time between two pulses of a host.
 	Interval = 150 * time.Millisecond
-	// silentAfter is the silence after which another host no longer counts as
-	// alive: four pulses, so that one that is lost changes nothing.
-	silentAfter = 4 * Interval
+	// pausePerHost bounds the pulses of a host to 50 datagrams a second: with more
+	// hosts to tell, the interval grows.
+	pausePerHost = 20 * time.Millisecond
+	// silentPulses is the number of pulses after whose loss a host no longer counts
+	// as alive, so that one that is lost changes nothing.
+	silentPulses = 4
 	// readersPerDataCentre is the number of hosts of a data centre that read the
 	// store for the others.
 	readersPerDataCentre = 1
+	// smallFleet is the number of other hosts up to which all tell all.
+	smallFleet = 12
+	// contactsPerDataCentre is the number of hosts of another data centre that a
+	// reader tells in a larger fleet.
+	contactsPerDataCentre = 2
+	// replyPause is the least time between two answers to pulses of one host.
+	replyPause = 300 * time.Millisecond
 )
 
 // member is what is known of another host.
@@ -26,9 +36,12 @@
 	incarnation cornelbay.Incarnation
 	heard       time.Time
 	stopping    bool
-	reads       bool
+	every       time.Duration
+	replied     time.Time
 }
 
+func (o *member) silent(now time.Time) bool { return now.Sub(o.heard) > silentPulses*o.every }
+
 // Members are the other hosts as their pulses show them; the zero value knows
 // none. It is not safe for concurrent use.
 type Members struct {
@@ -42,12 +55,28 @@
 	if m.members == nil {
 		m.members = make(map[cornelbay.HostName]*member)
 	}
-	old, ok := m.members[p.Host.Name]
-	back := !ok || now.Sub(old.heard) > silentAfter
-	m.members[p.Host.Name] = &member{p.Host, incarnation, now, p.Stopping, p.Reads}
+	o, ok := m.members[p.Host.Name]
+	if !ok {
+		o = &member{}
+		m.members[p.Host.Name] = o
+	}
+	back := !ok || o.silent(now)
+	o.host, o.incarnation, o.heard, o.stopping = p.Host, incarnation, now, p.Stopping
+	o.every = max(time.Duration(p.EveryMs)*time.Millisecond, Interval)
 	return back
 }
 
+// Reply reports whether a pulse of a host that is not told of changes otherwise
+// should be answered now.
+func (m *Members) Reply(now time.Time, name cornelbay.HostName) bool {
+	o, ok := m.members[name]
+	if !ok || o.host.DataCentre == m.Self.DataCentre || now.Sub(o.replied) < replyPause {
+		return false
+	}
+	o.replied = now
+	return true
+}
+
 // Incarnation returns the last incarnation that was heard of a host, or 0.
 func (m *Members) Incarnation(name cornelbay.HostName) cornelbay.Incarnation {
 	if o, ok := m.members[name]; ok {
@@ -56,12 +85,11 @@
 	return 0
 }
 
-// Lost returns the hosts that were heard before and have been silent since a
-// time ago that lies between silentAfter and one interval more.
-func (m *Members) Lost(now time.Time) []registry.Host {
+// Lost returns the hosts whose silence has reached its bound since before.
+func (m *Members) Lost(before, now time.Time) []registry.Host {
 	var lost []registry.Host
 	for _, o := range m.members {
-		if silence := now.Sub(o.heard); silence > silentAfter && silence <= silentAfter+Interval {
+		if !o.silent(before) && o.silent(now) {
 			lost = append(lost, o.host)
 		}
 	}
@@ -72,7 +100,7 @@
 func (m *Members) Alive(now time.Time) []registry.Host {
 	var alive []registry.Host
 	for _, o := range m.members {
-		if now.Sub(o.heard) <= silentAfter && !o.stopping {
+		if !o.silent(now) && !o.stopping {
 			alive = append(alive, o.host)
 		}
 	}
@@ -92,3 +120,39 @@
 	}
 	return before < readersPerDataCentre
 }
+
+// Recipients returns the hosts that are told by pulses: all others in a small
+// fleet, else those of the own data centre, and for a host that reads some of each
+// other data centre. The hosts on record that are not heard are told as well.
+func (m *Members) Recipients(now time.Time, onRecord []registry.Host, reads bool) []registry.Host {
+	all := m.Alive(now)
+	known := make(map[cornelbay.HostName]bool, len(all))
+	for _, h := range all {
+		known[h.Name] = true
+	}
+	for _, h := range onRecord {
+		if !known[h.Name] && h.Name != m.Self.Name {
+			all = append(all, h)
+		}
+	}
+	if len(all) <= smallFleet {
+		return all
+	}
+	var to []registry.Host
+	contacts := make(map[cornelbay.DataCentreName]int)
+	for _, h := range all {
+		if h.DataCentre != m.Self.DataCentre {
+			contacts[h.DataCentre]++
+			if !reads || contacts[h.DataCentre] > contactsPerDataCentre {
+				continue
+			}
+		}
+		to = append(to, h)
+	}
+	return to
+}
+
+// Every returns the interval of the pulses to a number of hosts.
+func Every(recipients int) time.Duration {
+	return max(Interval, time.Duration(recipients)*pausePerHost)
+}
--- a/gossip/messages.go
+++ b/gossip/messages.go
@@ -14,6 +14,7 @@
 
 func init() {
 	peer.Register(Pulse{})
+	peer.Register(News{})
 	peer.RegisterCall[Pull, PullReply]()
 }
 
@@ -27,7 +28,12 @@
 
 // RevisionsOf returns the revisions of tables.
 func RevisionsOf(t *registry.Tables) Revisions {
-	return Revisions{t.Routing.Revision(), t.Targets.Revision(), t.Evacuations.Revision(), t.Hosts.Revision()}
+	return Revisions{t.Routes.Revision(), t.Targets.Revision(), t.Evacuations.Revision(), t.Hosts.Revision()}
+}
+
+// BasesOf returns the revisions that a pull for tables builds on.
+func BasesOf(t *registry.Tables) Revisions {
+	return Revisions{min(t.Routes.Base(), t.Policy.Base()), t.Targets.Base(), t.Evacuations.Base(), t.Hosts.Base()}
 }
 
 // Lacks reports whether r is behind other in any table.
@@ -48,7 +54,7 @@
 
 // AgesOf returns the ages of tables.
 func AgesOf(now time.Time, t *registry.Tables) Ages {
-	return Ages{age(now, t.Routing.Confirmed()), age(now, t.Targets.Confirmed()), age(now, t.Evacuations.Confirmed())}
+	return Ages{age(now, t.Routes.Confirmed()), age(now, t.Targets.Confirmed()), age(now, t.Evacuations.Confirmed())}
 }
 
 func age(now, confirmed time.Time) uint32 {
@@ -62,7 +68,7 @@
 // Confirm passes the confirmations of another host on to tables that are at its
 // revisions.
 func (a Ages) Confirm(now time.Time, r Revisions, t *registry.Tables) {
-	confirm(now, a.Routing, r.Routing, &t.Routing)
+	confirm(now, a.Routing, r.Routing, &t.Routes)
 	confirm(now, a.Targets, r.Targets, &t.Targets)
 	confirm(now, a.Evacuations, r.Evacuations, &t.Evacuations)
 }
@@ -85,11 +91,22 @@
 	Stopping bool `cbor:"5,keyasint,omitempty"`
 	// Reads is true when the host reads the store.
 	Reads bool `cbor:"6,keyasint,omitempty"`
+	// EveryMs is the time in milliseconds between two pulses of the host.
+	EveryMs uint32 `cbor:"7,keyasint"`
 }
 
 // Kind returns the message's kind.
 func (Pulse) Kind() cornelbay.MessageKind { return cornelbay.KindPulse }
 
+// News is what a reader tells the hosts of its data centre at once, where it fits
+// a datagram: the changes since the revisions that it had before.
+type News struct {
+	PullReply
+}
+
+// Kind returns the message's kind.
+func (News) Kind() cornelbay.MessageKind { return cornelbay.KindNews }
+
 // Pull asks for what the host has beyond some revisions.
 type Pull struct {
 	Since Revisions `cbor:"1,keyasint"`
@@ -100,7 +117,8 @@
 
 // PullReply answers Pull.
 type PullReply struct {
-	Routing     registry.Delta[registry.Routing]    `cbor:"1,keyasint"`
+	Routes      registry.Delta[registry.Route]      `cbor:"1,keyasint"`
+	Policy      registry.Delta[registry.Policy]     `cbor:"7,keyasint"`
 	Targets     registry.Delta[registry.Target]     `cbor:"2,keyasint"`
 	Evacuations registry.Delta[registry.Evacuation] `cbor:"3,keyasint"`
 	Hosts       registry.Delta[registry.Host]       `cbor:"4,keyasint"`
@@ -113,7 +131,8 @@
 // Answer returns the answer of a host with tables t to a pull.
 func (p Pull) Answer(now time.Time, t *registry.Tables) PullReply {
 	return PullReply{
-		Routing:     t.Routing.Since(now, p.Since.Routing),
+		Routes:      t.Routes.Since(now, p.Since.Routing),
+		Policy:      t.Policy.Since(now, p.Since.Routing),
 		Targets:     t.Targets.Since(now, p.Since.Targets),
 		Evacuations: t.Evacuations.Since(now, p.Since.Evacuations),
 		Hosts:       t.Hosts.Since(now, p.Since.Hosts),
@@ -123,11 +142,12 @@
 
 // Merge takes a reply over into tables and reports whether they changed.
 func (r *PullReply) Merge(now time.Time, t *registry.Tables) bool {
-	revisions := Revisions{r.Routing.Revision, r.Targets.Revision, r.Evacuations.Revision, r.Hosts.Revision}
-	routing := t.Routing.Merge(now, r.Routing)
+	revisions := Revisions{r.Routes.Revision, r.Targets.Revision, r.Evacuations.Revision, r.Hosts.Revision}
+	policy := t.Policy.Merge(now, r.Policy)
+	routes := t.Routes.Merge(now, r.Routes)
 	targets := t.Targets.Merge(now, r.Targets)
 	evacuations := t.Evacuations.Merge(now, r.Evacuations)
 	hosts := t.Hosts.Merge(now, r.Hosts)
 	r.Ages.Confirm(now, revisions, t)
-	return routing || targets || evacuations || hosts
+	return policy || routes || targets || evacuations || hosts
 }
--- a/message.go
+++ b/message.go
@@ -25,6 +25,7 @@
 	KindServing
 	KindClear
 	KindPulse
+	KindNews
 )
 
 // Message is a control message from one host to another, small enough for a
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cornelbay/cornelbay"
@@ -12,9 +13,14 @@
 
 // Routing is the configuration of a deployment.
 type Routing struct {
+	Policy
+	Routes []Route
+}
+
+// Policy is what the configuration says besides its routes.
+type Policy struct {
 	Version     uint64        `json:"version"`
 	IdleTimeout time.Duration `json:"idleTimeout"`
-	Routes      []Route       `json:"routes"`
 	Services    []Service     `json:"services"`
 }
 
@@ -33,6 +39,11 @@
 	Repeatable bool `json:"repeatable"`
 }
 
+func (r *Route) equal(o *Route) bool {
+	return r.Name == o.Name && r.Address == o.Address && slices.Equal(r.Shares, o.Shares) && r.Timeout == o.Timeout &&
+		r.Objective == o.Objective && r.Priority == o.Priority && r.Repeatable == o.Repeatable
+}
+
 // Share is the part of a route's flows that goes to one service.
 type Share struct {
 	Service cornelbay.ServiceName `json:"service"`
--- a/registry/table.go
+++ b/registry/table.go
@@ -1,9 +1,12 @@
 package registry
 
 import (
+	"encoding/binary"
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Record is one object at one revision. The record of an object that is gone
@@ -26,10 +29,13 @@
 // Delta is what one host tells another of a table.
 type Delta[T any] struct {
 	// Since is the revision that the delta builds on; a Full one builds on none.
-	Since    uint64      `json:"since"`
-	Revision uint64      `json:"revision"`
-	Full     bool        `json:"full,omitempty"`
-	Records  []Record[T] `json:"records,omitempty"`
+	Since    uint64 `json:"since"`
+	Revision uint64 `json:"revision"`
+	Full     bool   `json:"full,omitempty"`
+	// Digest is that of the teller's table. A host that has listed the store may
+	// not know of an object that has come and gone before, which another host has.
+	Digest  uint64      `json:"digest"`
+	Records []Record[T] `json:"records,omitempty"`
 }
 
 // Table holds the objects of one kind as they are at a revision. Its revision
@@ -43,12 +49,34 @@
 	floor     uint64
 	confirmed time.Time
 	regained  time.Time
-	records   map[string]*Record[T]
+	// diverged is true after a delta that did not lead to the teller's table.
+	diverged bool
+	records  map[string]*Record[T]
 }
 
 // Revision returns the revision that the table is at; 0 means that it is empty.
 func (t *Table[T]) Revision() uint64 { return t.revision }
 
+// Base returns the revision that a delta for the table may build on: 0 where it
+// has to be a full one.
+func (t *Table[T]) Base() uint64 {
+	if t.diverged {
+		return 0
+	}
+	return t.revision
+}
+
+// Digest returns a digest of the objects in the table.
+func (t *Table[T]) Digest() uint64 {
+	var sum uint64
+	for _, r := range t.records {
+		if !r.Gone {
+			sum ^= xxhash.Sum64(binary.BigEndian.AppendUint64([]byte(r.Name), r.Revision))
+		}
+	}
+	return sum
+}
+
 // Confirmed returns when the table was last known to be up to date.
 func (t *Table[T]) Confirmed() time.Time { return t.confirmed }
 
@@ -93,7 +121,7 @@
 			changed = true
 		}
 	}
-	t.revision = revision
+	t.revision, t.diverged = revision, false
 	return changed
 }
 
@@ -144,7 +172,10 @@
 // Since returns what has changed since a revision, or the whole table where that
 // is too long ago.
 func (t *Table[T]) Since(now time.Time, revision uint64) Delta[T] {
-	d := Delta[T]{Since: revision, Revision: t.revision, Full: revision < t.floor || revision == 0}
+	d := Delta[T]{
+		Since: revision, Revision: t.revision, Digest: t.Digest(),
+		Full: revision < t.floor || revision == 0,
+	}
 	for _, name := range slices.Sorted(maps.Keys(t.records)) {
 		if r := t.records[name]; d.Full || r.Changed > revision {
 			out := *r
@@ -171,6 +202,10 @@
 	for i := range d.Records {
 		changed = t.take(now, &d.Records[i]) || changed
 	}
+	if t.Digest() != d.Digest {
+		t.diverged = true
+		return changed
+	}
 	t.revision = d.Revision
 	return changed
 }
--- a/registry/table_test.go
+++ b/registry/table_test.go
@@ -72,6 +72,21 @@
 	is.Equal(live(&table), map[string]int{"a": 3})
 }
 
+// TestATellerThatNeverKnewOfAnObject was found by TestTablesConverge: a host that
+// lists the store after an object is gone cannot tell that it is.
+func TestATellerThatNeverKnewOfAnObject(t *testing.T) {
+	is := is.New(t)
+	var behind, teller Table[int]
+	behind.Replace(start, 2, []Record[int]{record("a", 2, 1)})
+	teller.Replace(start, 3, nil)
+	behind.Merge(start, teller.Since(start, behind.Base()))
+	is.Equal(behind.Revision(), uint64(2)) // knows that it is behind
+	is.Equal(behind.Base(), uint64(0))
+	is.True(behind.Merge(start, teller.Since(start, behind.Base())))
+	is.Equal(live(&behind), map[string]int{})
+	is.Equal(behind.Base(), uint64(3))
+}
+
 func TestPruneKeepsWhatIsGoneForAWhile(t *testing.T) {
 	is := is.New(t)
 	table := Table[int]{Keep: time.Minute}
@@ -155,7 +170,7 @@
 				}
 			case 4:
 				from := &hosts[(h+1)%3]
-				table.Merge(start, from.Since(start, table.Revision()))
+				table.Merge(start, from.Since(start, table.Base()))
 			}
 			if table.Revision() < at[h] {
 				t.Fatalf("host %d fell from %d to %d", h, at[h], table.Revision())
--- a/registry/view.go
+++ b/registry/view.go
@@ -13,7 +13,10 @@
 
 // Tables are all tables of a host.
 type Tables struct {
-	Routing     Table[Routing]
+	// Policy and Routes hold the configuration. They change together, and Routes
+	// has the revision of both.
+	Policy      Table[Policy]
+	Routes      Table[Route]
 	Targets     Table[Target]
 	Evacuations Table[Evacuation]
 	Hosts       Table[Host]
@@ -22,14 +25,41 @@
 // Prune drops what has been gone for long from every table, and reports whether
 // there was anything.
 func (t *Tables) Prune(now time.Time) bool {
-	routing, targets := t.Routing.Prune(now), t.Targets.Prune(now)
+	routing, targets := t.Routes.Prune(now), t.Targets.Prune(now)
 	evacuations, hosts := t.Evacuations.Prune(now), t.Hosts.Prune(now)
 	return routing || targets || evacuations || hosts
 }
 
+// Keep sets how long records of objects that are gone are kept.
+func (t *Tables) Keep(d time.Duration) {
+	t.Policy.Keep, t.Routes.Keep, t.Targets.Keep, t.Evacuations.Keep, t.Hosts.Keep = d, d, d, d, d
+}
+
 // Known reports whether enough is known to open flows.
 func (t *Tables) Known() bool {
-	return t.Routing.Revision() > 0 && t.Targets.Revision() > 0 && t.Evacuations.Revision() > 0
+	return len(t.Policy.records) > 0 && t.Targets.Revision() > 0 && t.Evacuations.Revision() > 0
+}
+
+// policyName is the name of the only record of the policy.
+const policyName = "policy"
+
+// TakeRouting takes over the configuration whose last change was at changed, as
+// it is at a revision. Routes that are as before keep their records, so that
+// other hosts are told of the others only. It reports whether anything changed.
+func (t *Tables) TakeRouting(now time.Time, revision, changed uint64, r Routing) bool {
+	if revision < t.Routes.Revision() {
+		return false
+	}
+	var routes []Record[Route]
+	for i := range r.Routes {
+		rec := Record[Route]{Name: r.Routes[i].Name, Revision: changed, Value: r.Routes[i]}
+		if old, ok := t.Routes.records[rec.Name]; ok && !old.Gone && old.Value.equal(&rec.Value) {
+			rec.Revision = old.Revision
+		}
+		routes = append(routes, rec)
+	}
+	policy := t.Policy.Replace(now, revision, []Record[Policy]{{Name: policyName, Revision: changed, Value: r.Policy}})
+	return t.Routes.Replace(now, revision, routes) || policy
 }
 
 // LapseGrace is how long after the store is back targets are still used that
@@ -81,18 +111,17 @@
 		Cookies:  make(map[uint32]*Member),
 	}
 	cold := make(map[cornelbay.ServiceName]float64)
-	for _, r := range t.Routing.All() {
-		if r.Gone {
-			continue
-		}
+	for _, r := range t.Policy.All() {
 		v.Version = r.Value.Version
-		for i := range r.Value.Routes {
-			v.Routes[r.Value.Routes[i].Address] = &r.Value.Routes[i]
-		}
 		for _, s := range r.Value.Services {
 			cold[s.Name] = s.ColdPerSecond
 		}
 	}
+	for _, r := range t.Routes.All() {
+		if !r.Gone {
+			v.Routes[r.Value.Address] = &r.Value
+		}
+	}
 	out := make(map[cornelbay.DataCentreName]bool)
 	for _, r := range t.Evacuations.All() {
 		out[r.Value.DataCentre] = out[r.Value.DataCentre] || !r.Gone
--- a/registry/view_test.go
+++ b/registry/view_test.go
@@ -140,3 +140,36 @@
 	_, ok := (&Route{Shares: []Share{{"a", 0}}}).Service(netip.AddrPort{})
 	is.True(!ok)
 }
+
+// TestUnchangedRoutesAreNotTold plays successive versions of a configuration with
+// many routes, of which one changes.
+func TestUnchangedRoutesAreNotTold(t *testing.T) {
+	is := is.New(t)
+	var from, to Tables
+	routes := func(timeout time.Duration, names ...string) Routing {
+		r := Routing{Policy: Policy{Version: uint64(timeout)}}
+		for i, name := range names {
+			at := netip.AddrPortFrom(netip.MustParseAddr("198.18.0.1"), uint16(i+1))
+			r.Routes = append(r.Routes, Route{Name: name, Address: at, Shares: []Share{{"s", 1}}})
+		}
+		r.Routes[0].Timeout = timeout
+		return r
+	}
+	merge := func() int {
+		d := from.Routes.Since(start, to.Routes.Revision())
+		to.Routes.Merge(start, d)
+		to.Policy.Merge(start, from.Policy.Since(start, to.Policy.Revision()))
+		return len(d.Records)
+	}
+	is.True(from.TakeRouting(start, 5, 5, routes(1, "a", "b", "c")))
+	is.Equal(merge(), 3)
+	is.True(from.TakeRouting(start, 9, 8, routes(2, "a", "b", "c")))
+	is.Equal(merge(), 1)
+	is.True(from.TakeRouting(start, 12, 12, routes(2, "a", "c")))
+	is.Equal(merge(), 2) // one is gone, one has moved to another address
+	is.True(from.TakeRouting(start, 14, 14, routes(2, "a", "b", "c")))
+	is.Equal(merge(), 2)
+	is.Equal(to.View(), from.View())
+	is.True(!from.TakeRouting(start, 13, 13, routes(3, "a"))) // older
+	is.True(!from.TakeRouting(start, 15, 14, routes(2, "a", "b", "c")))
+}
