Log and count each decision on a flow, and explain one from the logs

One line for each refusal, dropped packet, opening tried elsewhere and target believed silent or well again, and for one flow of 64 its opening (the same flows at every host), with the version and the age of routes and targets. A histogram of the time from an opening to the caller's next packet. cornelbay explain reads the logs of several hosts and prints the story of one flow in the order of time.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -92,6 +92,9 @@
 	// lastPacket is the time of the last packet in nanoseconds since started.
 	lastPacket atomic.Int64
 	started    time.Time
+	// routesConfirmed and targetsConfirmed are when the tables were last confirmed,
+	// in nanoseconds since started, for the log lines of the traffic.
+	routesConfirmed, targetsConfirmed atomic.Int64
 
 	metrics metrics
 	ctx     context.Context
@@ -236,11 +239,19 @@
 	b.stateMu.Lock()
 	defer b.stateMu.Unlock()
 	now := time.Now()
-	if f(now, &b.tables) {
+	changed := f(now, &b.tables)
+	b.noteConfirmed()
+	if changed {
 		b.apply(now)
 	}
 }
 
+// noteConfirmed is called with stateMu held.
+func (b *Balancer) noteConfirmed() {
+	b.routesConfirmed.Store(int64(b.tables.Routes.Confirmed().Sub(b.started)))
+	b.targetsConfirmed.Store(int64(b.tables.Targets.Confirmed().Sub(b.started)))
+}
+
 const (
 	// routerNotices is how long the platform's routers may take to leave a host
 	// out that is not ready: two checks, half a second apart, and some slack.
--- a/balancer/metrics.go
+++ b/balancer/metrics.go
@@ -15,6 +15,7 @@
 	verdicts *prometheus.CounterVec
 	calls    *prometheus.CounterVec
 	took     *prometheus.HistogramVec
+	answered prometheus.Histogram
 }
 
 func (m *metrics) init(b *Balancer) {
@@ -29,7 +30,12 @@
 		Name: "cornelbay_store_call_seconds", Help: "Duration of calls to the platform's store.",
 		Buckets: prometheus.ExponentialBuckets(0.002, 2, 11),
 	}, []string{"call"})
-	m.registry.MustRegister(m.verdicts, m.calls, m.took)
+	m.answered = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "cornelbay_opening_seconds", Help: "Time from the opening of a flow to the caller's next packet.",
+		Buckets: prometheus.ExponentialBuckets(0.002, 2, 11),
+	})
+	b.placer.Answered = func(d time.Duration) { m.answered.Observe(d.Seconds()) }
+	m.registry.MustRegister(m.verdicts, m.calls, m.took, m.answered)
 	for _, g := range []struct {
 		name, help string
 		value      func(c *Balancer, now time.Time) float64
--- a/balancer/packets.go
+++ b/balancer/packets.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/platform"
@@ -75,9 +76,23 @@
 		b.send(buf[:platform.AddresseeBytes+n], v.target)
 	case v.reset:
 		b.reset(&p, v.reason)
+	default:
+		b.logDecision(p.Key).WithFields(log.Fields{"reason": v.reason, "cookie": p.Cookie}).Info("packet dropped")
+	}
+	if v.reason == reasonOpened && sampled(p.Key) {
+		b.logDecision(p.Key).WithFields(log.Fields{"target": v.target.Name, "dataCentre": v.target.DataCentre}).Info("opened")
 	}
 }
 
+// sampleEvery is the number of flows of which one is logged whole.
+const sampleEvery = 64
+
+// sampled reports whether a flow is logged whole: the same flows at every host.
+func sampled(key cornelbay.FlowKey) bool {
+	b := key.Source.Addr().As4()
+	return xxhash.Sum64(append(b[:], byte(key.Source.Port()>>8), byte(key.Source.Port())))%sampleEvery == 0
+}
+
 func parseReason(err error) string {
 	switch {
 	case errors.Is(err, platform.ErrTruncated):
@@ -144,7 +159,7 @@
 	if _, err := b.packets.WriteToUDPAddrPort(r[:], to); err != nil {
 		log.WithError(err).WithField("to", to.String()).Warn("reset not sent")
 	}
-	b.logFlow(p.Key).WithFields(log.Fields{"reason": reason, "version": b.version()}).Info("reset")
+	b.logDecision(p.Key).WithField("reason", reason).Info("reset")
 }
 
 func (b *Balancer) version() uint64 {
@@ -156,8 +171,15 @@
 	return b.view.Version
 }
 
-func (b *Balancer) logFlow(key cornelbay.FlowKey) *log.Entry {
-	return log.WithFields(log.Fields{"source": key.Source.String(), "destination": key.Destination.String()})
+// logDecision returns an entry for a decision on a flow, with the version that it
+// was taken on and how long ago routes and targets were confirmed.
+func (b *Balancer) logDecision(key cornelbay.FlowKey) *log.Entry {
+	now := time.Since(b.started)
+	return log.WithFields(log.Fields{
+		"source": key.Source.String(), "destination": key.Destination.String(), "version": b.version(),
+		"routesAgeMs":  (now - time.Duration(b.routesConfirmed.Load())).Milliseconds(),
+		"targetsAgeMs": (now - time.Duration(b.targetsConfirmed.Load())).Milliseconds(),
+	})
 }
 
 // tick sends openings without an answer to other targets.
@@ -174,13 +196,25 @@
 		}
 		now := time.Now()
 		b.trafficMu.Lock()
-		retries := b.placer.Tick(now)
+		retries, beliefs := b.placer.Tick(now), b.placer.Beliefs()
 		b.trafficMu.Unlock()
+		for _, belief := range beliefs {
+			line := log.WithFields(log.Fields{"target": belief.Member.Name, "dataCentre": belief.Member.DataCentre})
+			if belief.Silent {
+				line.Warn("target silent")
+			} else {
+				line.Info("target answers again")
+			}
+		}
 		for _, r := range retries {
-			line := b.logFlow(r.Key).WithFields(log.Fields{
-				"silent": r.Silent.Name, "dataCentre": r.Silent.DataCentre, "waitedMs": r.Waited.Milliseconds(), "target": r.Member.Name,
+			line := b.logDecision(r.Key).WithFields(log.Fields{
+				"silent": r.Silent.Name, "silentIn": r.Silent.DataCentre, "waitedMs": r.Waited.Milliseconds(),
 			})
-			line.Info("opening tried elsewhere")
+			if r.Member == nil {
+				line.Info("opening not answered, no other target")
+				continue
+			}
+			line.WithField("target", r.Member.Name).Info("opening tried elsewhere")
 			n := copy(datagram[platform.AddresseeBytes:], r.Opening)
 			platform.SetCookie(datagram[platform.AddresseeBytes:], r.Member.Cookie)
 			b.send(datagram[:platform.AddresseeBytes+n], r.Member)
--- a/balancer/peers.go
+++ b/balancer/peers.go
@@ -70,6 +70,7 @@
 	}
 	again := b.tables.Targets.Regained()
 	p.Ages.Confirm(now, p.Revisions, &b.tables)
+	b.noteConfirmed()
 	if b.tables.Targets.Regained() != again {
 		b.apply(now)
 	}
--- a/cmd/cornelbay/main.go
+++ b/cmd/cornelbay/main.go
@@ -24,6 +24,7 @@
 	Keys       keysCmd       `cmd:"" help:"Write certificates and a datagram key for a trial."`
 	Measure    measureCmd    `cmd:"" help:"Run an experiment."`
 	Burn       burnCmd       `cmd:"" help:"Report how requests meet their service levels."`
+	Explain    explainCmd    `cmd:"" help:"Tell from logs what became of one flow on the platform."`
 	Demo       demoCmd       `cmd:"" help:"Run a deployment with stand-ins under load and faults."`
 	Standin    standinCmd    `cmd:"" help:"Run stand-ins for the platform and the targets of a document."`
 }
--- a/placement/flow.go
+++ b/placement/flow.go
@@ -59,9 +59,10 @@
 	copies int
 }
 
-// Retry is an opening that is to be sent to another target.
+// Retry is an opening that was not answered and is to be sent to another target.
 type Retry struct {
-	Key     cornelbay.FlowKey
+	Key cornelbay.FlowKey
+	// Member is nil where there is no other target.
 	Member  *registry.Member
 	Opening []byte
 	// Silent is the target that did not answer, and Waited for how long.
@@ -134,6 +135,9 @@
 func (p *Placer) answer(now time.Time, f *Flow, cookie uint32) {
 	f.answered, f.opening = true, nil
 	p.counters.Answered++
+	if p.Answered != nil {
+		p.Answered(now.Sub(f.opened))
+	}
 	if cookie != f.member.Cookie {
 		p.target(f.member.Cookie, now).add(now, -1)
 		p.target(cookie, now).add(now, 1)
@@ -160,7 +164,7 @@
 	p.ended(f.service, now.Sub(f.opened))
 }
 
-// Tick notes that time has passed and returns the openings to be tried elsewhere.
+// Tick notes that time has passed and returns the openings that were not answered.
 // It is called every few milliseconds, after the packets that wait were read.
 func (p *Placer) Tick(now time.Time) []Retry {
 	gap := now.Sub(p.ticked)
@@ -178,9 +182,7 @@
 		case !f.answered && !f.closed && now.After(f.due) && f.copies == 0 && p.rerouted(f):
 			f.due = f.opened.Add(copyTime)
 		case !f.answered && !f.closed && now.After(f.due):
-			if r, ok := p.retry(now, f); ok {
-				retries = append(retries, r)
-			}
+			retries = append(retries, p.retry(now, f))
 		case !f.idle && !f.closed && now.Sub(f.seen) > idleAfter:
 			f.idle = true
 			p.target(f.member.Cookie, now).add(now, -1)
@@ -204,17 +206,17 @@
 
 // retry takes the silence of a target as evidence against it and moves the
 // opening to another target where there is one.
-func (p *Placer) retry(now time.Time, f *Flow) (Retry, bool) {
+func (p *Placer) retry(now time.Time, f *Flow) Retry {
 	p.counters.Unanswered++
 	p.suspect(now, f.member, f.opened)
 	r := Retry{Key: f.key, Silent: f.member, Waited: now.Sub(f.opened)}
 	f.due = now.Add(idleAfter)
 	if len(f.tried) >= maxTries {
-		return r, false
+		return r
 	}
 	m, err := p.choose(now, f.service, f.tried)
 	if err != nil {
-		return r, false
+		return r
 	}
 	if !f.idle {
 		p.target(f.member.Cookie, now).add(now, -1)
@@ -223,5 +225,5 @@
 	p.put(now, f, m)
 	p.counters.Retried++
 	r.Member, r.Opening = m, f.opening
-	return r, true
+	return r
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -46,6 +46,9 @@
 	DataCentre cornelbay.DataCentreName
 	// WarmUpFactor and WarmUpSlack bound the openings at a cold target; see Budget.
 	WarmUpFactor, WarmUpSlack float64
+	// Answered is told the time from each opening to the caller's next packet; it
+	// may be nil.
+	Answered func(time.Duration)
 
 	view      *registry.View
 	targets   map[uint32]*target
@@ -57,9 +60,10 @@
 	roundTrip time.Duration
 	ticked    time.Time
 	// stray is when the last packet came of a flow that another host opened.
-	stray time.Time
-	turn      uint64
+	stray    time.Time
+	turn     uint64
 	counters  Counters
+	beliefs   []Belief
 }
 
 // Counters count what became of openings.
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -63,8 +63,11 @@
 	var all []Retry
 	for now := from; !now.After(to); now = now.Add(10 * time.Millisecond) {
 		retries := p.Tick(now)
-		all = append(all, retries...)
 		for _, r := range retries {
+			if r.Member == nil {
+				continue
+			}
+			all = append(all, r)
 			if slices.Contains(alive, r.Member.Cookie) {
 				p.Progress(now.Add(5*time.Millisecond), r.Key, r.Member.Cookie, false)
 			}
@@ -134,6 +137,12 @@
 	is.Equal(open(t, p, now, 4), uint32(2)) // only one
 	p.Progress(now.Add(4*time.Millisecond), key(3), 1, false)
 	is.Equal(open(t, p, now.Add(5*time.Millisecond), 5), uint32(1)) // it answers again
+
+	beliefs := p.Beliefs()
+	is.Equal(len(beliefs), 2)
+	is.Equal(beliefs[0].Member.Cookie, uint32(1))
+	is.True(beliefs[0].Silent && !beliefs[1].Silent)
+	is.Equal(len(p.Beliefs()), 0)
 }
 
 // TestALateAnswerDoesNotMoveTheFlow plays a target that answers after its opening
--- a/placement/suspicion.go
+++ b/placement/suspicion.go
@@ -26,6 +26,30 @@
 	pause      time.Duration
 }
 
+// Belief is a change of what the placer takes a target for.
+type Belief struct {
+	Member *registry.Member
+	// Silent is true when the target has begun to be suspected, and false when it
+	// has answered again.
+	Silent bool
+}
+
+// maxBeliefs bounds the changes that wait to be taken.
+const maxBeliefs = 256
+
+// Beliefs returns the changes since the last call.
+func (p *Placer) Beliefs() []Belief {
+	b := p.beliefs
+	p.beliefs = nil
+	return b
+}
+
+func (p *Placer) believe(m *registry.Member, silent bool) {
+	if len(p.beliefs) < maxBeliefs {
+		p.beliefs = append(p.beliefs, Belief{m, silent})
+	}
+}
+
 // silent notes an opening that was not answered.
 func (s *suspicion) silent(now, opened time.Time) {
 	if opened.Before(s.answered) {
@@ -68,20 +92,32 @@
 func (s *suspicion) tried(now time.Time) { s.tryAt = now.Add(max(s.pause, firstTry)) }
 
 func (p *Placer) suspect(now time.Time, m *registry.Member, opened time.Time) {
-	p.target(m.Cookie, now).silent(now, opened)
+	t := p.target(m.Cookie, now)
+	was := t.unanswered
+	t.silent(now, opened)
+	if was == 0 && t.unanswered > 0 {
+		p.believe(m, true)
+	}
 	p.place(m).silent(now, opened)
 }
 
 // vouch notes that the target with a cookie is alive and reached.
 func (p *Placer) vouch(now time.Time, cookie uint32) {
-	if t, ok := p.targets[cookie]; ok {
+	t, known := p.targets[cookie]
+	was := known && t.unanswered > 0
+	if known {
 		t.vouch(now)
 	}
 	if p.view == nil {
 		return
 	}
-	if m, ok := p.view.Cookies[cookie]; ok {
-		p.place(m).vouch(now)
+	m, ok := p.view.Cookies[cookie]
+	if !ok {
+		return
+	}
+	p.place(m).vouch(now)
+	if was {
+		p.believe(m, false)
 	}
 }
 
