Keep a flow at its target when its opening went to several; a soak of processes

Cause: when an opening is tried at a second target and both answer, the caller repeats the cookie of the last answer. Only the host that opened the flow knew which target it had acknowledged; at any other host the packets went astray and the second target reset the flow. Change: hosts tell each other of openings at several targets and of the one that was chosen; a copy that meets a host which does not know its flow is told too. A test plays it on two hosts and failed before.

cornelbay soak runs the daemons as processes on loopback with a stand-in store behind proxies, targets and callers; its schedule comes from the seed alone.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -54,6 +54,8 @@
 	Settings platform.Settings
 	// Key authenticates hosts to each other.
 	Key []byte
+	// ClockOffset is added to the time of day, to try what a wrong clock does.
+	ClockOffset time.Duration
 }
 
 // Balancer is one running host.
@@ -61,6 +63,7 @@
 	// settings change on Reload.
 	settings atomic.Pointer[platform.Settings]
 	key      []byte
+	offset   time.Duration
 
 	self  registry.Host
 	store *platform.Store
@@ -85,6 +88,8 @@
 	// changed wakes the pulse when the tables have changed.
 	changed chan struct{}
 	pulls   chan wanted
+	// doubts wait to be told to other hosts.
+	doubts chan placement.Doubt
 	// seeded is closed when the seeds have answered or failed.
 	seeded   chan struct{}
 	ready    atomic.Bool
@@ -107,13 +112,14 @@
 func Start(cfg Config) (*Balancer, error) {
 	s := cfg.Settings
 	b := &Balancer{
-		key: cfg.Key,
+		key: cfg.Key, offset: cfg.ClockOffset,
 		self: registry.Host{
 			Name: s.Host, DataCentre: s.DataCentre, Address: netip.AddrPortFrom(s.Address, s.PeerPort),
 		},
 		changed: make(chan struct{}, 1),
 		pulls:   make(chan wanted, 16),
 		seeded:  make(chan struct{}),
+		doubts:  make(chan placement.Doubt, queuedDoubts),
 		started: time.Now(),
 	}
 	b.settings.Store(&s)
@@ -143,6 +149,7 @@
 	b.goRun(b.pulse)
 	b.goRun(b.pull)
 	b.goRun(b.register)
+	b.goRun(b.tellDoubts)
 	for _, f := range []followed{routing, targets, evacuations, hosts} {
 		b.goRun(func() { b.follow(f) })
 	}
@@ -188,7 +195,7 @@
 
 // openPeers opens the net/rpc between hosts.
 func (b *Balancer) openPeers() error {
-	now := time.Now()
+	now := time.Now().Add(b.offset)
 	a, err := peer.NewSharedAuthority(now, b.key)
 	if err != nil {
 		return err
--- a/balancer/packets.go
+++ b/balancer/packets.go
@@ -66,7 +66,9 @@
 	}
 	b.trafficMu.Lock()
 	v := b.decide(now, &p, in)
+	doubts := b.placer.Doubts()
 	b.trafficMu.Unlock()
+	b.queueDoubts(doubts)
 	b.metrics.count(v.reason)
 	switch {
 	case v.target != nil:
@@ -136,7 +138,7 @@
 	if !ok {
 		return verdict{reset: true, reason: reasonNoRoute}
 	}
-	m, err := b.placer.Open(now, p.Key, service, in)
+	m, err := b.placer.Open(now, p.Key, service, in, p.Acknowledged > 0)
 	if err != nil {
 		return verdict{reset: true, reason: reasonNoTarget}
 	}
@@ -196,8 +198,9 @@
 		}
 		now := time.Now()
 		b.trafficMu.Lock()
-		retries, beliefs := b.placer.Tick(now), b.placer.Beliefs()
+		retries, beliefs, doubts := b.placer.Tick(now), b.placer.Beliefs(), b.placer.Doubts()
 		b.trafficMu.Unlock()
+		b.queueDoubts(doubts)
 		for _, belief := range beliefs {
 			line := log.WithFields(log.Fields{"target": belief.Member.Name, "dataCentre": belief.Member.DataCentre})
 			if belief.Silent {
--- a/balancer/peers.go
+++ b/balancer/peers.go
@@ -61,6 +61,13 @@
 		}
 		return
 	}
+	if d, ok := m.(gossip.Doubt); ok {
+		flow := cornelbay.FlowKey{Source: d.Source, Destination: d.Destination, Protocol: cornelbay.TCP.Number()}
+		b.trafficMu.Lock()
+		b.placer.Learn(now, placement.Doubt{Key: flow, Tried: d.Tried, Chosen: d.Chosen})
+		b.trafficMu.Unlock()
+		return
+	}
 	p, ok := m.(gossip.Pulse)
 	if !ok || p.Host.Name != e.From || e.From == b.self.Name {
 		return
@@ -212,6 +219,42 @@
 	b.sendPeers(datagram, to)
 }
 
+// queuedDoubts is the number of doubts that wait to be told; others are left out
+// and counted.
+const queuedDoubts = 1024
+
+func (b *Balancer) queueDoubts(doubts []placement.Doubt) {
+	for _, d := range doubts {
+		select {
+		case b.doubts <- d:
+		default:
+			b.metrics.count("doubtNotTold")
+		}
+	}
+}
+
+// tellDoubts tells the hosts that pulses go to of openings at several targets.
+func (b *Balancer) tellDoubts() {
+	for {
+		select {
+		case <-b.ctx.Done():
+			return
+		case d := <-b.doubts:
+			b.stateMu.Lock()
+			to := b.recipients(time.Now())
+			datagram, err := b.codec.Seal(gossip.Doubt{
+				Source: d.Key.Source, Destination: d.Key.Destination, Tried: d.Tried, Chosen: d.Chosen,
+			})
+			b.stateMu.Unlock()
+			if err != nil {
+				log.WithError(err).Error("doubt not sealed")
+				continue
+			}
+			b.sendPeers(datagram, to)
+		}
+	}
+}
+
 func (b *Balancer) logLost(before, now time.Time) {
 	b.stateMu.Lock()
 	lost := b.members.Lost(before, now)
--- a/cmd/cornelbay/main.go
+++ b/cmd/cornelbay/main.go
@@ -26,6 +26,7 @@
 	Burn       burnCmd       `cmd:"" help:"Report how requests meet their service levels."`
 	Explain    explainCmd    `cmd:"" help:"Tell from logs what became of one flow on the platform."`
 	Demo       demoCmd       `cmd:"" help:"Run a deployment with stand-ins under load and faults."`
+	Soak       soakCmd       `cmd:"" help:"Run hosts as processes on loopback under random faults and check the promises."`
 	Standin    standinCmd    `cmd:"" help:"Run stand-ins for the platform and the targets of a document."`
 }
 
--- /dev/null
+++ b/cmd/cornelbay/soak.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/cornelbay/cornelbay/soak"
+)
+
+// soakNets are the second bytes of the loopback addresses that soaks use, so that
+// some can run beside each other.
+const (
+	firstSoakNet = 160
+	soakNets     = 80
+)
+
+type soakCmd struct {
+	format
+	Seed    uint64 `help:"Seed of the schedule." default:"1"`
+	Rounds  int    `help:"Number of rounds of faults, each of some 10 s." default:"3"`
+	Hosts   int    `help:"Number of hosts, from 2 to 200." default:"6"`
+	Targets int    `help:"Number of targets, from 6 to 100." default:"12"`
+	Clients int    `help:"Number of callers at work at once." default:"8"`
+	Only    []int  `help:"Numbers of the steps to take; the others are left out."`
+	Daemon  string `help:"Program of the daemon." default:"bin/cornelbayd"`
+}
+
+// Run runs a soak; a broken promise is an error.
+func (c *soakCmd) Run() error {
+	if c.Hosts < 2 || c.Hosts > 200 || c.Targets < 6 || c.Targets > 100 || c.Clients < 1 || c.Rounds < 1 {
+		return merry.Wrap(errUsage, merry.AppendMessage("2 to 200 hosts, 6 to 100 targets, and at least one client and round are wanted"))
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	o := soak.Options{
+		Seed: c.Seed, Rounds: c.Rounds, Hosts: c.Hosts, Targets: c.Targets, Callers: c.Clients, Only: c.Only,
+		Binary: c.Daemon, Net: byte(firstSoakNet + c.Seed%soakNets),
+	}
+	if !c.JSON {
+		o.Tell = func(line string, args ...any) { fmt.Printf(line+"\n", args...) }
+	}
+	res, err := soak.Run(ctx, o)
+	if err != nil {
+		return err
+	}
+	if err := c.print(res, func(w io.Writer) {
+		fmt.Fprintf(w, "seed %d: %d steps, %d flows, %d requests, %d refused, %d stalled, %d promises broken\n",
+			res.Seed, res.Steps, res.Flows, res.Requests, res.Refused, res.Stalled, len(res.Violations))
+		for _, v := range res.Violations {
+			fmt.Fprintln(w, v)
+		}
+	}); err != nil {
+		return err
+	}
+	if len(res.Violations) > 0 {
+		return merry.Errorf("%d promises broken: seed %d", len(res.Violations), res.Seed)
+	}
+	return nil
+}
--- a/cmd/cornelbayd/platform.go
+++ b/cmd/cornelbayd/platform.go
@@ -21,9 +21,10 @@
 
 // platformCmd runs a host on the users' platform, which hands it a settings file.
 type platformCmd struct {
-	Settings string `help:"Settings file of the platform." required:"" env:"CORNELBAY_CONFIG"`
-	Key      string `help:"Key shared by the hosts, at least 32 bytes in hexadecimal." required:"" env:"CORNELBAY_KEY"`
-	LogLevel string `help:"Least level of log entries." enum:"debug,info,warn,error" default:"info" env:"CORNELBAY_LOG_LEVEL"`
+	Settings    string        `help:"Settings file of the platform." required:"" env:"CORNELBAY_CONFIG"`
+	Key         string        `help:"Key shared by the hosts, at least 32 bytes in hexadecimal." required:"" env:"CORNELBAY_KEY"`
+	ClockOffset time.Duration `help:"Added to the time of day, to try what a wrong clock does." default:"0s"`
+	LogLevel    string        `help:"Least level of log entries." enum:"debug,info,warn,error" default:"info" env:"CORNELBAY_LOG_LEVEL"`
 }
 
 // Run runs the host until it is told to stop.
@@ -50,7 +51,7 @@
 	}
 	signals := make(chan os.Signal, signalBacklog)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	b, err := balancer.Start(balancer.Config{Settings: s, Key: key})
+	b, err := balancer.Start(balancer.Config{Settings: s, Key: key, ClockOffset: c.ClockOffset})
 	if err != nil {
 		return merry.Prepend(err, "not started")
 	}
--- a/gossip/messages.go
+++ b/gossip/messages.go
@@ -5,6 +5,7 @@
 package gossip
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/cornelbay/cornelbay"
@@ -15,6 +16,7 @@
 func init() {
 	peer.Register(Pulse{})
 	peer.Register(News{})
+	peer.Register(Doubt{})
 	peer.RegisterCall[Pull, PullReply]()
 }
 
@@ -107,6 +109,18 @@
 // Kind returns the message's kind.
 func (News) Kind() cornelbay.MessageKind { return cornelbay.KindNews }
 
+// Doubt tells of a flow whose opening went to several targets.
+type Doubt struct {
+	Source      netip.AddrPort `cbor:"1,keyasint"`
+	Destination netip.AddrPort `cbor:"2,keyasint"`
+	Tried       []uint32       `cbor:"3,keyasint"`
+	// Chosen is 0 while it is not known which target has the flow.
+	Chosen uint32 `cbor:"4,keyasint,omitempty"`
+}
+
+// Kind returns the message's kind.
+func (Doubt) Kind() cornelbay.MessageKind { return cornelbay.KindDoubt }
+
 // Pull asks for what the host has beyond some revisions.
 type Pull struct {
 	Since Revisions `cbor:"1,keyasint"`
--- a/placement/flow.go
+++ b/placement/flow.go
@@ -24,9 +24,9 @@
 	copyTime = 220 * time.Millisecond
 	// idleAfter is the silence after which a flow no longer counts as load.
 	idleAfter = time.Second
-	// forgetAfter is the silence after which a flow is forgotten. Its later
-	// packets name their target themselves.
-	forgetAfter = 10 * time.Second
+	// forgetAfter is the silence after which a flow is forgotten: flows may be idle
+	// for 15 s. Its later packets name their target themselves.
+	forgetAfter = 20 * time.Second
 	// strayTime is how long after a packet of a flow that another host opened an
 	// opening without an answer is no evidence: the routers send flows to other
 	// hosts than before, and the answer to it may be seen there.
@@ -133,26 +133,38 @@
 
 // answer notes that the target with a cookie has taken the flow.
 func (p *Placer) answer(now time.Time, f *Flow, cookie uint32) {
-	f.answered, f.opening = true, nil
-	p.counters.Answered++
-	if p.Answered != nil {
-		p.Answered(now.Sub(f.opened))
-	}
-	if cookie != f.member.Cookie {
-		p.target(f.member.Cookie, now).add(now, -1)
-		p.target(cookie, now).add(now, 1)
-		if m, ok := p.view.Cookies[cookie]; ok {
-			f.member = m
+	if !f.adopted {
+		p.counters.Answered++
+		if p.Answered != nil {
+			p.Answered(now.Sub(f.opened))
 		}
-	} else if len(f.tried) == 1 {
-		if p.roundTrip == 0 {
-			p.roundTrip = initialRoundTrip
+		if len(f.tried) == 1 {
+			if p.roundTrip == 0 {
+				p.roundTrip = initialRoundTrip
+			}
+			p.roundTrip += time.Duration(roundTripShare * float64(now.Sub(f.opened)-p.roundTrip))
 		}
-		p.roundTrip += time.Duration(roundTripShare * float64(now.Sub(f.opened)-p.roundTrip))
+	}
+	p.settle(now, f, cookie)
+	if len(f.tried) > 1 {
+		p.tell(Doubt{Key: f.key, Tried: f.tried, Chosen: cookie})
 	}
 	p.vouch(now, cookie)
 }
 
+// settle makes the target with a cookie the one that has the flow.
+func (p *Placer) settle(now time.Time, f *Flow, cookie uint32) {
+	f.answered, f.opening = true, nil
+	if !f.idle {
+		p.target(f.member.Cookie, now).add(now, -1)
+	}
+	if m, ok := p.view.Cookies[cookie]; ok {
+		f.member = m
+	}
+	f.idle = false
+	p.target(f.member.Cookie, now).add(now, 1)
+}
+
 func (p *Placer) close(now time.Time, f *Flow) {
 	if !f.idle {
 		p.target(f.member.Cookie, now).add(now, -1)
@@ -179,6 +191,8 @@
 		case now.Sub(f.seen) > forgetAfter:
 			p.forget(now, f)
 			delete(p.flows, key)
+		case f.adopted && !f.answered:
+			// The host that opened it tries it elsewhere.
 		case !f.answered && !f.closed && now.After(f.due) && f.copies == 0 && p.rerouted(f):
 			f.due = f.opened.Add(copyTime)
 		case !f.answered && !f.closed && now.After(f.due):
@@ -223,6 +237,7 @@
 	}
 	f.idle = false
 	p.put(now, f, m)
+	p.tell(Doubt{Key: f.key, Tried: f.tried})
 	p.counters.Retried++
 	r.Member, r.Opening = m, f.opening
 	return r
--- a/placement/load_test.go
+++ b/placement/load_test.go
@@ -187,7 +187,7 @@
 	requests[k] = &request{asked: m.now, work: work}
 	m.asked++
 	m.after(oneWay, func() {
-		target, err := h.Open(m.time(), k, service, []byte("o"))
+		target, err := h.Open(m.time(), k, service, []byte("o"), false)
 		if err != nil {
 			m.shed++
 			return
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -64,6 +64,7 @@
 	turn     uint64
 	counters Counters
 	beliefs  []Belief
+	doubts   []Doubt
 }
 
 // Counters count what became of openings.
@@ -100,8 +101,9 @@
 
 // Open chooses the target of a new flow and records the flow. Opening is the
 // flow's first packet, which is kept until the flow is answered. A copy of the
-// first packet of a flow that is known goes to that flow's target.
-func (p *Placer) Open(now time.Time, key cornelbay.FlowKey, service cornelbay.ServiceName, opening []byte) (*registry.Member, error) {
+// first packet of a flow that is known goes to that flow's target; one of a flow
+// that is not may have been opened by another host.
+func (p *Placer) Open(now time.Time, key cornelbay.FlowKey, service cornelbay.ServiceName, opening []byte, copied bool) (*registry.Member, error) {
 	if f, ok := p.flows[key]; ok && !f.closed {
 		f.seen = now
 		f.copies++
@@ -119,6 +121,9 @@
 	f := &Flow{key: key, service: service, opened: now, seen: now, opening: slices.Clone(opening)}
 	p.record(f)
 	p.put(now, f, m)
+	if copied {
+		p.tell(Doubt{Key: key, Tried: f.tried})
+	}
 	return m, nil
 }
 
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -50,7 +50,7 @@
 
 func open(t *testing.T, p *Placer, now time.Time, port int) uint32 {
 	t.Helper()
-	m, err := p.Open(now, key(port), service, []byte("opening"))
+	m, err := p.Open(now, key(port), service, []byte("opening"), false)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -159,6 +159,43 @@
 	is.Equal(len(tickTo(p, now, now.Add(time.Second))), 0)
 }
 
+// TestOtherHostsKnowOfAnOpeningAtSeveralTargets was found by the soak, seed 1: an
+// opening was tried at a second target, both answered, and the routers sent the
+// next packet to a host that followed the last cookie.
+func TestOtherHostsKnowOfAnOpeningAtSeveralTargets(t *testing.T) {
+	is := is.New(t)
+	v := view(member(1, "near"), member(2, "near"))
+	opener, other := placer(v), placer(v)
+	first := open(t, opener, start, 1)
+	retries := tickTo(opener, start, start.Add(60*time.Millisecond))
+	second := retries[0].Member.Cookie
+	for _, d := range opener.Doubts() {
+		other.Learn(start.Add(61*time.Millisecond), d)
+	}
+	now := start.Add(70 * time.Millisecond)
+	is.Equal(other.Progress(now, key(1), first, false), first) // the caller acknowledges
+	is.Equal(other.Progress(now, key(1), second, false), first)
+	for _, d := range other.Doubts() {
+		is.Equal(d.Chosen, first)
+		opener.Learn(now, d)
+	}
+	is.Equal(opener.Progress(now, key(1), second, false), first)
+	is.Equal(len(tickTo(opener, now, now.Add(time.Second))), 0)
+	other.Progress(now, key(1), second, true)
+	is.Equal(other.load(now, first), 0.0)
+	is.Equal(other.load(now, second), 0.0)
+}
+
+func TestACopyThatMeetsAnotherHostIsTold(t *testing.T) {
+	is := is.New(t)
+	p := placer(view(member(1, "near"), member(2, "near")))
+	m, err := p.Open(start, key(1), service, nil, true)
+	is.NoErr(err)
+	is.Equal(p.Doubts(), []Doubt{{Key: key(1), Tried: []uint32{m.Cookie}}})
+	p.Learn(start, Doubt{Key: key(1), Tried: []uint32{2, 1}}) // of the first host
+	is.Equal(p.Progress(start, key(1), 2, false), uint32(2))
+}
+
 func TestAFlowOfAnotherHostKeepsItsCookie(t *testing.T) {
 	is := is.New(t)
 	p := placer(view(member(1, "near")))
@@ -238,9 +275,9 @@
 	m := member(1, "near")
 	m.Draining = true
 	p := placer(view(m))
-	_, err := p.Open(start, key(1), service, nil)
+	_, err := p.Open(start, key(1), service, nil, false)
 	is.Equal(err, ErrNoTarget)
-	_, err = (&Placer{}).Open(start, key(1), service, nil)
+	_, err = (&Placer{}).Open(start, key(1), service, nil, false)
 	is.Equal(err, ErrNoTarget)
 }
 
@@ -281,7 +318,7 @@
 				now := start.Add(time.Duration(ms) * time.Millisecond)
 				for _, p := range placers {
 					port++
-					if m, err := p.Open(now, key(port), service, nil); err == nil {
+					if m, err := p.Open(now, key(port), service, nil, false); err == nil {
 						got[m.Cookie] = append(got[m.Cookie], now)
 					}
 				}
@@ -328,7 +365,7 @@
 
 func BenchmarkKnownFlow(b *testing.B) {
 	p := placer(view(member(1, "near"), member(2, "far")))
-	if _, err := p.Open(start, key(1), service, nil); err != nil {
+	if _, err := p.Open(start, key(1), service, nil, false); err != nil {
 		b.Fatal(err)
 	}
 	p.Progress(start, key(1), 1, false)
--- /dev/null
+++ b/soak/soak.go
@@ -0,0 +1,509 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"os"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/cornelbay/cornelbay/fakeplatform"
+	"github.com/cornelbay/cornelbay/platform"
+)
+
+// Options say how a soak runs.
+type Options struct {
+	Seed    uint64
+	Rounds  int
+	Hosts   int
+	Targets int
+	Callers int
+	// Only are the numbers of the steps to take; none stands for all.
+	Only []int
+	// Binary is the daemon's program.
+	Binary string
+	// Net is the second byte of the loopback addresses that the soak uses.
+	Net byte
+	// Tell gets a line for each step and each check; it may be nil.
+	Tell func(format string, args ...any)
+}
+
+// Result is what a soak has seen.
+type Result struct {
+	Seed     uint64 `json:"seed"`
+	Steps    int    `json:"steps"`
+	Flows    int    `json:"flows"`
+	Requests int    `json:"requests"`
+	Refused  int    `json:"refused"`
+	Stalled  int    `json:"stalled"`
+	// Violations are the promises that were broken, each with its story.
+	Violations []string `json:"violations"`
+}
+
+// settleTime bounds how long everything may take to be well again after a round:
+// far beyond each bound of the promises, since the machine may be busy.
+const settleTime = 40 * time.Second
+
+type run struct {
+	*world
+	ctx context.Context
+
+	mu     sync.Mutex
+	result Result
+	// calm is true while nothing is harmed and nothing changes.
+	calm bool
+}
+
+// Run runs a soak and returns what it has seen. An error means that it could not
+// be run; broken promises are in the result.
+func Run(ctx context.Context, o Options) (res Result, err error) {
+	if o.Tell == nil {
+		o.Tell = func(string, ...any) {}
+	}
+	w, err := newWorld(o)
+	if err != nil {
+		return Result{}, err
+	}
+	defer func() { err = errors.Join(err, w.close()) }()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r := &run{world: w, ctx: ctx, result: Result{Seed: o.Seed, Violations: []string{}}}
+	r.settle(-1)
+	var callers sync.WaitGroup
+	for i := range o.Callers {
+		callers.Go(func() { r.call(rand.New(rand.NewPCG(o.Seed, uint64(i+1)))) })
+	}
+	steps := Schedule(o.Seed, o.Rounds)
+	for round := range o.Rounds {
+		r.round(round, steps)
+		if len(r.violations()) > 0 || ctx.Err() != nil {
+			break
+		}
+	}
+	cancel()
+	callers.Wait()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.result, nil
+}
+
+func (r *run) violations() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.result.Violations
+}
+
+func (r *run) violate(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.result.Violations = append(r.result.Violations, fmt.Sprintf(format, args...))
+}
+
+func (r *run) setCalm(calm bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.calm = calm
+}
+
+func (r *run) isCalm() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.calm
+}
+
+// round takes the steps of one round, heals everything, and checks the promises
+// that hold once all is calm.
+func (r *run) round(round int, steps []Step) {
+	r.setCalm(false)
+	begin := time.Now()
+	var running sync.WaitGroup
+	for _, s := range steps {
+		if s.Round != round || len(r.o.Only) > 0 && !slices.Contains(r.o.Only, s.Number) {
+			continue
+		}
+		select {
+		case <-r.ctx.Done():
+		case <-time.After(s.At - time.Since(begin)):
+		}
+		r.o.Tell("%s", s)
+		r.result.Steps++
+		running.Go(func() { r.take(s) })
+	}
+	running.Wait()
+	r.heal()
+	r.settle(round)
+}
+
+// heal ends what no step has ended: the store works, all hosts run, every target
+// that lives is announced.
+func (r *run) heal() {
+	r.store.Set(fakeplatform.Faults{})
+	for _, p := range r.hosts {
+		p.proxy.cut.Store(false)
+		p.signal(syscall.SIGCONT)
+		if !r.alive(p) {
+			if err := r.start(p, 0); err != nil {
+				r.violate("host %d does not start: %v", p.number, err)
+			}
+		}
+	}
+	r.world.mu.Lock()
+	defer r.world.mu.Unlock()
+	for _, t := range r.targets {
+		t.Silent.Store(false)
+		t.Delay.Store(0)
+		t.doubtful = false
+	}
+}
+
+func (r *run) alive(p *process) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd != nil && !p.stopped
+}
+
+// eventually polls until ok or the settle time is over.
+func (r *run) eventually(what string, ok func() bool) {
+	for begin := time.Now(); time.Since(begin) < settleTime; {
+		if r.ctx.Err() != nil || ok() {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	r.violate("%s: not within %v after all was well", what, settleTime)
+}
+
+// settle waits until each host serves what it should and nothing else, and then
+// checks for a while that it stays so.
+func (r *run) settle(round int) {
+	for _, p := range r.hosts {
+		r.eventually(fmt.Sprintf("host %d is ready", p.number), func() bool { return r.ready(p) })
+		for i, s := range services {
+			r.eventually(fmt.Sprintf("host %d serves %s", p.number, s), func() bool { return r.serves(p, r.serviceAddress(i), s) })
+		}
+		r.eventually(fmt.Sprintf("host %d has the added route: %v", p.number, r.added), func() bool {
+			return r.serves(p, r.serviceAddress(len(services)), services[0]) == r.added
+		})
+	}
+	if r.ctx.Err() != nil || len(r.violations()) > 0 {
+		return
+	}
+	r.setCalm(true)
+	r.noOpenings()
+	r.setCalm(false)
+	r.o.Tell("round %d: well again", round)
+}
+
+// serves reports whether a new flow through a host reaches a target that may get
+// it.
+func (r *run) serves(p *process, at netip.AddrPort, service string) bool {
+	c, err := r.caller()
+	if err != nil {
+		r.violate("caller: %v", err)
+		return false
+	}
+	defer func() { _ = c.Close() }()
+	f, err := c.Open(r.ctx, r.packets(p), at)
+	if err != nil {
+		return false
+	}
+	name, err := f.Ask(r.ctx, r.packets(p), time.Second)
+	if err != nil {
+		return false
+	}
+	_ = f.Finish(r.packets(p)) // the target forgets it anyway
+	t := r.targetNamed(name)
+	r.world.mu.Lock()
+	defer r.world.mu.Unlock()
+	return t != nil && t.service == service && !t.draining && !t.ended && t.dataCentre != r.evacuated
+}
+
+// calmTime is how long the promises of a calm deployment are watched.
+const calmTime = 1500 * time.Millisecond
+
+// noOpenings checks that targets which drain, or whose data centre is evacuated,
+// get no new flow while all is calm.
+func (r *run) noOpenings() {
+	r.world.mu.Lock()
+	before := map[*target]int{}
+	for _, t := range r.targets {
+		if !t.ended && (t.draining || t.dataCentre == r.evacuated) {
+			before[t] = t.Openings()
+		}
+	}
+	r.world.mu.Unlock()
+	select {
+	case <-r.ctx.Done():
+		return
+	case <-time.After(calmTime):
+	}
+	for t, n := range before {
+		if t.Openings() > n {
+			r.violate("target %s (draining %v, in %s, evacuated %q) got %d new flows while all was calm", t.Name, t.draining, t.dataCentre, r.evacuated, t.Openings()-n)
+		}
+	}
+}
+
+// call is a caller: it opens flows, asks on each through any host, and checks
+// that the same target answers.
+func (r *run) call(rng *rand.Rand) {
+	for r.ctx.Err() == nil {
+		r.flow(rng)
+		time.Sleep(time.Duration(rng.Int64N(int64(20 * time.Millisecond))))
+	}
+}
+
+func (r *run) flow(rng *rand.Rand) {
+	hosts := r.running()
+	if len(hosts) == 0 {
+		time.Sleep(10 * time.Millisecond)
+		return
+	}
+	c, err := r.caller()
+	if err != nil {
+		r.violate("caller: %v", err)
+		return
+	}
+	defer func() { _ = c.Close() }()
+	i := rng.IntN(len(services))
+	host := hosts[rng.IntN(len(hosts))]
+	f, err := c.Open(r.ctx, r.packets(host), r.serviceAddress(i))
+	if err != nil {
+		r.count(&r.result.Refused)
+		return
+	}
+	r.count(&r.result.Flows)
+	first := ""
+	for range 1 + rng.IntN(6) {
+		name, err := r.ask(rng, f)
+		if r.ctx.Err() != nil {
+			return
+		}
+		if errors.Is(err, fakeplatform.ErrReset) {
+			if t := r.targetNamed(first); first != "" && t != nil && r.sound(t) {
+				r.violate("flow of %s was reset while its target lives", first)
+			}
+			return
+		}
+		if err != nil {
+			r.count(&r.result.Stalled)
+			return
+		}
+		r.count(&r.result.Requests)
+		t := r.targetNamed(name)
+		if t == nil || t.service != services[i] {
+			r.violate("request for %s was answered by %s", services[i], name)
+		}
+		if first != "" && name != first {
+			r.violate("flow of %s was answered by %s", first, name)
+		}
+		first = name
+		time.Sleep(time.Duration(rng.Int64N(int64(200 * time.Millisecond))))
+	}
+	for _, p := range hosts[:1] {
+		_ = f.Finish(r.packets(p)) // the target forgets it anyway
+	}
+}
+
+// sound reports whether a target has lived without harm.
+func (r *run) sound(t *target) bool {
+	r.world.mu.Lock()
+	defer r.world.mu.Unlock()
+	return !t.ended && !t.doubtful
+}
+
+const (
+	askTime  = 300 * time.Millisecond
+	maxTries = 8
+)
+
+// ask sends a request, again through another host when there is no answer.
+func (r *run) ask(rng *rand.Rand, f *fakeplatform.Flow) (string, error) {
+	err := fakeplatform.ErrNoReply
+	for range maxTries {
+		hosts := r.running()
+		if len(hosts) == 0 {
+			time.Sleep(askTime)
+			continue
+		}
+		var name string
+		name, err = f.Ask(r.ctx, r.packets(hosts[rng.IntN(len(hosts))]), askTime)
+		if err == nil || !errors.Is(err, fakeplatform.ErrNoReply) {
+			return name, err
+		}
+	}
+	return "", err
+}
+
+func (r *run) count(n *int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	*n++
+}
+
+// take carries out one step and returns when it has ended.
+func (r *run) take(s Step) {
+	p := r.hosts[s.On%len(r.hosts)]
+	wait := func() {
+		select {
+		case <-r.ctx.Done():
+		case <-time.After(s.For):
+		}
+	}
+	switch s.Fault {
+	case Kill, SetBack, Stop:
+		r.restart(p, s)
+	case Pause:
+		p.signal(syscall.SIGSTOP)
+		wait()
+		p.signal(syscall.SIGCONT)
+	case Settings:
+		if err := r.writeSettings(p, fmt.Sprintf("drain_ms = %d", 2000+s.On%1000)); err != nil {
+			r.violate("settings: %v", err)
+		}
+		p.signal(syscall.SIGHUP)
+	case StoreBusy, StoreSilent, StoreResets, StoreSlow, StoreLoses, StoreRefuses:
+		r.harmStore(s, p)
+		wait()
+		p.proxy.cut.Store(false)
+		r.store.Set(fakeplatform.Faults{})
+	case StoreForgets:
+		r.store.Forget()
+	case StoreCut:
+		p.proxy.silence()
+	default:
+		r.change(s, wait)
+	}
+}
+
+func (r *run) harmStore(s Step, p *process) {
+	f := fakeplatform.Faults{}
+	switch s.Fault {
+	case StoreBusy:
+		f.Refuse = fakeplatform.Busy
+	case StoreSilent:
+		f.Refuse = fakeplatform.Silent
+	case StoreResets:
+		f.Refuse = fakeplatform.Resets
+	case StoreSlow:
+		f.Delay = 200 * time.Millisecond
+	case StoreLoses:
+		f.LoseAnswers = true
+	default: // the store serves all others
+		p.proxy.cut.Store(true)
+		p.proxy.silence()
+	}
+	r.store.Set(f)
+}
+
+// stopPatience is how long a process may take to end after SIGTERM, grace included.
+const stopPatience = 10 * time.Second
+
+func (r *run) restart(p *process, s Step) {
+	signal, clock := os.Signal(syscall.SIGKILL), time.Duration(0)
+	switch s.Fault {
+	case Stop:
+		signal = syscall.SIGTERM
+	case SetBack:
+		clock = -time.Minute
+	}
+	p.restarting.Lock()
+	defer p.restarting.Unlock()
+	p.signal(syscall.SIGCONT) // a process that is paused by another step ends as well
+	p.signal(signal)
+	p.end(stopPatience)
+	select {
+	case <-r.ctx.Done():
+		return
+	case <-time.After(s.For / 4):
+	}
+	if err := r.start(p, clock); err != nil {
+		r.violate("host %d does not start: %v", p.number, err)
+	}
+}
+
+// change harms a target or changes what operators and targets write.
+func (r *run) change(s Step, wait func()) {
+	w := r.world
+	w.mu.Lock()
+	t := w.targets[s.On%len(w.targets)]
+	mine := !t.ended && !t.draining
+	t.doubtful = t.doubtful || mine
+	w.mu.Unlock()
+	switch {
+	case s.Fault == Route:
+		w.mu.Lock()
+		w.added = !w.added
+		w.putRoutes()
+		w.mu.Unlock()
+	case s.Fault == Evacuate:
+		w.evacuate(dataCentres[s.On%len(dataCentres)])
+		wait()
+		if s.On%2 == 0 {
+			w.evacuate("")
+		}
+	case !mine:
+	case s.Fault == TargetSilent:
+		t.Silent.Store(true)
+		wait()
+		t.Silent.Store(false)
+	case s.Fault == TargetSlow:
+		t.Delay.Store(int64(150 * time.Millisecond))
+		wait()
+		t.Delay.Store(0)
+	default:
+		r.replace(t, s.Fault == TargetCrashes)
+	}
+}
+
+// evacuate makes a data centre the only one that is evacuated.
+func (w *world) evacuate(dataCentre string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.evacuated != "" {
+		w.store.Put(platform.EvacuationKind, w.evacuated, nil)
+	}
+	w.evacuated = dataCentre
+	if dataCentre != "" {
+		w.store.Put(platform.EvacuationKind, dataCentre, map[string]any{})
+	}
+}
+
+// replace starts another target of the service; the old one drains, or crashes
+// and its address goes to a target of the other service.
+func (r *run) replace(t *target, crash bool) {
+	w := r.world
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := w.addTarget(t.service, t.dataCentre); err != nil {
+		r.violate("target: %v", err)
+		return
+	}
+	if !crash {
+		t.draining, t.doubtful = true, false
+		w.announce(t)
+		return
+	}
+	at := t.Address()
+	t.ended = true
+	_ = t.Close() // its socket is free from here on
+	w.store.Put(platform.TargetKind, t.Name, nil)
+	w.next++
+	number := uint64(0x1000 + w.next)
+	other, err := fakeplatform.ListenTarget(at, fmt.Sprintf("i-%x", number), number)
+	if err != nil {
+		r.violate("target: %v", merry.Prepend(err, "address used again"))
+		return
+	}
+	service := services[(slices.Index(services, t.service)+1)%len(services)]
+	tg := &target{Target: other, service: service, dataCentre: t.dataCentre}
+	w.targets = append(w.targets, tg)
+	w.announce(tg)
+}
--- /dev/null
+++ b/soak/world.go
@@ -0,0 +1,322 @@
+package soak
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/cornelbay/cornelbay/fakeplatform"
+	"github.com/cornelbay/cornelbay/platform"
+)
+
+// The ports that are the same on all hosts.
+const (
+	packetPort = 18172
+	readyPort  = 18167
+	peerPort   = 17720
+	targetPort = 19000
+)
+
+// dataCentres are those of every soak.
+var dataCentres = []string{"a", "b", "c"}
+
+// process is one host as a process.
+type process struct {
+	number   int
+	settings string
+	proxy    *proxy
+	// restarting is held while a step ends the process and starts it again.
+	restarting sync.Mutex
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	stopped bool // SIGTERM was sent
+	log     bytes.Buffer
+}
+
+// Write takes the process's log and keeps its end.
+func (p *process) Write(b []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.log.Len() > maxLogBytes {
+		p.log.Next(maxLogBytes / 2)
+	}
+	return p.log.Write(b)
+}
+
+const maxLogBytes = 1 << 20
+
+type target struct {
+	*fakeplatform.Target
+	service, dataCentre string
+	draining            bool
+	// doubtful is true from when the target could not be reached until the end of
+	// the round: flows that it holds may stall.
+	doubtful bool
+	ended    bool
+}
+
+// world is everything that a soak runs.
+type world struct {
+	o       Options
+	dir     string
+	store   fakeplatform.Store
+	storeAt netip.AddrPort
+
+	mu        sync.Mutex
+	hosts     []*process
+	targets   []*target
+	next      int
+	callers   int
+	version   int
+	added     bool
+	evacuated string
+	closers   []func() error
+}
+
+func (w *world) address(kind, n int) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, w.o.Net, byte(kind), byte(n)})
+}
+
+func newWorld(o Options) (*world, error) {
+	w := &world{o: o}
+	var err error
+	if w.dir, err = os.MkdirTemp("", "cornelbay-soak"); err != nil {
+		return nil, merry.Prepend(err, "soak")
+	}
+	w.closers = append(w.closers, func() error { return os.RemoveAll(w.dir) })
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, merry.Prepend(err, "store")
+	}
+	srv := &http.Server{Handler: &w.store, ReadHeaderTimeout: time.Second}
+	w.closers = append(w.closers, srv.Close)
+	go func() { _ = srv.Serve(l) }() // ends when it is closed
+	w.storeAt = netip.MustParseAddrPort(l.Addr().String())
+	w.putRoutes()
+	for n := range o.Targets {
+		if err := w.addTarget(services[n%len(services)], dataCentres[n/len(services)%len(dataCentres)]); err != nil {
+			return nil, err
+		}
+	}
+	for n := range o.Hosts {
+		if err := w.addHost(n + 1); err != nil {
+			return nil, err
+		}
+	}
+	return w, nil
+}
+
+// services have one route each that is always there; the first has another that
+// comes and goes.
+var services = []string{"s1", "s2"}
+
+func (w *world) serviceAddress(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.MustParseAddr("198.18.0.1"), uint16(8001+i))
+}
+
+func (w *world) putRoutes() {
+	w.version++
+	routes := []any{}
+	add := func(i int, service string) {
+		at := w.serviceAddress(i)
+		routes = append(routes, map[string]any{
+			"name": at.String(), "host": at.Addr().String(), "path_prefix": fmt.Sprintf("/%d/", at.Port()), "route_type": "safe", "service": service,
+		})
+	}
+	for i, s := range services {
+		add(i, s)
+	}
+	if w.added {
+		add(len(services), services[0])
+	}
+	w.store.Put(platform.RoutingKind, "main", map[string]any{"version": w.version, "routes": routes, "limits": map[string]any{}})
+}
+
+func (w *world) addTarget(service, dataCentre string) error {
+	w.next++
+	number := uint64(0x1000 + w.next)
+	t, err := fakeplatform.ListenTarget(netip.AddrPortFrom(w.address(2, w.next), targetPort), fmt.Sprintf("i-%x", number), number)
+	if err != nil {
+		return merry.Prepend(err, "target")
+	}
+	tg := &target{Target: t, service: service, dataCentre: dataCentre}
+	w.targets = append(w.targets, tg)
+	w.announce(tg)
+	return nil
+}
+
+func (w *world) announce(t *target) {
+	state := "ready"
+	if t.draining {
+		state = "draining"
+	}
+	w.store.Put(platform.TargetKind, t.Name, map[string]any{
+		"service": t.service, "address": t.Address().String(), "zone": t.dataCentre, "version": "v1", "slots": 2,
+		"state": state, "warmup_left_ms": 0, "seq_no": 1, "born": 1,
+	})
+}
+
+func (w *world) addHost(n int) error {
+	x, err := newProxy(w.storeAt)
+	if err != nil {
+		return err
+	}
+	w.closers = append(w.closers, x.Close)
+	p := &process{number: n, settings: filepath.Join(w.dir, fmt.Sprintf("host-%d.toml", n)), proxy: x}
+	w.hosts = append(w.hosts, p)
+	if err := w.writeSettings(p, ""); err != nil {
+		return err
+	}
+	return w.start(p, 0)
+}
+
+func (w *world) writeSettings(p *process, more string) error {
+	at := w.address(1, p.number)
+	s := fmt.Sprintf(`node_name = "h%02d"
+ip = "%s"
+zone = "%s"
+internal_port_range = [%d, %d]
+seeds = ["%s:1", "%s:1"]
+ecmp_hash = "mod"
+form = "echo"
+[bind_addrs]
+datagram_addr = "%s:%d"
+ready = "%s:%d"
+[bounds]
+grace_s = 4
+%s
+[platform]
+address = "%s"
+form = "objects"
+`, p.number, at, dataCentres[p.number%len(dataCentres)], peerPort, peerPort+5, w.address(1, 1), w.address(1, 2),
+		at, packetPort, at, readyPort, more, p.proxy.Address())
+	if err := os.WriteFile(p.settings, []byte(s), 0o600); err != nil {
+		return merry.Prepend(err, "settings")
+	}
+	return nil
+}
+
+// soakKey authenticates the hosts of a soak.
+var soakKey = strings.Repeat("5a", 32)
+
+func (w *world) start(p *process, clock time.Duration) error {
+	cmd := exec.Command(w.o.Binary, "platform", fmt.Sprintf("--clock-offset=%s", clock))
+	cmd.Env = []string{platform.SettingsVariable + "=" + p.settings, "CORNELBAY_KEY=" + soakKey}
+	cmd.Stdout, cmd.Stderr = p, p
+	if err := cmd.Start(); err != nil {
+		return merry.Prepend(err, "host")
+	}
+	p.mu.Lock()
+	p.cmd, p.stopped = cmd, false
+	p.mu.Unlock()
+	return nil
+}
+
+// signal sends a signal to the process if it runs.
+func (p *process) signal(s os.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return
+	}
+	p.stopped = p.stopped || s == syscall.SIGTERM
+	_ = p.cmd.Process.Signal(s) // it may have ended
+}
+
+// end waits for the process to end after a signal, and kills it when it does not.
+func (p *process) end(patience time.Duration) {
+	p.mu.Lock()
+	cmd := p.cmd
+	p.cmd = nil
+	p.mu.Unlock()
+	if cmd == nil {
+		return
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = cmd.Wait() // a signal ended it
+	}()
+	select {
+	case <-done:
+	case <-time.After(patience):
+		_ = cmd.Process.Kill()
+		<-done
+	}
+}
+
+// running returns the hosts that routers send packets to.
+func (w *world) running() []*process {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(w.hosts), func(p *process) bool {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.cmd == nil || p.stopped
+	})
+}
+
+func (w *world) packets(p *process) netip.AddrPort {
+	return netip.AddrPortFrom(w.address(1, p.number), packetPort)
+}
+
+// ready asks a host for its readiness.
+func (w *world) ready(p *process) bool {
+	c := http.Client{Timeout: time.Second}
+	res, err := c.Get(fmt.Sprintf("http://%s:%d%s", w.address(1, p.number), readyPort, platform.ReadyPath))
+	if err != nil {
+		return false
+	}
+	_ = res.Body.Close() // read or not, the status is known
+	return res.StatusCode == http.StatusOK
+}
+
+func (w *world) caller() (*fakeplatform.Caller, error) {
+	w.mu.Lock()
+	w.callers++
+	n := w.callers
+	w.mu.Unlock()
+	return fakeplatform.ListenCaller(netip.AddrPortFrom(w.address(3+n/250%200, 1+n%250), packetPort))
+}
+
+func (w *world) targetNamed(name string) *target {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, t := range w.targets {
+		if t.Name == name {
+			return t
+		}
+	}
+	return nil
+}
+
+func (w *world) close() error {
+	for _, p := range w.hosts {
+		p.signal(syscall.SIGKILL)
+		p.end(time.Second)
+	}
+	var errs []error
+	for _, t := range w.targets {
+		if !t.ended {
+			errs = append(errs, t.Close())
+		}
+	}
+	for _, c := range w.closers {
+		errs = append(errs, c())
+	}
+	return errors.Join(errs...)
+}
