--- a/placement/flow.go
+++ b/placement/flow.go
@@ -103,10 +103,7 @@
 		}
 		p.answer(now, f, cookie)
 	}
-	if f.idle && !f.closed {
-		f.idle = false
-		p.target(f.member.Cookie, now).add(now, 1)
-	}
+	p.rouse(now, f)
 	if finishing && !f.closed {
 		p.close(now, f)
 	}
@@ -151,23 +148,32 @@
 		}
 	}
 	p.settle(now, f, cookie)
+	p.rouse(now, f)
 	if len(f.tried) > 1 {
 		p.tell(Doubt{Key: f.key, Tried: f.tried, Chosen: cookie})
 	}
 	p.vouch(now, cookie)
 }
 
-// settle makes the target with a cookie the one that has the flow.
+// settle makes the target with a cookie the one that has the flow, which counts as
+// load only where its packets come.
 func (p *Placer) settle(now time.Time, f *Flow, cookie uint32) {
 	f.answered, f.opening = true, nil
 	if !f.idle {
 		p.target(f.member.Cookie, now).add(now, -1)
 	}
+	f.idle = true
 	if m, ok := p.view.Cookies[cookie]; ok {
 		f.member = m
 	}
-	f.idle = false
-	p.target(f.member.Cookie, now).add(now, 1)
+}
+
+// rouse counts a flow as load that was idle.
+func (p *Placer) rouse(now time.Time, f *Flow) {
+	if f.idle && !f.closed {
+		f.idle = false
+		p.target(f.member.Cookie, now).add(now, 1)
+	}
 }
 
 func (p *Placer) close(now time.Time, f *Flow) {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -179,6 +179,8 @@
 		is.Equal(d.Chosen, first)
 		opener.Learn(now, d)
 	}
+	is.Equal(opener.load(now, first), 0.0) // its packets come to the other host
+	is.Equal(other.load(now, first), 1.0)
 	is.Equal(opener.Progress(now, key(1), second, false), first)
 	is.Equal(opener.Settled(), []Doubt{{Key: key(1), Tried: []uint32{first, second}, Chosen: first}}) // for hosts that start
 	is.Equal(len(tickTo(opener, now, now.Add(time.Second))), 0)
