--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -78,8 +78,8 @@
 	placer    placement.Placer
 	view      *registry.View
 
-	// stateMu guards tables, members, codec and regained. It is never held while
-	// trafficMu is wanted by a packet.
+	// stateMu guards tables, members and codec. Where both are held it is taken
+	// before trafficMu, and packets never take it.
 	stateMu sync.Mutex
 	tables  registry.Tables
 	members gossip.Members
--- a/balancer/packets.go
+++ b/balancer/packets.go
@@ -124,7 +124,7 @@
 	return verdict{target: m, reason: reasonKnown}
 }
 
-// openFlow decides a flow's first packet. What can't be served is reset at once: a
+// openFlow decides a flow's first packet, with trafficMu held. What can't be served is reset at once: a
 // flow that was never open has not run.
 func (b *Balancer) openFlow(now time.Time, p *platform.Packet, in []byte) verdict {
 	if !b.ready.Load() && !b.stopping.Load() {
--- /dev/null
+++ b/fakeplatform/objects.go
@@ -0,0 +1,81 @@
+package fakeplatform
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+
+	"github.com/cornelbay/cornelbay/platform"
+)
+
+// Route is a route of a configuration.
+type Route struct {
+	Address netip.AddrPort
+	Service string
+}
+
+// PutRoutes writes a configuration as the operator does.
+func (s *Store) PutRoutes(version int, routes ...Route) {
+	list := []any{}
+	for _, r := range routes {
+		list = append(list, map[string]any{
+			"name": r.Address.String(), "host": r.Address.Addr().String(), "path_prefix": fmt.Sprintf("/%d/", r.Address.Port()),
+			"route_type": "safe", "service": r.Service,
+		})
+	}
+	s.Put(platform.RoutingKind, "main", map[string]any{
+		"version": version, "routes": list, "services": []any{}, "limits": map[string]any{"idle_timeout_ms": 15000},
+	})
+}
+
+// RemoveRoutes removes the configuration.
+func (s *Store) RemoveRoutes() { s.Put(platform.RoutingKind, "main", nil) }
+
+// Announce writes what a target says of itself.
+func (s *Store) Announce(t *Target, service, dataCentre string, draining bool) {
+	state := "ready"
+	if draining {
+		state = "draining"
+	}
+	s.Put(platform.TargetKind, t.Name, map[string]any{
+		"service": service, "address": t.Address().String(), "zone": dataCentre, "version": "v1", "slots": 2,
+		"state": state, "warmup_left_ms": 0, "seq_no": 1, "born": 1,
+	})
+}
+
+// Settings are what a settings file of the platform says.
+type Settings struct {
+	Host, DataCentre string
+	Address          netip.Addr
+	// PacketPort, ReadyPort and PeerPort are ports at the address.
+	PacketPort, ReadyPort, PeerPort int
+	Seeds                           []netip.Addr
+	Store                           string
+	GraceSeconds, DrainMs           int
+}
+
+// String returns the settings file.
+func (s Settings) String() string {
+	var seeds []string
+	for _, a := range s.Seeds {
+		seeds = append(seeds, fmt.Sprintf(`"%s:1"`, a))
+	}
+	return fmt.Sprintf(`node_name = "%s"
+ip = "%s"
+zone = "%s"
+internal_port_range = [%d, %d]
+seeds = [%s]
+ecmp_hash = "mod"
+form = "echo"
+[bind_addrs]
+datagram_addr = "%s:%d"
+ready = "%s:%d"
+[bounds]
+grace_s = %d
+drain_ms = %d
+[platform]
+address = "%s"
+form = "objects"
+`, s.Host, s.Address, s.DataCentre, s.PeerPort, s.PeerPort+5, strings.Join(seeds, ", "),
+		s.Address, s.PacketPort, s.Address, s.ReadyPort, s.GraceSeconds, s.DrainMs, s.Store)
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -51,7 +51,7 @@
 
 // settleTime bounds how long everything may take to be well again after a round:
 // far beyond each bound of the promises, since the machine may be busy.
-const settleTime = 20 * time.Second
+const settleTime = 40 * time.Second
 
 type run struct {
 	*world
@@ -376,7 +376,7 @@
 		wait()
 		p.signal(syscall.SIGCONT)
 	case Settings:
-		if err := r.writeSettings(p, fmt.Sprintf("drain_ms = %d", 2000+s.On%1000)); err != nil {
+		if err := r.writeSettings(p, usualDrainMs-s.On%1000); err != nil {
 			r.violate("settings: %v", err)
 		}
 		p.signal(syscall.SIGHUP)
