Let the host that has a flow in doubt tell who has it

Cause: when the routers send all flows of a host elsewhere, it sees no later packets and tries openings at other targets; the host that has the flow knew its target but did not say so, and a third host followed the cookie of a late answer. Ruled out: dead targets (six were silent at once, and no later packet of any flow had come since). Change: a host that has the flow answers a doubt with its target; without a later packet of any flow an opening goes to one more target only, until a copy comes.

--- a/placement/doubt.go
+++ b/placement/doubt.go
@@ -56,8 +56,12 @@
 			f.tried = append(f.tried, cookie)
 		}
 	}
-	if d.Chosen != 0 && !f.answered {
+	switch {
+	case d.Chosen != 0 && !f.answered:
 		p.settle(now, f, d.Chosen)
+	case d.Chosen == 0 && f.answered:
+		// The routers have sent the flow here: only this host knows who has it.
+		p.tell(Doubt{Key: f.key, Tried: f.tried, Chosen: f.member.Cookie})
 	}
 }
 
--- a/placement/flow.go
+++ b/placement/flow.go
@@ -88,6 +88,7 @@
 // The first such packet decides where an opening was tried at several targets:
 // an answer that comes late must not move the flow.
 func (p *Placer) Progress(now time.Time, key cornelbay.FlowKey, cookie uint32, finishing bool) uint32 {
+	p.progressed = now
 	f, ok := p.flows[key]
 	if !ok {
 		p.vouch(now, cookie)
@@ -195,7 +196,7 @@
 	p.ticked = now
 	var retries []Retry
 	for key, f := range p.flows {
-		if stalled || !f.answered && f.copies < copiesDue(now.Sub(f.opened)) {
+		if stalled || !f.answered && f.copies < copiesDue(now.Sub(f.opened)) || p.sidelined(f) {
 			f.blind = true
 		}
 		switch {
@@ -228,6 +229,13 @@
 	return 2
 }
 
+// sidelined reports whether several targets seem not to answer an opening while
+// this host has seen no later packet of any flow since: then the routers, not the
+// targets, are the likely cause.
+func (p *Placer) sidelined(f *Flow) bool {
+	return !f.answered && f.copies == 0 && len(f.tried) > 1 && p.progressed.Before(f.opened)
+}
+
 // rerouted reports whether the routers seem to have sent flows to other hosts
 // about the time of an opening. Then only a copy of it shows that the caller has
 // had no answer.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -59,6 +59,8 @@
 	budgets   map[uint32]*Budget
 	roundTrip time.Duration
 	ticked    time.Time
+	// progressed is when the last later packet of any flow came.
+	progressed time.Time
 	// stray is when the last packet came of a flow that another host opened.
 	stray    time.Time
 	turn     uint64
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -190,6 +190,27 @@
 	is.Equal(other.load(now, second), 0.0)
 }
 
+// TestTheHostThatHasTheFlowTellsWhoHasIt was found by the soak, seed 147: the
+// routers sent all flows of a host elsewhere, and it tried their openings at other
+// targets; a third host followed the cookie of a late answer.
+func TestTheHostThatHasTheFlowTellsWhoHasIt(t *testing.T) {
+	is := is.New(t)
+	v := view(member(1, "near"), member(2, "near"), member(3, "near"))
+	opener, has, third := placer(v), placer(v), placer(v)
+	first := open(t, opener, start, 1)
+	has.Progress(start.Add(5*time.Millisecond), key(1), first, false)
+	retries := tickTo(opener, start, start.Add(200*time.Millisecond))
+	is.Equal(len(retries), 1) // no later packet of any flow came: no more than one more target
+	for _, d := range opener.Doubts() {
+		has.Learn(start, d)
+		third.Learn(start, d)
+	}
+	for _, d := range has.Doubts() {
+		third.Learn(start, d)
+	}
+	is.Equal(third.Progress(start.Add(time.Second), key(1), retries[0].Member.Cookie, false), first)
+}
+
 func TestACopyThatMeetsAnotherHostIsTold(t *testing.T) {
 	is := is.New(t)
 	p := placer(view(member(1, "near"), member(2, "near")))
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -38,6 +38,7 @@
 		cause  string
 	}{
 		{1, 2, "two targets answered one opening, and only one host knew which had the flow"},
+		{147, 2, "a host whose flows were sent elsewhere tried their openings at other targets"},
 		{4, 1, "the short soak of CI"},
 	} {
 		t.Run(c.cause, func(t *testing.T) {
