Tell a host that is heard again of doubts alone, and pace them

Cause: each time a host was heard again, every other one told all its settled doubts to all hosts. Change: they go to the host that was heard; doubts are paced to 1,000 datagrams a second; who is told is taken from the last pulse.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -84,12 +84,14 @@
 	tables  registry.Tables
 	members gossip.Members
 	codec   peer.Codec
+	// told are the addresses that the last pulse went to.
+	told []netip.AddrPort
 
 	// changed wakes the pulse when the tables have changed.
 	changed chan struct{}
 	pulls   chan wanted
 	// doubts wait to be told to other hosts.
-	doubts chan placement.Doubt
+	doubts chan doubtFor
 	// seeded is closed when the seeds have answered or failed.
 	seeded   chan struct{}
 	ready    atomic.Bool
@@ -119,7 +121,7 @@
 		changed: make(chan struct{}, 1),
 		pulls:   make(chan wanted, 16),
 		seeded:  make(chan struct{}),
-		doubts:  make(chan placement.Doubt, queuedDoubts),
+		doubts:  make(chan doubtFor, queuedDoubts),
 		started: time.Now(),
 	}
 	b.settings.Store(&s)
--- a/balancer/packets.go
+++ b/balancer/packets.go
@@ -68,7 +68,7 @@
 	v := b.decide(now, &p, in)
 	doubts := b.placer.Doubts()
 	b.trafficMu.Unlock()
-	b.queueDoubts(doubts)
+	b.queueDoubts(doubts, netip.AddrPort{})
 	b.metrics.count(v.reason)
 	switch {
 	case v.target != nil:
@@ -200,7 +200,7 @@
 		b.trafficMu.Lock()
 		retries, beliefs, doubts := b.placer.Tick(now), b.placer.Beliefs(), b.placer.Doubts()
 		b.trafficMu.Unlock()
-		b.queueDoubts(doubts)
+		b.queueDoubts(doubts, netip.AddrPort{})
 		for _, belief := range beliefs {
 			line := log.WithFields(log.Fields{"target": belief.Member.Name, "dataCentre": belief.Member.DataCentre})
 			if belief.Silent {
--- a/balancer/peers.go
+++ b/balancer/peers.go
@@ -77,7 +77,7 @@
 		b.trafficMu.Lock()
 		settled := b.placer.Settled()
 		b.trafficMu.Unlock()
-		b.queueDoubts(settled)
+		b.queueDoubts(settled, p.Host.Address)
 	}
 	again := b.tables.Targets.Regained()
 	p.Ages.Confirm(now, p.Revisions, &b.tables)
@@ -137,6 +137,7 @@
 	}
 	b.stateMu.Lock()
 	to := b.recipients(now)
+	b.told = to
 	every := gossip.Every(len(to))
 	p.EveryMs = uint32(every.Milliseconds())
 	datagram := b.seal(now, p)
@@ -223,21 +224,33 @@
 	b.sendPeers(datagram, to)
 }
 
-// queuedDoubts is the number of doubts that wait to be told; others are left out
-// and counted.
-const queuedDoubts = 1024
+const (
+	// queuedDoubts is the number of doubts that wait to be told; others are left
+	// out and counted.
+	queuedDoubts = 256
+	// doubtPause is the time between two doubts for each host that is told: no host
+	// sends more than 1,000 datagrams a second for them.
+	doubtPause = time.Millisecond
+)
 
-func (b *Balancer) queueDoubts(doubts []placement.Doubt) {
+// doubtFor is a doubt that is to be told to one host, or to all where no address
+// is given.
+type doubtFor struct {
+	placement.Doubt
+	to netip.AddrPort
+}
+
+func (b *Balancer) queueDoubts(doubts []placement.Doubt, to netip.AddrPort) {
 	for _, d := range doubts {
 		select {
-		case b.doubts <- d:
+		case b.doubts <- doubtFor{d, to}:
 		default:
 			b.metrics.count("doubtNotTold")
 		}
 	}
 }
 
-// tellDoubts tells the hosts that pulses go to of openings at several targets.
+// tellDoubts tells other hosts of openings at several targets.
 func (b *Balancer) tellDoubts() {
 	for {
 		select {
@@ -245,7 +258,7 @@
 			return
 		case d := <-b.doubts:
 			b.stateMu.Lock()
-			to := b.recipients(time.Now())
+			to := b.told
 			datagram, err := b.codec.Seal(gossip.Doubt{
 				Source: d.Key.Source, Destination: d.Key.Destination, Tried: d.Tried, Chosen: d.Chosen,
 			})
@@ -254,7 +267,11 @@
 				log.WithError(err).Error("doubt not sealed")
 				continue
 			}
+			if d.to.IsValid() {
+				to = []netip.AddrPort{d.to}
+			}
 			b.sendPeers(datagram, to)
+			b.sleep(time.Duration(len(to)) * doubtPause)
 		}
 	}
 }
