Take a delta over whole or not at all

Cause: a delta whose digest did not fit left the records that it had brought, so that a table at one revision held a part of a later one. Traced to a teller that listed the store after an object was gone. The test of just this case failed before.

--- a/registry/table.go
+++ b/registry/table.go
@@ -198,13 +198,14 @@
 	if d.Since > t.revision {
 		return false
 	}
+	before := maps.Clone(t.records)
 	changed := false
 	for i := range d.Records {
 		changed = t.take(now, &d.Records[i]) || changed
 	}
 	if t.Digest() != d.Digest {
-		t.diverged = true
-		return changed
+		t.records, t.diverged = before, true
+		return false
 	}
 	t.revision = d.Revision
 	return changed
--- a/registry/table_test.go
+++ b/registry/table_test.go
@@ -87,6 +87,19 @@
 	is.Equal(behind.Base(), uint64(3))
 }
 
+// TestADeltaIsTakenWholeOrNotAtAll was found by TestTablesConverge in CI: a delta
+// that did not lead to the teller's table left a part of its records behind.
+func TestADeltaIsTakenWholeOrNotAtAll(t *testing.T) {
+	is := is.New(t)
+	var behind, teller Table[int]
+	behind.Replace(start, 3, []Record[int]{record("a", 2, 2), record("b", 3, 3)})
+	teller.Replace(start, 5, []Record[int]{record("a", 4, 4)})
+	is.True(!behind.Merge(start, teller.Since(start, behind.Base())))
+	is.Equal(live(&behind), map[string]int{"a": 2, "b": 3})
+	is.True(behind.Merge(start, teller.Since(start, behind.Base())))
+	is.Equal(live(&behind), map[string]int{"a": 4})
+}
+
 func TestPruneKeepsWhatIsGoneForAWhile(t *testing.T) {
 	is := is.New(t)
 	table := Table[int]{Keep: time.Minute}
