Eject targets whose flows fail or drag

Cause: a target that answers openings and then fails requests, or is slow, kept its share of the flows; one that fails fast even got more, as the least loaded one. Change: hosts count per target the flows that ended, those whose answer was cut short (an answer much shorter than usual on the route, or a flow that never ended) and their durations; pulses tell of them each half second. A target that exceeds the others by more than chance gets no flows for 1 s, then 2, 4, 8; after that one host alone tries it for a second.

--- a/balancer/packets.go
+++ b/balancer/packets.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"net"
 	"net/netip"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/placement"
 	"github.com/cornelbay/cornelbay/platform"
 	"github.com/cornelbay/cornelbay/registry"
 )
@@ -116,7 +118,7 @@
 	if p.Cookie == 0 {
 		return verdict{reason: reasonNoCookie}
 	}
-	cookie := b.placer.Progress(now, p.Key, p.Cookie, p.Finishing || p.Resetting)
+	cookie := b.placer.Progress(now, p.Key, p.Cookie, p.Acknowledged, p.Finishing || p.Resetting)
 	m, ok := b.view.Cookies[cookie]
 	if !ok {
 		return verdict{reason: reasonUnknownCookie}
@@ -203,10 +205,17 @@
 		b.queueDoubts(doubts, netip.AddrPort{})
 		for _, belief := range beliefs {
 			line := log.WithFields(log.Fields{"target": belief.Member.Name, "dataCentre": belief.Member.DataCentre})
-			if belief.Silent {
-				line.Warn("target silent")
-			} else {
+			switch belief.State {
+			case placement.Answering:
 				line.Info("target answers again")
+			case placement.Failing, placement.Slow:
+				o := belief.Outcome
+				line.WithFields(log.Fields{
+					"ended": math.Round(o.Ended), "failed": math.Round(o.Failed),
+					"meanMs": math.Round(o.Took.Seconds() * 1000 / o.Ended), "pauseMs": belief.Pause.Milliseconds(),
+				}).Warn("target " + string(belief.State))
+			default:
+				line.Warn("target " + string(belief.State))
 			}
 		}
 		for _, r := range retries {
--- a/balancer/peers.go
+++ b/balancer/peers.go
@@ -89,8 +89,14 @@
 	for cookie, n := range p.Loads {
 		loads[cookie] = float64(n) / loadScale
 	}
+	outcomes := make(map[uint32]placement.Outcome, len(p.Outcomes))
+	for cookie, o := range p.Outcomes {
+		outcomes[cookie] = placement.Outcome{
+			Ended: float64(o.Ended), Failed: float64(o.Failed), Took: time.Duration(o.TookMs) * time.Millisecond,
+		}
+	}
 	b.trafficMu.Lock()
-	b.placer.Hear(e.From, placement.Report{At: now, Loads: loads})
+	b.placer.Hear(e.From, placement.Report{At: now, Loads: loads, Outcomes: outcomes})
 	b.trafficMu.Unlock()
 	own := gossip.RevisionsOf(&b.tables)
 	if p.Revisions.Lacks(own) && b.members.Reply(now, e.From) {
@@ -135,6 +141,14 @@
 			p.Loads[cookie] = steps
 		}
 	}
+	if len(r.Outcomes) > 0 {
+		p.Outcomes = make(map[uint32]gossip.Outcome, len(r.Outcomes))
+	}
+	for cookie, o := range r.Outcomes {
+		p.Outcomes[cookie] = gossip.Outcome{
+			Ended: uint32(o.Ended), Failed: uint32(o.Failed), TookMs: uint32(o.Took.Milliseconds()),
+		}
+	}
 	b.stateMu.Lock()
 	to := b.recipients(now)
 	b.told = to
@@ -152,8 +166,15 @@
 	p.Revisions, p.Ages = gossip.RevisionsOf(&b.tables), gossip.AgesOf(now, &b.tables)
 	p.Reads = b.members.Reads(now)
 	datagram, err := b.codec.Seal(p)
+	// What hosts know goes before what they have open, and that before what has ended.
+	if errors.Is(err, peer.ErrTooLarge) {
+		p.Outcomes = nil
+		b.metrics.count("outcomesNotTold")
+		datagram, err = b.codec.Seal(p)
+	}
 	if errors.Is(err, peer.ErrTooLarge) {
-		p.Loads = nil // what hosts know goes before what they have open
+		p.Loads = nil
+		b.metrics.count("loadsNotTold")
 		datagram, err = b.codec.Seal(p)
 	}
 	if err != nil {
--- a/cmd/cornelbay/soak.go
+++ b/cmd/cornelbay/soak.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 
@@ -22,13 +23,14 @@
 
 type soakCmd struct {
 	format
-	Seed    uint64 `help:"Seed of the schedule." default:"1"`
-	Rounds  int    `help:"Number of rounds of faults, each of some 10 s." default:"3"`
-	Hosts   int    `help:"Number of hosts, from 2 to 200." default:"6"`
-	Targets int    `help:"Number of targets, from 6 to 100." default:"12"`
-	Clients int    `help:"Number of callers at work at once." default:"8"`
-	Only    []int  `help:"Numbers of the steps to take; the others are left out."`
-	Daemon  string `help:"Program of the daemon." default:"bin/cornelbayd"`
+	Seed    uint64        `help:"Seed of the schedule." default:"1"`
+	Rounds  int           `help:"Number of rounds of faults, each of some 10 s; without --for." default:"3"`
+	For     time.Duration `help:"Time after which no further round begins, such as 2m."`
+	Hosts   int           `help:"Number of hosts, from 2 to 200." default:"6"`
+	Targets int           `help:"Number of targets, from 6 to 100." default:"12"`
+	Clients int           `help:"Number of callers at work at once." default:"8"`
+	Only    []int         `help:"Numbers of the steps to take; the others are left out."`
+	Daemon  string        `help:"Program of the daemon." default:"bin/cornelbayd"`
 }
 
 // Run runs a soak; a broken promise is an error.
@@ -38,8 +40,12 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	rounds := c.Rounds
+	if c.For > 0 {
+		rounds = int(c.For/soak.RoundTime) + 1
+	}
 	o := soak.Options{
-		Seed: c.Seed, Rounds: c.Rounds, Hosts: c.Hosts, Targets: c.Targets, Callers: c.Clients, Only: c.Only,
+		Seed: c.Seed, Rounds: rounds, For: c.For, Hosts: c.Hosts, Targets: c.Targets, Callers: c.Clients, Only: c.Only,
 		Binary: c.Daemon, Net: byte(firstSoakNet + c.Seed%soakNets),
 	}
 	if !c.JSON {
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -127,10 +127,15 @@
 
 func TestPulseFitsADatagram(t *testing.T) {
 	is := is.New(t)
-	p := Pulse{Host: host("edge-ait-bouguemez-12", "ait-bouguemez"), Loads: map[uint32]uint32{}}
+	p := Pulse{
+		Host: host("edge-ait-bouguemez-12", "ait-bouguemez"), Loads: map[uint32]uint32{}, Outcomes: map[uint32]Outcome{},
+	}
 	for i := range uint32(100) {
 		p.Loads[0xf0000000+i] = 200
 	}
+	for i := range uint32(30) {
+		p.Outcomes[0xf0000000+i] = Outcome{Ended: 20, Failed: 2, TookMs: 700}
+	}
 	c := peer.Codec{Self: "edge-ait-bouguemez-12", Incarnation: 1, Keys: [][]byte{make([]byte, 32)}}
 	b, err := c.Seal(p)
 	is.NoErr(err)
@@ -141,7 +146,7 @@
 
 func FuzzOpenPulse(f *testing.F) {
 	c := peer.Codec{Self: "a", Incarnation: 1, Keys: [][]byte{make([]byte, 32)}}
-	b, err := c.Seal(Pulse{Host: host("a", "x"), Loads: map[uint32]uint32{1: 2}})
+	b, err := c.Seal(Pulse{Host: host("a", "x"), Loads: map[uint32]uint32{1: 2}, Outcomes: map[uint32]Outcome{1: {Ended: 2}}})
 	if err != nil {
 		f.Fatal(err)
 	}
--- a/gossip/messages.go
+++ b/gossip/messages.go
@@ -95,6 +95,18 @@
 	Reads bool `cbor:"6,keyasint,omitempty"`
 	// EveryMs is the time in milliseconds between two pulses of the host.
 	EveryMs uint32 `cbor:"7,keyasint"`
+	// Outcomes are those of the host's flows since the last pulse that told of any,
+	// by the target's cookie.
+	Outcomes map[uint32]Outcome `cbor:"8,keyasint,omitempty"`
+}
+
+// Outcome sums up the flows that ended at a target.
+type Outcome struct {
+	_      struct{} `cbor:",toarray"`
+	Ended  uint32
+	Failed uint32
+	// TookMs is the sum of their durations in milliseconds.
+	TookMs uint32
 }
 
 // Kind returns the message's kind.
--- a/placement/flow.go
+++ b/placement/flow.go
@@ -49,6 +49,10 @@
 	// tried are the cookies of the targets that got the opening.
 	tried        []uint32
 	opened, seen time.Time
+	// begun is when the first later packet came; base is what it acknowledged, and
+	// acknowledged what the last one did.
+	begun              time.Time
+	base, acknowledged uint32
 	// due is when the opening counts as unanswered.
 	due      time.Time
 	answered bool
@@ -62,6 +66,8 @@
 	blind bool
 	// copies counts the copies of the opening that came.
 	copies int
+	// noted is true once the flow's outcome has been counted.
+	noted bool
 }
 
 // Retry is an opening that was not answered and is to be sent to another target.
@@ -84,10 +90,10 @@
 }
 
 // Progress notes a later packet of a flow, which carries the cookie of the target
-// that answered, and returns the cookie of the target that the flow is open at.
+// that answered and the last byte that the caller has of it, and returns the cookie of the target that the flow is open at.
 // The first such packet decides where an opening was tried at several targets:
 // an answer that comes late must not move the flow.
-func (p *Placer) Progress(now time.Time, key cornelbay.FlowKey, cookie uint32, finishing bool) uint32 {
+func (p *Placer) Progress(now time.Time, key cornelbay.FlowKey, cookie, acknowledged uint32, finishing bool) uint32 {
 	p.progressed = now
 	f, ok := p.flows[key]
 	if !ok {
@@ -103,7 +109,9 @@
 			return cookie
 		}
 		p.answer(now, f, cookie)
+		f.begun, f.base = now, acknowledged
 	}
+	f.acknowledged = acknowledged
 	p.rouse(now, f)
 	if finishing && !f.closed {
 		p.close(now, f)
@@ -186,6 +194,7 @@
 		return // when it was opened is not known
 	}
 	p.ended(f.service, now.Sub(f.opened))
+	p.note(now, f, p.early(f))
 }
 
 // Tick notes that time has passed and returns the openings that were not answered.
@@ -194,6 +203,9 @@
 	gap := now.Sub(p.ticked)
 	stalled := !p.ticked.IsZero() && gap > stall
 	p.ticked = now
+	if stalled {
+		p.stood = now
+	}
 	var retries []Retry
 	for key, f := range p.flows {
 		if stalled || !f.answered && f.copies < copiesDue(now.Sub(f.opened)) || p.sidelined(f) {
@@ -212,6 +224,9 @@
 		case !f.idle && !f.closed && now.Sub(f.seen) > idleAfter:
 			f.idle = true
 			p.target(f.member.Cookie, now).add(now, -1)
+			if now.Sub(p.stood) > 2*idleAfter {
+				p.note(now, f, true)
+			}
 		}
 	}
 	return retries
--- a/placement/load_test.go
+++ b/placement/load_test.go
@@ -26,12 +26,20 @@
 	targets, dead [3]int
 	deadAt        time.Duration
 	hosts         int
+	// failing and slow are the targets of each data centre that answer failShare of
+	// their requests with a short error, or take slowness times as long, from
+	// deadAt on.
+	failing, slow [3]int
 }
 
 const (
 	loadTime     = 8 * time.Second
 	workMean     = 24 * time.Millisecond
 	queueLength  = 8
+	failShare    = 0.6
+	slowness     = 8
+	answerBytes  = 2000
+	errorBytes   = 150
 	oneWay       = time.Millisecond
 	betweenSites = 1400 * time.Microsecond
 	aim          = 120 * time.Millisecond
@@ -68,14 +76,16 @@
 	targets map[uint32]*modelTarget
 	place   map[uint32]int
 
-	asked, inAim, shed int
-	took               []time.Duration
+	asked, inAim, shed, failed int
+	took                       []time.Duration
 }
 
 type modelTarget struct {
 	busy    int
 	waiting []func()
 	dead    bool
+	failing bool
+	slow    bool
 }
 
 func (m *model) after(d time.Duration, do func()) {
@@ -89,6 +99,8 @@
 type policy struct {
 	name    string
 	reports time.Duration
+	// trusting hosts do not eject outliers.
+	trusting bool
 }
 
 func run(l load, p policy, seed uint64) *model {
@@ -101,18 +113,26 @@
 			mt := &modelTarget{}
 			m.targets[cookie], m.place[cookie] = mt, dc
 			members = append(members, member(cookie, cornelbay.DataCentreName(fmt.Sprint(dc))))
-			if i < l.dead[dc] {
-				m.after(l.deadAt, func() { mt.dead = true })
-			}
+			m.after(l.deadAt, func() {
+				mt.dead, mt.failing, mt.slow = i < l.dead[dc], i < l.failing[dc], i < l.slow[dc]
+			})
 		}
 	}
+	var hosts []registry.Host
+	for i := range l.hosts {
+		hosts = append(hosts, registry.Host{
+			Name: cornelbay.HostName(fmt.Sprint(i)), DataCentre: cornelbay.DataCentreName(fmt.Sprint(i % 3)),
+		})
+	}
 	for i := range l.hosts {
 		h := &Placer{Self: cornelbay.HostName(fmt.Sprint(i)), DataCentre: cornelbay.DataCentreName(fmt.Sprint(i % 3))}
-		h.SetView(view(members...))
+		v := view(members...)
+		v.Hosts = hosts
+		h.SetView(v)
 		m.hosts = append(m.hosts, h)
 		m.tick(h)
 		if p.reports > 0 {
-			m.report(h, m.time(), p.reports)
+			m.report(h, m.time(), p)
 		}
 	}
 	for dc := range l.perSecond {
@@ -138,9 +158,14 @@
 	m.after(10*time.Millisecond, func() { m.tick(h) })
 }
 
-func (m *model) report(h *Placer, since time.Time, every time.Duration) {
+func (m *model) report(h *Placer, since time.Time, p policy) {
 	now := m.time()
 	r := h.Report(now, since)
+	if p.trusting {
+		for _, t := range h.targets {
+			t.ejection = ejection{}
+		}
+	}
 	m.after(betweenSites, func() {
 		r.At = m.time()
 		for _, other := range m.hosts {
@@ -149,7 +174,7 @@
 			}
 		}
 	})
-	m.after(every, func() { m.report(h, now, every) })
+	m.after(p.reports, func() { m.report(h, now, p) })
 }
 
 // request is one request of a caller on a flow of its own.
@@ -206,7 +231,7 @@
 			return
 		}
 		r.chosen = cookie
-		m.after(2*oneWay, func() { h.Progress(m.time(), k, cookie, false) })
+		m.after(2*oneWay, func() { h.Progress(m.time(), k, cookie, 1, false) })
 		m.after(2*oneWay+way, func() { m.work(h, k, t) })
 	})
 }
@@ -215,15 +240,27 @@
 	r := requests[k]
 	serve := func() {
 		t.busy++
-		m.after(r.work, func() {
+		work, size := r.work, uint32(answerBytes)
+		if t.slow {
+			work *= slowness
+		}
+		failed := t.failing && m.rng.Float64() < failShare
+		if failed {
+			work, size = 0, errorBytes
+		}
+		m.after(work, func() {
 			t.busy--
 			if len(t.waiting) > 0 {
 				next := t.waiting[0]
 				t.waiting = t.waiting[1:]
 				next()
 			}
+			m.after(2*oneWay, func() { h.Progress(m.time(), k, r.chosen, 1+size, true) })
+			if failed {
+				m.failed++
+				return
+			}
 			m.after(oneWay, func() { m.answered(r) })
-			m.after(2*oneWay, func() { h.Progress(m.time(), k, r.chosen, true) })
 		})
 	}
 	switch {
@@ -233,7 +270,7 @@
 		t.waiting = append(t.waiting, serve)
 	default:
 		m.shed++
-		h.Progress(m.time(), k, r.chosen, true)
+		h.Progress(m.time(), k, r.chosen, 1+errorBytes, true)
 	}
 }
 
@@ -254,18 +291,18 @@
 // checks what callers get beside the rule without reports between hosts, which
 // was the one before.
 func TestHeavyLoads(t *testing.T) {
-	own := policy{"own flows only", 0}
-	shared := policy{"reports of others", 150 * time.Millisecond}
+	own := policy{name: "own flows only"}
+	shared := policy{name: "reports of others", reports: 150 * time.Millisecond}
 	for _, c := range []struct {
 		load
 		// least is the share of requests that must be answered in time.
 		least float64
 	}{
-		{load{"an ordinary day", [3]float64{100, 110, 150}, [3]int{5, 5, 4}, [3]int{}, 0, 6}, 0.99},
-		{load{"many users at once", [3]float64{170, 190, 250}, [3]int{5, 5, 4}, [3]int{}, 0, 6}, 0.97},
-		{load{"one data centre has most users", [3]float64{40, 40, 400}, [3]int{5, 5, 4}, [3]int{}, 0, 6}, 0.97},
-		{load{"a third of the targets die", [3]float64{100, 110, 150}, [3]int{5, 5, 4}, [3]int{2, 2, 1}, 2 * time.Second, 6}, 0.97},
-		{load{"many hosts", [3]float64{100, 110, 150}, [3]int{5, 5, 4}, [3]int{}, 0, 18}, 0.99},
+		{load{"an ordinary day", [3]float64{100, 110, 150}, [3]int{5, 5, 4}, [3]int{}, 0, 6, [3]int{}, [3]int{}}, 0.99},
+		{load{"many users at once", [3]float64{170, 190, 250}, [3]int{5, 5, 4}, [3]int{}, 0, 6, [3]int{}, [3]int{}}, 0.97},
+		{load{"one data centre has most users", [3]float64{40, 40, 400}, [3]int{5, 5, 4}, [3]int{}, 0, 6, [3]int{}, [3]int{}}, 0.97},
+		{load{"a third of the targets die", [3]float64{100, 110, 150}, [3]int{5, 5, 4}, [3]int{2, 2, 1}, 2 * time.Second, 6, [3]int{}, [3]int{}}, 0.97},
+		{load{"many hosts", [3]float64{100, 110, 150}, [3]int{5, 5, 4}, [3]int{}, 0, 18, [3]int{}, [3]int{}}, 0.99},
 	} {
 		t.Run(c.title, func(t *testing.T) {
 			is := is.New(t)
@@ -285,3 +322,39 @@
 		})
 	}
 }
+
+// TestOutliers plays targets that fail in part or are slow while they answer all
+// openings, and checks what callers get beside hosts that trust such targets, which
+// was the rule before.
+func TestOutliers(t *testing.T) {
+	trusting := policy{name: "trusting", reports: 150 * time.Millisecond, trusting: true}
+	ejecting := policy{name: "ejecting", reports: 150 * time.Millisecond}
+	for _, c := range []struct {
+		load
+		// mostBad is the part of the requests that the targets may fail or answer late,
+		// of those that they do where they are trusted.
+		mostBad float64
+	}{
+		{load{"some fail", [3]float64{100, 110, 150}, [3]int{5, 5, 4}, [3]int{}, 2 * time.Second, 6, [3]int{1, 1, 0}, [3]int{}}, 0.5},
+		{load{"many hosts, some fail", [3]float64{100, 110, 150}, [3]int{5, 5, 4}, [3]int{}, 2 * time.Second, 24, [3]int{1, 1, 0}, [3]int{}}, 0.5},
+		{load{"some are slow", [3]float64{100, 110, 150}, [3]int{5, 5, 4}, [3]int{}, 2 * time.Second, 6, [3]int{}, [3]int{1, 1, 0}}, 0.5},
+		{load{"none is worse", [3]float64{100, 110, 150}, [3]int{5, 5, 4}, [3]int{}, 2 * time.Second, 6, [3]int{}, [3]int{}}, 1},
+		{load{"all fail", [3]float64{100, 110, 150}, [3]int{5, 5, 4}, [3]int{}, 2 * time.Second, 6, [3]int{5, 5, 4}, [3]int{}}, 1.05},
+	} {
+		t.Run(c.title, func(t *testing.T) {
+			is := is.New(t)
+			var bad [2]float64
+			for i, p := range []policy{trusting, ejecting} {
+				asked, inAim, failed := 0, 0, 0
+				for seed := range uint64(3) {
+					requests = make(map[cornelbay.FlowKey]*request)
+					m := run(c.load, p, seed)
+					asked, inAim, failed = asked+m.asked, inAim+m.inAim, failed+m.failed
+				}
+				t.Logf("%s: %d asked, %d in time, %d failed", p.name, asked, inAim, failed)
+				bad[i] = float64(asked-inAim) / float64(asked)
+			}
+			is.True(bad[1] <= c.mostBad*bad[0]+0.005)
+		})
+	}
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -11,6 +11,7 @@
 
 import (
 	"cmp"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -57,6 +58,12 @@
 	places    map[cornelbay.DataCentreName]*suspicion
 	durations map[cornelbay.ServiceName]time.Duration
 	budgets   map[uint32]*Budget
+	// answers are the mean bytes of the answers of each route and service.
+	answers map[answerKey]float64
+	// judged is when the outcomes were last added up.
+	judged time.Time
+	// stood is when this host last stood still.
+	stood     time.Time
 	roundTrip time.Duration
 	ticked    time.Time
 	// progressed is when the last later packet of any flow came.
@@ -74,6 +81,12 @@
 	Opened, Answered, Unanswered, Retried, Refused uint64
 }
 
+// answerKey names a route to a service.
+type answerKey struct {
+	route   netip.AddrPort
+	service cornelbay.ServiceName
+}
+
 // target is what the placer knows of one target.
 type target struct {
 	// open counts the flows of this host that are active at the target.
@@ -83,6 +96,10 @@
 	busy    float64
 	changed time.Time
 	suspicion
+	// ended are the outcomes of the own flows since the last report of them, and
+	// total those of the fleet, the older the less.
+	ended, total Outcome
+	ejection     ejection
 }
 
 func (t *target) add(now time.Time, n int) {
@@ -165,7 +182,7 @@
 }
 
 // choose returns the best target of a service that is not among those tried.
-// Suspects are only used where there is nothing else, or when a try is due that
+// Suspects and outliers are only used where there is nothing else, or when a try is due that
 // shows whether they answer again.
 func (p *Placer) choose(now time.Time, service cornelbay.ServiceName, tried []uint32) (*registry.Member, error) {
 	if p.view == nil {
@@ -181,6 +198,8 @@
 		switch {
 		case now.Before(m.ColdUntil):
 			keep(&cold, c)
+		case p.ejected(now, m):
+			keep(&suspect, c)
 		case !p.suspected(m):
 			keep(&best, c)
 		case p.tryDue(now, m):
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -69,7 +69,7 @@
 			}
 			all = append(all, r)
 			if slices.Contains(alive, r.Member.Cookie) {
-				p.Progress(now.Add(5*time.Millisecond), r.Key, r.Member.Cookie, false)
+				p.Progress(now.Add(5*time.Millisecond), r.Key, r.Member.Cookie, 0, false)
 			}
 		}
 	}
@@ -101,8 +101,8 @@
 	is := is.New(t)
 	p := placer(view(member(1, "near")))
 	open(t, p, start, 1)
-	p.Progress(start.Add(5*time.Millisecond), key(1), 1, false)
-	p.Progress(start.Add(50*time.Millisecond), key(1), 1, true)
+	p.Progress(start.Add(5*time.Millisecond), key(1), 1, 0, false)
+	p.Progress(start.Add(50*time.Millisecond), key(1), 1, 0, true)
 	r := p.Report(start.Add(100*time.Millisecond), start)
 	is.Equal(r.Loads, map[uint32]float64{1: 0.5})
 	is.Equal(len(p.Report(start.Add(200*time.Millisecond), start.Add(100*time.Millisecond)).Loads), 0)
@@ -131,17 +131,17 @@
 	// The next flows avoid it until it is tried again.
 	now := start.Add(maxAnswerTime)
 	is.Equal(open(t, p, now, 2), uint32(2))
-	p.Progress(now, key(2), 2, false)
+	p.Progress(now, key(2), 2, 0, false)
 	now = start.Add(firstTry + 100*time.Millisecond)
 	is.Equal(open(t, p, now, 3), uint32(1)) // one flow tries it
 	is.Equal(open(t, p, now, 4), uint32(2)) // only one
-	p.Progress(now.Add(4*time.Millisecond), key(3), 1, false)
+	p.Progress(now.Add(4*time.Millisecond), key(3), 1, 0, false)
 	is.Equal(open(t, p, now.Add(5*time.Millisecond), 5), uint32(1)) // it answers again
 
 	beliefs := p.Beliefs()
 	is.Equal(len(beliefs), 2)
 	is.Equal(beliefs[0].Member.Cookie, uint32(1))
-	is.True(beliefs[0].Silent && !beliefs[1].Silent)
+	is.Equal([]State{beliefs[0].State, beliefs[1].State}, []State{Silent, Answering})
 	is.Equal(len(p.Beliefs()), 0)
 }
 
@@ -154,8 +154,8 @@
 	retries := tickTo(p, start, start.Add(100*time.Millisecond))
 	second := retries[0].Member.Cookie
 	now := start.Add(101 * time.Millisecond)
-	is.Equal(p.Progress(now, key(1), first, false), first)
-	is.Equal(p.Progress(now, key(1), second, false), first)
+	is.Equal(p.Progress(now, key(1), first, 0, false), first)
+	is.Equal(p.Progress(now, key(1), second, 0, false), first)
 	is.Equal(len(tickTo(p, now, now.Add(time.Second))), 0)
 }
 
@@ -173,18 +173,18 @@
 		other.Learn(start.Add(61*time.Millisecond), d)
 	}
 	now := start.Add(70 * time.Millisecond)
-	is.Equal(other.Progress(now, key(1), first, false), first) // the caller acknowledges
-	is.Equal(other.Progress(now, key(1), second, false), first)
+	is.Equal(other.Progress(now, key(1), first, 0, false), first) // the caller acknowledges
+	is.Equal(other.Progress(now, key(1), second, 0, false), first)
 	for _, d := range other.Doubts() {
 		is.Equal(d.Chosen, first)
 		opener.Learn(now, d)
 	}
 	is.Equal(opener.load(now, first), 0.0) // its packets come to the other host
 	is.Equal(other.load(now, first), 1.0)
-	is.Equal(opener.Progress(now, key(1), second, false), first)
+	is.Equal(opener.Progress(now, key(1), second, 0, false), first)
 	is.Equal(opener.Settled(), []Doubt{{Key: key(1), Tried: []uint32{first, second}, Chosen: first}}) // for hosts that start
 	is.Equal(len(tickTo(opener, now, now.Add(time.Second))), 0)
-	other.Progress(now, key(1), second, true)
+	other.Progress(now, key(1), second, 0, true)
 	is.Equal(len(other.Settled()), 0)
 	is.Equal(other.load(now, first), 0.0)
 	is.Equal(other.load(now, second), 0.0)
@@ -198,7 +198,7 @@
 	v := view(member(1, "near"), member(2, "near"), member(3, "near"))
 	opener, has, third := placer(v), placer(v), placer(v)
 	first := open(t, opener, start, 1)
-	has.Progress(start.Add(5*time.Millisecond), key(1), first, false)
+	has.Progress(start.Add(5*time.Millisecond), key(1), first, 0, false)
 	retries := tickTo(opener, start, start.Add(200*time.Millisecond))
 	is.Equal(len(retries), 1) // no later packet of any flow came: no more than one more target
 	for _, d := range opener.Doubts() {
@@ -208,7 +208,7 @@
 	for _, d := range has.Doubts() {
 		third.Learn(start, d)
 	}
-	is.Equal(third.Progress(start.Add(time.Second), key(1), retries[0].Member.Cookie, false), first)
+	is.Equal(third.Progress(start.Add(time.Second), key(1), retries[0].Member.Cookie, 0, false), first)
 }
 
 func TestACopyThatMeetsAnotherHostIsTold(t *testing.T) {
@@ -218,17 +218,17 @@
 	is.NoErr(err)
 	is.Equal(p.Doubts(), []Doubt{{Key: key(1), Tried: []uint32{m.Cookie}}})
 	p.Learn(start, Doubt{Key: key(1), Tried: []uint32{2, 1}}) // of the first host
-	is.Equal(p.Progress(start, key(1), 2, false), uint32(2))
+	is.Equal(p.Progress(start, key(1), 2, 0, false), uint32(2))
 }
 
 func TestAFlowOfAnotherHostKeepsItsCookie(t *testing.T) {
 	is := is.New(t)
 	p := placer(view(member(1, "near")))
-	is.Equal(p.Progress(start, key(1), 77, false), uint32(77))
+	is.Equal(p.Progress(start, key(1), 77, 0, false), uint32(77))
 	is.Equal(len(p.flows), 0) // leads to no target that is known
-	is.Equal(p.Progress(start, key(2), 1, false), uint32(1))
+	is.Equal(p.Progress(start, key(2), 1, 0, false), uint32(1))
 	is.Equal(p.load(start, 1), 1.0) // counts as load here from now on
-	p.Progress(start, key(2), 1, true)
+	p.Progress(start, key(2), 1, 0, true)
 	is.Equal(p.load(start, 1), 0.0)
 }
 
@@ -237,10 +237,10 @@
 func TestLongFlowsOfOthersAreNoLastingDoubt(t *testing.T) {
 	is := is.New(t)
 	p := placer(view(member(1, "near"), member(2, "near")))
-	p.Progress(start, key(99), 2, false)
+	p.Progress(start, key(99), 2, 0, false)
 	now := start.Add(time.Second)
 	open(t, p, now, 1)
-	p.Progress(now.Add(8*time.Millisecond), key(99), 2, false)
+	p.Progress(now.Add(8*time.Millisecond), key(99), 2, 0, false)
 	is.True(len(tickTo(p, now, now.Add(100*time.Millisecond))) > 0)
 }
 
@@ -251,7 +251,7 @@
 	is := is.New(t)
 	p := placer(view(member(1, "near"), member(2, "near")))
 	cookie := open(t, p, start, 1)
-	p.Progress(start.Add(8*time.Millisecond), key(99), 2, false) // opened elsewhere
+	p.Progress(start.Add(8*time.Millisecond), key(99), 2, 0, false) // opened elsewhere
 	is.Equal(len(tickTo(p, start, start.Add(190*time.Millisecond))), 0)
 	is.Equal(p.Counters().Unanswered, uint64(0))
 
@@ -268,7 +268,7 @@
 	cookie := open(t, p, start, 1)
 	woken := start.Add(4 * time.Second)
 	is.Equal(len(p.Tick(woken)), 0)
-	p.Progress(woken, key(1), cookie, false)
+	p.Progress(woken, key(1), cookie, 0, false)
 	is.Equal(p.Counters().Unanswered, uint64(0))
 }
 
@@ -313,7 +313,7 @@
 	tickTo(p, start, start.Add(100*time.Millisecond), 9)
 	for port := 10; port < 20; port++ {
 		is.Equal(open(t, p, start.Add(101*time.Millisecond), port), uint32(9))
-		p.Progress(start.Add(102*time.Millisecond), key(port), 9, true)
+		p.Progress(start.Add(102*time.Millisecond), key(port), 9, 0, true)
 	}
 }
 
@@ -408,10 +408,10 @@
 	is := is.New(t)
 	p := placer(view(member(1, "near")))
 	open(t, p, start, 1)
-	p.Progress(start, key(1), 1, false)
+	p.Progress(start, key(1), 1, 0, false)
 	tickTo(p, start, start.Add(2*time.Second))
 	is.Equal(p.load(start.Add(2*time.Second), 1), 0.0)
-	p.Progress(start.Add(2*time.Second), key(1), 1, false)
+	p.Progress(start.Add(2*time.Second), key(1), 1, 0, false)
 	is.Equal(p.load(start.Add(2*time.Second), 1), 1.0)
 	tickTo(p, start.Add(2*time.Second), start.Add(2*time.Second+forgetAfter+time.Second))
 	is.Equal(len(p.flows), 0)
@@ -423,9 +423,9 @@
 	if _, err := p.Open(start, key(1), service, nil, false); err != nil {
 		b.Fatal(err)
 	}
-	p.Progress(start, key(1), 1, false)
+	p.Progress(start, key(1), 1, 0, false)
 	b.ReportAllocs()
 	for b.Loop() {
-		p.Progress(start, key(1), 1, false)
+		p.Progress(start, key(1), 1, 0, false)
 	}
 }
--- a/placement/report.go
+++ b/placement/report.go
@@ -21,6 +21,9 @@
 	// Loads are the flows that were active at each target on average since the
 	// report before, by the target's cookie.
 	Loads map[uint32]float64
+	// Outcomes are those of its flows since the last report that told of any, by the
+	// target's cookie.
+	Outcomes map[uint32]Outcome
 }
 
 // smoothing is the time over which the reports of a host are averaged. All hosts
@@ -38,6 +41,11 @@
 		r.Loads = smooth(old.Loads, r.Loads, 1-math.Exp(-float64(age)/float64(smoothing)))
 	}
 	p.reports[from] = r
+	for cookie, o := range r.Outcomes {
+		if !p.unknown(cookie) {
+			p.target(cookie, r.At).total.add(o)
+		}
+	}
 }
 
 // smooth moves old loads by a share towards new ones.
@@ -60,6 +68,7 @@
 // Report returns the own report and starts the next one.
 func (p *Placer) Report(now, since time.Time) Report {
 	r := Report{At: now, Loads: make(map[uint32]float64)}
+	r.Outcomes = p.outcomes(now)
 	elapsed := float64(now.Sub(since))
 	for cookie, t := range p.targets {
 		t.integrate(now)
--- a/placement/suspicion.go
+++ b/placement/suspicion.go
@@ -29,11 +29,28 @@
 // Belief is a change of what the placer takes a target for.
 type Belief struct {
 	Member *registry.Member
-	// Silent is true when the target has begun to be suspected, and false when it
-	// has answered again.
-	Silent bool
+	State  State
+	// Outcome is what showed that the target is an outlier, and Pause the time for
+	// which it gets no flows.
+	Outcome Outcome
+	Pause   time.Duration
 }
 
+// State is what the placer takes a target for.
+type State string
+
+// The states of targets.
+const (
+	// Silent is a target that does not answer openings.
+	Silent State = "silent"
+	// Answering is one that was silent and answers again.
+	Answering State = "answers again"
+	// Failing is one whose flows fail more often than those of others.
+	Failing State = "failing"
+	// Slow is one whose flows last longer than those of others.
+	Slow State = "slow"
+)
+
 // maxBeliefs bounds the changes that wait to be taken.
 const maxBeliefs = 256
 
@@ -44,9 +61,9 @@
 	return b
 }
 
-func (p *Placer) believe(m *registry.Member, silent bool) {
+func (p *Placer) believe(b Belief) {
 	if len(p.beliefs) < maxBeliefs {
-		p.beliefs = append(p.beliefs, Belief{m, silent})
+		p.beliefs = append(p.beliefs, b)
 	}
 }
 
@@ -96,7 +113,7 @@
 	was := t.unanswered
 	t.silent(now, opened)
 	if was == 0 && t.unanswered > 0 {
-		p.believe(m, true)
+		p.believe(Belief{Member: m, State: Silent})
 	}
 	p.place(m).silent(now, opened)
 }
@@ -117,7 +134,7 @@
 	}
 	p.place(m).vouch(now)
 	if was {
-		p.believe(m, false)
+		p.believe(Belief{Member: m, State: Answering})
 	}
 }
 
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -58,8 +58,8 @@
 }
 
 const (
-	// roundTime is how long a round's faults begin within.
-	roundTime = 5 * time.Second
+	// RoundTime is how long a round's faults begin within.
+	RoundTime = 5 * time.Second
 	// maxFaultTime is the longest that one fault lasts.
 	maxFaultTime  = 4 * time.Second
 	stepsPerRound = 8
@@ -80,7 +80,7 @@
 			s := Step{
 				Round: round, Fault: faults[rng.IntN(len(faults))], On: rng.IntN(1 << 16),
 			}
-			s.At = time.Duration(rng.Int64N(int64(roundTime)))
+			s.At = time.Duration(rng.Int64N(int64(RoundTime)))
 			s.For = time.Duration(rng.Int64N(int64(maxFaultTime)))
 			steps = append(steps, s)
 			for rng.Float64() < seriesShare {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -22,8 +22,11 @@
 
 // Options say how a soak runs.
 type Options struct {
-	Seed    uint64
+	Seed uint64
+	// Rounds is the number of rounds of faults; no round begins later than For after
+	// the first one, if that is set.
 	Rounds  int
+	For     time.Duration
 	Hosts   int
 	Targets int
 	Callers int
@@ -82,10 +85,10 @@
 	for i := range o.Callers {
 		callers.Go(func() { r.call(rand.New(rand.NewPCG(o.Seed, uint64(i+1)))) })
 	}
-	steps := Schedule(o.Seed, o.Rounds)
+	steps, begin := Schedule(o.Seed, o.Rounds), time.Now()
 	for round := range o.Rounds {
 		r.round(round, steps)
-		if len(r.violations()) > 0 || ctx.Err() != nil {
+		if len(r.violations()) > 0 || ctx.Err() != nil || o.For > 0 && time.Since(begin) > o.For {
 			break
 		}
 	}
