Split the balancer's files by concept and name them after it

Cause: peers.go had pulses, pulls, news and doubts in 390 lines, follow.go the kinds beside the loop, packets.go the timer; wanted, take, tell and followed said little. Ruled out: a package each, since they share the lock of the tables. Change: pulse.go, pull.go, doubts.go, kinds.go, tick.go; kind, ahead, update, publish, sendPulse. Behaviour is the same; tests of balancer and placement pass.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -89,7 +89,7 @@
 
 	// changed wakes the pulse when the tables have changed.
 	changed chan struct{}
-	pulls   chan wanted
+	pulls   chan ahead
 	// doubts wait to be told to other hosts.
 	doubts chan doubtFor
 	// seeded is closed when the seeds have answered or failed.
@@ -119,7 +119,7 @@
 			Name: s.Host, DataCentre: s.DataCentre, Address: netip.AddrPortFrom(s.Address, s.PeerPort),
 		},
 		changed: make(chan struct{}, 1),
-		pulls:   make(chan wanted, 16),
+		pulls:   make(chan ahead, 16),
 		seeded:  make(chan struct{}),
 		doubts:  make(chan doubtFor, queuedDoubts),
 		started: time.Now(),
@@ -152,8 +152,8 @@
 	b.goRun(b.pull)
 	b.goRun(b.register)
 	b.goRun(b.tellDoubts)
-	for _, f := range []followed{routing, targets, evacuations, hosts} {
-		b.goRun(func() { b.follow(f) })
+	for _, k := range []kind{routing, targets, evacuations, hosts} {
+		b.goRun(func() { b.follow(k) })
 	}
 	b.goRun(b.pullSeeds)
 }
--- a/balancer/packets.go
+++ b/balancer/packets.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"math"
 	"net"
 	"net/netip"
 	"time"
@@ -11,7 +10,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cornelbay/cornelbay"
-	"github.com/cornelbay/cornelbay/placement"
 	"github.com/cornelbay/cornelbay/platform"
 	"github.com/cornelbay/cornelbay/registry"
 )
@@ -126,8 +124,8 @@
 	return verdict{target: m, reason: reasonKnown}
 }
 
-// openFlow decides a flow's first packet, with trafficMu held. What can't be served is reset at once: a
-// flow that was never open has not run.
+// openFlow decides a flow's first packet, with trafficMu held. What can't be served
+// is reset at once: a flow that was never open has not run.
 func (b *Balancer) openFlow(now time.Time, p *platform.Packet, in []byte) verdict {
 	if !b.ready.Load() && !b.stopping.Load() {
 		return verdict{reason: reasonNotReady}
@@ -185,55 +183,3 @@
 		"targetsAgeMs": (now - time.Duration(b.targetsConfirmed.Load())).Milliseconds(),
 	})
 }
-
-// tick sends openings without an answer to other targets.
-func (b *Balancer) tick() {
-	t := time.NewTicker(tickInterval)
-	defer t.Stop()
-	datagram := make([]byte, platform.AddresseeBytes+platform.MaxPacketBytes)
-	pruned := time.Now()
-	for {
-		select {
-		case <-b.ctx.Done():
-			return
-		case <-t.C:
-		}
-		now := time.Now()
-		b.trafficMu.Lock()
-		retries, beliefs, doubts := b.placer.Tick(now), b.placer.Beliefs(), b.placer.Doubts()
-		b.trafficMu.Unlock()
-		b.queueDoubts(doubts, netip.AddrPort{})
-		for _, belief := range beliefs {
-			line := log.WithFields(log.Fields{"target": belief.Member.Name, "dataCentre": belief.Member.DataCentre})
-			switch belief.State {
-			case placement.Answering:
-				line.Info("target answers again")
-			case placement.Failing, placement.Slow:
-				o := belief.Outcome
-				line.WithFields(log.Fields{
-					"ended": math.Round(o.Ended), "failed": math.Round(o.Failed),
-					"meanMs": o.Mean().Milliseconds(), "pauseMs": belief.Pause.Milliseconds(),
-				}).Warn("target " + string(belief.State))
-			default:
-				line.Warn("target " + string(belief.State))
-			}
-		}
-		for _, r := range retries {
-			line := b.logDecision(r.Key).WithFields(log.Fields{
-				"silent": r.Silent.Name, "silentIn": r.Silent.DataCentre, "waitedMs": r.Waited.Milliseconds(),
-			})
-			if r.Member == nil {
-				line.Info("opening not answered, no other target")
-				continue
-			}
-			line.WithField("target", r.Member.Name).Info("opening tried elsewhere")
-			n := copy(datagram[platform.AddresseeBytes:], r.Opening)
-			platform.SetCookie(datagram[platform.AddresseeBytes:], r.Member.Cookie)
-			b.send(datagram[:platform.AddresseeBytes+n], r.Member)
-		}
-		if now.Sub(pruned) > pruneInterval {
-			pruned = now
-			b.prune()
-		}
-	}
-}
--- a/placement/doubt.go
+++ b/placement/doubt.go
@@ -29,7 +29,7 @@
 	return d
 }
 
-func (p *Placer) tell(d Doubt) {
+func (p *Placer) publish(d Doubt) {
 	if len(p.doubts) < maxDoubts {
 		d.Tried = slices.Clone(d.Tried)
 		p.doubts = append(p.doubts, d)
@@ -61,7 +61,7 @@
 		p.settle(now, f, d.Chosen)
 	case d.Chosen == 0 && f.answered:
 		// The routers have sent the flow here: only this host knows who has it.
-		p.tell(Doubt{Key: f.key, Tried: f.tried, Chosen: f.member.Cookie})
+		p.publish(Doubt{Key: f.key, Tried: f.tried, Chosen: f.member.Cookie})
 	}
 }
 
--- a/placement/flow.go
+++ b/placement/flow.go
@@ -159,7 +159,7 @@
 	p.settle(now, f, cookie)
 	p.rouse(now, f)
 	if len(f.tried) > 1 {
-		p.tell(Doubt{Key: f.key, Tried: f.tried, Chosen: cookie})
+		p.publish(Doubt{Key: f.key, Tried: f.tried, Chosen: cookie})
 	}
 	p.vouch(now, cookie)
 }
@@ -283,7 +283,7 @@
 	}
 	f.idle = false
 	p.put(now, f, m)
-	p.tell(Doubt{Key: f.key, Tried: f.tried})
+	p.publish(Doubt{Key: f.key, Tried: f.tried})
 	p.counters.Retried++
 	r.Member, r.Opening = m, f.opening
 	return r
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -133,7 +133,7 @@
 	p.record(f)
 	p.put(now, f, m)
 	if copied {
-		p.tell(Doubt{Key: key, Tried: f.tried})
+		p.publish(Doubt{Key: key, Tried: f.tried})
 	}
 	return m, nil
 }
