--- a/balancer/metrics.go
+++ b/balancer/metrics.go
@@ -8,6 +8,7 @@
 
 	"github.com/cornelbay/cornelbay/peer"
 	"github.com/cornelbay/cornelbay/platform"
+	"github.com/cornelbay/cornelbay/registry"
 )
 
 type metrics struct {
@@ -16,6 +17,7 @@
 	calls    *prometheus.CounterVec
 	took     *prometheus.HistogramVec
 	answered prometheus.Histogram
+	learned  prometheus.Histogram
 }
 
 func (m *metrics) init(b *Balancer) {
@@ -35,7 +37,12 @@
 		Buckets: prometheus.ExponentialBuckets(0.002, 2, 11),
 	})
 	b.placer.Answered = func(d time.Duration) { m.answered.Observe(d.Seconds()) }
-	m.registry.MustRegister(m.verdicts, m.calls, m.took, m.answered)
+	m.learned = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name:    "cornelbay_dissemination_seconds",
+		Help:    "Time from when the first host learned of a change until this host did.",
+		Buckets: prometheus.ExponentialBuckets(0.002, 2, 13),
+	})
+	m.registry.MustRegister(m.verdicts, m.calls, m.took, m.answered, m.learned)
 	for _, g := range []struct {
 		name, help string
 		value      func(c *Balancer, now time.Time) float64
@@ -79,6 +86,19 @@
 	}
 }
 
+// observeAges observes how old the changes since a revision are. A whole table is
+// what a host that starts is told, of which nothing can be said.
+func observeAges[T any](h prometheus.Histogram, since uint64, d registry.Delta[T]) {
+	if d.Full {
+		return
+	}
+	for _, r := range d.Records {
+		if r.Changed > since {
+			h.Observe(r.Age.Seconds())
+		}
+	}
+}
+
 func (b *Balancer) observeCall(kind, call string, err error, took time.Duration) {
 	b.metrics.calls.WithLabelValues(kind, call, outcome(err)).Inc()
 	b.metrics.took.WithLabelValues(call).Observe(took.Seconds())
@@ -103,23 +123,44 @@
 	return "noAnswer"
 }
 
-var openings = prometheus.NewDesc("cornelbay_openings_total", "Openings of flows by what became of them.", []string{"outcome"}, nil)
+var (
+	openings       = prometheus.NewDesc("cornelbay_openings_total", "Openings of flows by what became of them.", []string{"outcome"}, nil)
+	targetOpenings = prometheus.NewDesc("cornelbay_target_openings_total", "Openings at each target by what became of them.", []string{"target", "outcome"}, nil)
+	ejections      = prometheus.NewDesc("cornelbay_ejections_total", "Findings that a target's flows fail or drag more than those of others.", nil, nil)
+	linesLeftOut   = prometheus.NewDesc("cornelbay_log_lines_left_out_total", "Log lines over the rate or the queue.", nil, nil)
+)
 
 // placementCollector reads the counters of the placer.
 type placementCollector struct{ b *Balancer }
 
 // Describe implements prometheus.Collector.
-func (c placementCollector) Describe(ch chan<- *prometheus.Desc) { ch <- openings }
+func (c placementCollector) Describe(ch chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{openings, targetOpenings, ejections, linesLeftOut} {
+		ch <- d
+	}
+}
 
 // Collect implements prometheus.Collector.
 func (c placementCollector) Collect(ch chan<- prometheus.Metric) {
 	c.b.trafficMu.Lock()
-	n := c.b.placer.Counters()
+	n, targets := c.b.placer.Counters(), c.b.placer.TargetCounters()
 	c.b.trafficMu.Unlock()
-	for _, o := range []struct {
-		outcome string
-		n       uint64
-	}{{"opened", n.Opened}, {"answered", n.Answered}, {"unanswered", n.Unanswered}, {"retried", n.Retried}, {"refused", n.Refused}} {
-		ch <- prometheus.MustNewConstMetric(openings, prometheus.CounterValue, float64(o.n), o.outcome)
+	counter := func(d *prometheus.Desc, n uint64, labels ...string) {
+		ch <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, float64(n), labels...)
+	}
+	counter(openings, n.Opened, "opened")
+	counter(openings, n.Answered, "answered")
+	counter(openings, n.Unanswered, "unanswered")
+	counter(openings, n.Retried, "retried")
+	counter(openings, n.Refused, "refused")
+	counter(openings, n.Cold, "cold")
+	counter(ejections, n.Ejected)
+	for name, t := range targets {
+		counter(targetOpenings, t.Opened, string(name), "opened")
+		counter(targetOpenings, t.Answered, string(name), "answered")
+		counter(targetOpenings, t.Unanswered, string(name), "unanswered")
+	}
+	if c.b.linesLeftOut != nil {
+		counter(linesLeftOut, c.b.linesLeftOut())
 	}
 }
--- a/balancer/pull.go
+++ b/balancer/pull.go
@@ -93,6 +93,19 @@
 	all.Wait()
 }
 
+// merge takes over what another host has told, with stateMu held, and reports
+// whether the tables changed.
+func (b *Balancer) merge(now time.Time, r *gossip.PullReply) bool {
+	before := gossip.RevisionsOf(&b.tables)
+	if !r.Merge(now, &b.tables) {
+		return false
+	}
+	observeAges(b.metrics.learned, before.Routing, r.Routes)
+	observeAges(b.metrics.learned, before.Targets, r.Targets)
+	observeAges(b.metrics.learned, before.Evacuations, r.Evacuations)
+	return true
+}
+
 func (b *Balancer) pullFrom(h registry.Host) {
 	b.stateMu.Lock()
 	since := gossip.BasesOf(&b.tables)
@@ -109,11 +122,11 @@
 	}
 	r := answer.(gossip.PullReply)
 	changed := false
-	b.change(func(now time.Time, t *registry.Tables) bool {
+	b.change(func(now time.Time, _ *registry.Tables) bool {
 		if r.Incarnation >= b.codec.Incarnation {
 			b.codec.Incarnation = r.Incarnation + 1
 		}
-		changed = r.Merge(now, t)
+		changed = b.merge(now, &r)
 		return changed
 	})
 	if changed {
--- a/balancer/pulse.go
+++ b/balancer/pulse.go
@@ -46,7 +46,7 @@
 	now := time.Now()
 	switch m := m.(type) {
 	case gossip.News:
-		if m.Merge(now, &b.tables) {
+		if b.merge(now, &m.PullReply) {
 			b.apply(now)
 		}
 	case gossip.Doubt:
--- a/cmd/cornelbayd/platform.go
+++ b/cmd/cornelbayd/platform.go
@@ -51,7 +51,9 @@
 	}
 	signals := make(chan os.Signal, signalBacklog)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	b, err := balancer.Start(balancer.Config{Settings: s, Key: key, ClockOffset: c.ClockOffset})
+	b, err := balancer.Start(balancer.Config{
+		Settings: s, Key: key, ClockOffset: c.ClockOffset, LinesLeftOut: h.Dropped,
+	})
 	if err != nil {
 		return merry.Prepend(err, "not started")
 	}
--- a/placement/flow.go
+++ b/placement/flow.go
@@ -146,6 +146,7 @@
 func (p *Placer) answer(now time.Time, f *Flow, cookie uint32) {
 	if !f.adopted {
 		p.counters.Answered++
+		p.target(cookie, now).counters.Answered++
 		if p.Answered != nil {
 			p.Answered(now.Sub(f.opened))
 		}
@@ -268,6 +269,7 @@
 // opening to another target where there is one.
 func (p *Placer) retry(now time.Time, f *Flow) Retry {
 	p.counters.Unanswered++
+	p.target(f.member.Cookie, now).counters.Unanswered++
 	p.suspect(now, f.member, f.opened)
 	r := Retry{Key: f.key, Silent: f.member, Waited: now.Sub(f.opened)}
 	f.due = now.Add(idleAfter)
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -66,6 +66,7 @@
 			if e.Failing {
 				b.State = Failing
 			}
+			p.counters.Ejected++
 			p.believe(b)
 		}
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -78,6 +78,15 @@
 // Counters count what became of openings.
 type Counters struct {
 	Opened, Answered, Unanswered, Retried, Refused uint64
+	// Cold are the openings at cold targets, which use up their budget.
+	Cold uint64
+	// Ejected counts the findings that a target is an outlier.
+	Ejected uint64
+}
+
+// TargetCounters count what became of the openings at one target.
+type TargetCounters struct {
+	Opened, Answered, Unanswered uint64
 }
 
 // target is what the placer knows of one target.
@@ -89,6 +98,7 @@
 	busy    float64
 	changed time.Time
 	suspicion
+	counters TargetCounters
 }
 
 func (t *target) add(now time.Time, n int) {
@@ -107,6 +117,20 @@
 // Counters returns what became of openings so far.
 func (p *Placer) Counters() Counters { return p.counters }
 
+// TargetCounters returns what became of the openings at each target that is known.
+func (p *Placer) TargetCounters() map[cornelbay.TargetName]TargetCounters {
+	all := make(map[cornelbay.TargetName]TargetCounters)
+	if p.view == nil {
+		return all
+	}
+	for cookie, t := range p.targets {
+		if m, ok := p.view.Cookies[cookie]; ok {
+			all[m.Name] = t.counters
+		}
+	}
+	return all
+}
+
 // Open chooses the target of a new flow and records the flow. Opening is the
 // flow's first packet, which is kept until the flow is answered. A copy of the
 // first packet of a flow that is known goes to that flow's target; one of a flow
@@ -143,7 +167,9 @@
 	f.member = m
 	f.tried = append(f.tried, m.Cookie)
 	f.due = now.Add(p.answerTime())
-	p.target(m.Cookie, now).add(now, 1)
+	t := p.target(m.Cookie, now)
+	t.add(now, 1)
+	t.counters.Opened++
 }
 
 func (p *Placer) target(cookie uint32, now time.Time) *target {
@@ -205,6 +231,7 @@
 		return best.member, nil
 	}
 	if cold.member != nil && p.budget(cold.member).Take(now) {
+		p.counters.Cold++
 		return cold.member, nil
 	}
 	switch {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -215,11 +215,12 @@
 	return t != nil && t.service == service && !t.draining && !t.ended && t.dataCentre != r.evacuated
 }
 
-// calmTime is how long the promises of a calm deployment are watched.
-const calmTime = 1500 * time.Millisecond
+// flowsPerHost are opened to each service through each host to show which targets
+// get any: some for each target.
+const flowsPerHost = 12
 
-// noOpenings reports whether for a while no target that drains, or whose data
-// centre is evacuated, got a new flow.
+// noOpenings reports whether no target that drains, or whose data centre is
+// evacuated, gets any of many new flows.
 func (r *run) noOpenings() bool {
 	r.world.mu.Lock()
 	before := map[*target]int{}
@@ -229,11 +230,17 @@
 		}
 	}
 	r.world.mu.Unlock()
-	select {
-	case <-r.ctx.Done():
-		return true
-	case <-time.After(calmTime):
+	var probes sync.WaitGroup
+	for _, p := range r.hosts {
+		probes.Go(func() {
+			for range flowsPerHost {
+				for i, s := range services {
+					r.serves(p, r.serviceAddress(i), s)
+				}
+			}
+		})
 	}
+	probes.Wait()
 	for t, n := range before {
 		if t.Openings() > n {
 			r.o.Tell("target %s still got new flows", t.Name)
