Break ties between targets by another order at each choice

Cause: the order of equal targets was that of the list but for a wrap once in some thousand choices: a host with little to do gave all flows to the first target (20 of 20 in a trial). All hosts did so at once, and a target that should get none was hard to catch: a host that ignores draining was not found by the soak. Ruled out: an order by host only, which goes on sending all to one target. Change: a scattered number of the choice and the target. The soak opens flows through each host for longer than hosts average loads.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -205,11 +205,11 @@
 	}
 	var best, suspect, due, cold candidate
 	p.turn++
-	for i, m := range p.view.Services[service] {
+	for _, m := range p.view.Services[service] {
 		if !m.Usable(now) || slices.Contains(tried, m.Cookie) {
 			continue
 		}
-		c := p.candidate(now, m, i)
+		c := p.candidate(now, m)
 		switch {
 		case now.Before(m.ColdUntil):
 			keep(&cold, c)
@@ -253,13 +253,13 @@
 
 // candidate estimates the wait at a target: none while a slot is free, then the
 // flows ahead in turn; and the way to another data centre.
-func (p *Placer) candidate(now time.Time, m *registry.Member, i int) candidate {
+func (p *Placer) candidate(now time.Time, m *registry.Member) candidate {
 	slots := m.Slots
 	if slots <= 0 {
 		slots = defaultSlots
 	}
 	load := p.load(now, m.Cookie) / float64(slots)
-	c := candidate{member: m, load: load, order: (uint64(i) + p.turn*tieStep) % tiePrime}
+	c := candidate{member: m, load: load, order: mix(p.turn<<32 | uint64(m.Cookie))}
 	if ahead := load + 1/float64(slots) - 1; ahead > 0 {
 		c.cost = time.Duration(ahead * float64(p.duration(m.Service)))
 	}
@@ -269,11 +269,15 @@
 	return c
 }
 
-// Ties are broken by a different order at each choice.
-const (
-	tieStep  = 7919
-	tiePrime = 104729
-)
+// mix scatters a number over all numbers, so that ties are broken by another order
+// at each choice: the finaliser of MurmurHash3.
+func mix(n uint64) uint64 {
+	n ^= n >> 33
+	n *= 0xff51afd7ed558ccd
+	n ^= n >> 33
+	n *= 0xc4ceb9fe1a85ec53
+	return n ^ n>>33
+}
 
 // load estimates the flows that are active at a target: the own ones, and those
 // that other hosts had there on average when they last reported.
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -76,6 +76,21 @@
 	return all
 }
 
+func TestFlowsSpreadOverIdleTargets(t *testing.T) {
+	is := is.New(t)
+	p := placer(view(member(1, "near"), member(2, "near"), member(3, "near"), member(4, "near")))
+	got := map[uint32]int{}
+	for port := range 400 {
+		cookie := open(t, p, start, port)
+		got[cookie]++
+		p.Progress(start, key(port), cookie, 1, false)
+		p.Progress(start, key(port), cookie, 1, true)
+	}
+	for cookie := uint32(1); cookie <= 4; cookie++ {
+		is.True(got[cookie] >= 60) // of 100 on average
+	}
+}
+
 func TestFlowsStayNearWhileASlotIsFree(t *testing.T) {
 	is := is.New(t)
 	p := placer(view(member(1, "near"), member(2, "far"), member(3, "near")))
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -215,9 +215,9 @@
 	return t != nil && t.service == service && !t.draining && !t.ended && t.dataCentre != r.evacuated
 }
 
-// flowsPerHost are opened to each service through each host to show which targets
-// get any: some for each target.
-const flowsPerHost = 12
+// calmTime is how long flows are opened through each host to show which targets get
+// any: longer than the time over which hosts average the loads that they report.
+const calmTime = 1500 * time.Millisecond
 
 // noOpenings reports whether no target that drains, or whose data centre is
 // evacuated, gets any of many new flows.
@@ -233,7 +233,7 @@
 	var probes sync.WaitGroup
 	for _, p := range r.hosts {
 		probes.Go(func() {
-			for range flowsPerHost {
+			for begin := time.Now(); time.Since(begin) < calmTime; time.Sleep(calmTime / 50) {
 				for i, s := range services {
 					r.serves(p, r.serviceAddress(i), s)
 				}
