Do not take an answer to a pulse for a sign of life

Cause: on a large fleet hosts answer pulses of seeds and contacts of other data centres. An answer carries no loads, so that it also wiped what was known of the host's. Ruled out: fewer answers, by which hosts learn what they lack. Change: an answer has no interval; it confirms tables and names revisions only.

--- a/balancer/pulse.go
+++ b/balancer/pulse.go
@@ -76,9 +76,11 @@
 	if b.tables.Targets.Regained() != again {
 		b.apply(now)
 	}
-	b.trafficMu.Lock()
-	b.placer.Hear(p.Host.Name, reportOf(now, p))
-	b.trafficMu.Unlock()
+	if p.EveryMs > 0 {
+		b.trafficMu.Lock()
+		b.placer.Hear(p.Host.Name, reportOf(now, p))
+		b.trafficMu.Unlock()
+	}
 	own := gossip.RevisionsOf(&b.tables)
 	if p.Revisions.Lacks(own) && b.members.Reply(now, p.Host.Name) {
 		b.sendPeers(b.seal(now, gossip.Pulse{Host: b.self}), []netip.AddrPort{p.Host.Address})
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -46,7 +46,7 @@
 						if !contains(c.alive, other.Name) {
 							at = start.Add(-2 * silentPulses * Interval)
 						}
-						m.Hear(at, 1, Pulse{Host: other, Stopping: other.Name == c.stops})
+						m.Hear(at, 1, Pulse{Host: other, Stopping: other.Name == c.stops, EveryMs: 150})
 					}
 				}
 				if m.Reads(start) {
@@ -70,8 +70,8 @@
 func TestLostHostsAreToldOnce(t *testing.T) {
 	is := is.New(t)
 	m := Members{Self: host("a", "x")}
-	is.True(m.Hear(start, 7, Pulse{Host: host("b", "x")}))
-	is.True(!m.Hear(start.Add(Interval), 7, Pulse{Host: host("b", "x")}))
+	is.True(m.Hear(start, 7, Pulse{Host: host("b", "x"), EveryMs: 150}))
+	is.True(!m.Hear(start.Add(Interval), 7, Pulse{Host: host("b", "x"), EveryMs: 150}))
 	is.Equal(m.Incarnation("b"), cornelbay.Incarnation(7))
 	told := 0
 	for i := range 20 {
@@ -79,7 +79,7 @@
 		told += len(m.Lost(before, before.Add(Interval)))
 	}
 	is.Equal(told, 1)
-	is.True(m.Hear(start.Add(time.Minute), 8, Pulse{Host: host("b", "x")}))
+	is.True(m.Hear(start.Add(time.Minute), 8, Pulse{Host: host("b", "x"), EveryMs: 150}))
 }
 
 // full returns tables with one record each.
@@ -125,6 +125,16 @@
 	is.Equal(behind.Routes.Confirmed(), now.Add(-10*time.Millisecond))
 }
 
+func TestAnAnswerIsNoSignOfLife(t *testing.T) {
+	is := is.New(t)
+	m := Members{Self: host("a", "x")}
+	is.True(!m.Hear(start, 7, Pulse{Host: host("b", "y")}))
+	is.Equal(len(m.Alive(start)), 0)
+	is.True(m.Hear(start, 7, Pulse{Host: host("b", "y"), EveryMs: 150}))
+	m.Hear(start.Add(time.Minute), 7, Pulse{Host: host("b", "y")})
+	is.Equal(len(m.Alive(start.Add(time.Minute))), 0)
+}
+
 func TestPulseFitsADatagram(t *testing.T) {
 	is := is.New(t)
 	p := Pulse{
@@ -177,7 +187,7 @@
 				h := host(cornelbay.HostName(fmt.Sprintf("%s-%02d", dc, i)), dc)
 				all = append(all, h)
 				if i%2 == 1 {
-					m.Hear(start, 1, Pulse{Host: h}) // the others are on record only
+					m.Hear(start, 1, Pulse{Host: h, EveryMs: 150}) // the others are on record only
 				}
 			}
 		}
@@ -191,8 +201,8 @@
 func TestAFarHostThatIsBehindIsAnsweredAtTimes(t *testing.T) {
 	is := is.New(t)
 	m := Members{Self: host("a", "a")}
-	m.Hear(start, 1, Pulse{Host: host("b", "b")})
-	m.Hear(start, 1, Pulse{Host: host("c", "a")})
+	m.Hear(start, 1, Pulse{Host: host("b", "b"), EveryMs: 150})
+	m.Hear(start, 1, Pulse{Host: host("c", "a"), EveryMs: 150})
 	is.True(m.Reply(start, "b"))
 	is.True(!m.Reply(start, "b"))
 	is.True(!m.Reply(start, "c")) // is told anyway
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -50,8 +50,12 @@
 	members map[cornelbay.HostName]*member
 }
 
-// Hear notes a pulse and reports whether its host was silent or unknown before.
+// Hear notes a pulse and reports whether its host was silent or unknown before. One
+// that is an answer does not make its host one that is heard: none may follow.
 func (m *Members) Hear(now time.Time, incarnation cornelbay.Incarnation, p Pulse) bool {
+	if p.EveryMs == 0 {
+		return false
+	}
 	if m.members == nil {
 		m.members = make(map[cornelbay.HostName]*member)
 	}
--- a/gossip/messages.go
+++ b/gossip/messages.go
@@ -93,7 +93,8 @@
 	Stopping bool `cbor:"5,keyasint,omitempty"`
 	// Reads is true when the host reads the store.
 	Reads bool `cbor:"6,keyasint,omitempty"`
-	// EveryMs is the time in milliseconds between two pulses of the host.
+	// EveryMs is the time in milliseconds between two pulses of the host; it is 0 for
+	// one that answers another host's and is not followed by others.
 	EveryMs uint32 `cbor:"7,keyasint"`
 	// Outcomes are those of the host's flows since the last pulse that told of any,
 	// by the target's cookie.
