Tell many doubts in one datagram

Doubts were told one a datagram, 4 ms apart with four hosts to tell, so that they waited in the queue. Ruled out: a reset by a host; telling before the opening is sent elsewhere, which does not say which target the caller takes. Change: those that wait go together, 16 in a datagram. Before and after: new test, 256 doubts in 256 datagrams, now at most 32.

--- a/balancer/doubt_test.go
+++ b/balancer/doubt_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -46,12 +47,12 @@
 	}
 }
 
-// doubts returns the number of doubts that come until quiet passes without one.
-func (p *fakePeer) doubts(t *testing.T, quiet time.Duration) int {
+// doubts returns the number of doubts, and of datagrams with them, that come until
+// quiet passes without one.
+func (p *fakePeer) doubts(t *testing.T, quiet time.Duration) (n, datagrams int) {
 	t.Helper()
 	open := peer.Codec{Self: "test", Keys: [][]byte{key}}
 	buf := make([]byte, peer.MaxDatagramBytes)
-	n := 0
 	until := time.Now().Add(quiet)
 	for {
 		if err := p.conn.SetReadDeadline(until); err != nil {
@@ -59,13 +60,14 @@
 		}
 		size, err := p.conn.Read(buf)
 		if errors.Is(err, os.ErrDeadlineExceeded) {
-			return n
+			return n, datagrams
 		}
 		if err != nil {
 			t.Fatal(err)
 		}
-		if _, m, err := open.Open(buf[:size]); err == nil && m.Kind() == cornelbay.KindDoubt {
-			n++
+		if _, m, err := open.Open(buf[:size]); err == nil && m.Kind() == cornelbay.KindDoubts {
+			n += len(m.(gossip.Doubts).All)
+			datagrams++
 			until = time.Now().Add(quiet)
 		}
 	}
@@ -88,9 +90,46 @@
 	b.trafficMu.Lock()
 	b.placer.Learn(time.Now(), placement.Doubt{Key: flow, Tried: []uint32{cookie + 1, cookie}, Chosen: cookie})
 	b.trafficMu.Unlock()
-	is.Equal(first.doubts(t, 500*time.Millisecond), 0)
+	n, _ := first.doubts(t, 500*time.Millisecond)
+	is.Equal(n, 0)
 
 	second.pulse(t, b)
-	w.eventually("the second is told", func() bool { return second.doubts(t, 500*time.Millisecond) > 0 })
-	is.Equal(first.doubts(t, 500*time.Millisecond), 0)
+	told := false
+	for range 20 {
+		n, _ := second.doubts(t, 500*time.Millisecond)
+		if told = n > 0; told {
+			break
+		}
+	}
+	is.True(told)
+	n, _ = first.doubts(t, 500*time.Millisecond)
+	is.Equal(n, 0)
+}
+
+// TestManyDoubtsAreToldTogether: a host that dies while doubts wait to be told
+// leaves flows that the others misplace.
+func TestManyDoubtsAreToldTogether(t *testing.T) {
+	w := newWorld(t, 117)
+	w.target(1, "s1", "a")
+	b := w.host(1, "a")
+	p := newPeer(w, 1, "p1")
+	p.pulse(t, b)
+	w.eventually("the peer is told by pulses", func() bool {
+		b.stateMu.Lock()
+		defer b.stateMu.Unlock()
+		return slices.Contains(b.told, p.self.Address)
+	})
+	var all []placement.Doubt
+	for port := range uint16(queuedDoubts) {
+		all = append(all, placement.Doubt{
+			Key: cornelbay.FlowKey{
+				Source: netip.AddrPortFrom(w.address(9, 9), 40000+port), Destination: service1, Protocol: cornelbay.TCP.Number(),
+			},
+			Tried: []uint32{0xf0000001, 0xf0000002, 0xf0000003, 0xf0000004, 0xf0000005, 0xf0000006}, Chosen: 0xf0000002,
+		})
+	}
+	b.queueDoubts(all, netip.AddrPort{})
+	n, datagrams := p.doubts(t, time.Second)
+	w.is.Equal(n, queuedDoubts)
+	w.is.True(datagrams <= 2*queuedDoubts/doubtsPerDatagram)
 }
--- a/balancer/doubts.go
+++ b/balancer/doubts.go
@@ -14,8 +14,11 @@
 	// queuedDoubts is the number of doubts that wait to be told; others are left
 	// out and counted.
 	queuedDoubts = 256
-	// doubtPause is the time between two doubts for each host that is told: no host
-	// sends more than 1,000 datagrams a second for them.
+	// doubtsPerDatagram fit a datagram with the most targets that an opening is tried
+	// at.
+	doubtsPerDatagram = 16
+	// doubtPause is the time between two datagrams for each host that is told: no host
+	// sends more than 1,000 a second for doubts.
 	doubtPause = time.Millisecond
 )
 
@@ -36,28 +39,63 @@
 	}
 }
 
-// tellDoubts tells other hosts of openings at several targets.
+// tellDoubts tells other hosts of openings at several targets, those that wait for
+// the same hosts in one datagram.
 func (b *Balancer) tellDoubts() {
+	var next *doubtFor
 	for {
+		if next == nil {
+			select {
+			case <-b.ctx.Done():
+				return
+			case d := <-b.doubts:
+				next = &d
+			}
+		}
+		var batch []doubtFor
+		batch, next = b.batch(*next)
+		to := b.sendDoubts(batch)
+		b.sleep(time.Duration(to) * doubtPause)
+	}
+}
+
+// batch returns the doubts that wait behind a first one for the same hosts, with it,
+// and the one after them where there is one.
+func (b *Balancer) batch(first doubtFor) (batch []doubtFor, next *doubtFor) {
+	batch = []doubtFor{first}
+	for len(batch) < doubtsPerDatagram {
 		select {
-		case <-b.ctx.Done():
-			return
 		case d := <-b.doubts:
-			b.stateMu.Lock()
-			to := b.told
-			datagram, err := b.codec.Seal(gossip.Doubt{
-				Source: d.Key.Source, Destination: d.Key.Destination, Tried: d.Tried, Chosen: d.Chosen,
-			})
-			b.stateMu.Unlock()
-			if err != nil {
-				log.WithError(err).Error("doubt not sealed")
-				continue
-			}
-			if d.to.IsValid() {
-				to = []netip.AddrPort{d.to}
+			if d.to != first.to {
+				return batch, &d
 			}
-			b.sendPeers(datagram, to)
-			b.sleep(time.Duration(len(to)) * doubtPause)
+			batch = append(batch, d)
+		default:
+			return batch, nil
 		}
 	}
+	return batch, nil
+}
+
+// sendDoubts returns the number of hosts that are told.
+func (b *Balancer) sendDoubts(batch []doubtFor) int {
+	var m gossip.Doubts
+	for _, d := range batch {
+		m.All = append(m.All, gossip.Doubt{
+			Source: d.Key.Source, Destination: d.Key.Destination, Tried: d.Tried, Chosen: d.Chosen,
+		})
+	}
+	b.stateMu.Lock()
+	to := b.told
+	datagram, err := b.codec.Seal(m)
+	b.stateMu.Unlock()
+	if err != nil {
+		log.WithError(err).Error("doubts not sealed")
+		return 0
+	}
+	if batch[0].to.IsValid() {
+		to = []netip.AddrPort{batch[0].to}
+	}
+	b.sendPeers(datagram, to)
+	return len(to)
 }
--- a/balancer/pulse.go
+++ b/balancer/pulse.go
@@ -49,10 +49,12 @@
 		if b.merge(now, &m.PullReply) {
 			b.apply(now)
 		}
-	case gossip.Doubt:
-		flow := cornelbay.FlowKey{Source: m.Source, Destination: m.Destination, Protocol: cornelbay.TCP.Number()}
+	case gossip.Doubts:
 		b.trafficMu.Lock()
-		b.placer.Learn(now, placement.Doubt{Key: flow, Tried: m.Tried, Chosen: m.Chosen})
+		for _, d := range m.All {
+			flow := cornelbay.FlowKey{Source: d.Source, Destination: d.Destination, Protocol: cornelbay.TCP.Number()}
+			b.placer.Learn(now, placement.Doubt{Key: flow, Tried: d.Tried, Chosen: d.Chosen})
+		}
 		b.trafficMu.Unlock()
 	case gossip.Pulse:
 		if m.Host.Name == e.From && e.From != b.self.Name {
--- a/gossip/messages.go
+++ b/gossip/messages.go
@@ -16,7 +16,7 @@
 func init() {
 	peer.Register(Pulse{})
 	peer.Register(News{})
-	peer.Register(Doubt{})
+	peer.Register(Doubts{})
 	peer.RegisterCall[Pull, PullReply]()
 }
 
@@ -131,8 +131,13 @@
 	Chosen uint32 `cbor:"4,keyasint,omitempty"`
 }
 
+// Doubts tells of flows in doubt.
+type Doubts struct {
+	All []Doubt `cbor:"1,keyasint"`
+}
+
 // Kind returns the message's kind.
-func (Doubt) Kind() cornelbay.MessageKind { return cornelbay.KindDoubt }
+func (Doubts) Kind() cornelbay.MessageKind { return cornelbay.KindDoubts }
 
 // Pull asks for what the host has beyond some revisions.
 type Pull struct {
--- a/message.go
+++ b/message.go
@@ -26,7 +26,7 @@
 	KindClear
 	KindPulse
 	KindNews
-	KindDoubt
+	KindDoubts
 )
 
 // Message is a control message from one host to another, small enough for a
