--- a/placement/flow.go
+++ b/placement/flow.go
@@ -225,7 +225,7 @@
 		case !f.idle && !f.closed && now.Sub(f.seen) > idleAfter:
 			f.idle = true
 			p.target(f.member.Cookie, now).add(now, -1)
-			if now.Sub(p.stood) > 2*idleAfter {
+			if p.brokenOff(now) {
 				p.note(f, true)
 			}
 		}
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -19,9 +19,10 @@
 	service cornelbay.ServiceName
 }
 
-// note counts the outcome of one flow.
+// note counts the outcome of one flow. Of a flow that another host has opened, or
+// seen begin, too little is known.
 func (p *Placer) note(f *Flow, failed bool) {
-	if f.noted || f.adopted || !f.answered {
+	if f.noted || f.adopted || f.begun.IsZero() {
 		return
 	}
 	f.noted = true
@@ -32,6 +33,12 @@
 	p.outliers.Note(f.member.Cookie, o)
 }
 
+// brokenOff reports whether a flow that has fallen silent seems to have lost its
+// target, and not to have been sent to another host.
+func (p *Placer) brokenOff(now time.Time) bool {
+	return now.Sub(p.stood) > 2*idleAfter && now.Sub(p.stray) > 2*idleAfter
+}
+
 // early reports whether the answer that the caller of a flow has acknowledged is
 // much shorter than is usual on its route.
 func (p *Placer) early(f *Flow) bool {
--- a/placement/outcome_test.go
+++ b/placement/outcome_test.go
@@ -81,6 +81,11 @@
 		{"broken off", func(p *Placer, _ cornelbay.FlowKey, _ uint32) {
 			tickTo(p, start, start.Add(1500*time.Millisecond))
 		}, outlier.Outcome{Ended: 1, Failed: 1}},
+		{"the routers have moved flows", func(p *Placer, _ cornelbay.FlowKey, _ uint32) {
+			tickTo(p, start, start.Add(200*time.Millisecond))
+			p.Progress(start.Add(200*time.Millisecond), key(2), 8, 1, false) // another host has opened it
+			tickTo(p, start.Add(200*time.Millisecond), start.Add(1500*time.Millisecond))
+		}, outlier.Outcome{}},
 		{"the host stood still", func(p *Placer, _ cornelbay.FlowKey, _ uint32) {
 			tickTo(p, start, start.Add(200*time.Millisecond))
 			tickTo(p, start.Add(1200*time.Millisecond), start.Add(1500*time.Millisecond))
@@ -97,3 +102,14 @@
 		})
 	}
 }
+
+// TestAFlowThatAnotherHostSettledIsNotTimed: this host has not seen when its answer
+// began.
+func TestAFlowThatAnotherHostSettledIsNotTimed(t *testing.T) {
+	is := is.New(t)
+	p := placer(eight())
+	cookie := open(t, p, start, 1)
+	p.Learn(start, Doubt{Key: key(1), Tried: []uint32{cookie, cookie%8 + 1}, Chosen: cookie})
+	p.Progress(start.Add(25*time.Millisecond), key(1), cookie, 2001, true)
+	is.Equal(len(p.Report(start.Add(2*time.Second), start).Outcomes), 0)
+}
