--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -10,8 +10,9 @@
 )
 
 // earlyShare is the part of the usual answer of a route below which a flow counts
-// as failed: an error is short, and answers of one route differ by less than this.
-const earlyShare = 0.25
+// as failed: an error is short, and of answers with a deviation of 0.7 of their mean
+// hardly one in 100 is shorter than this.
+const earlyShare = 0.2
 
 // answerKey names a route to a service.
 type answerKey struct {
