Take no sequence number for an answer's length, and forget routes that are gone

Cause: found by reading. A flow whose beginning this host had not seen has no base, so that its last acknowledgement, a number of up to 4,000,000,000, counted as the length of its answer: the mean of its route rose, and all later answers there counted as cut short. A reset of the caller that acknowledges nothing did the same. Means of routes that are gone stayed for good. Change: such flows are not measured, an acknowledgement that leaps is none, means go with their routes. Before: three tests that fail (the reset's with its fault put back). After: they pass.

--- a/placement/flow.go
+++ b/placement/flow.go
@@ -32,6 +32,9 @@
 	// opening without an answer is no evidence: the routers send flows to other
 	// hosts than before, and the answer to it may be seen there.
 	strayTime = 60 * time.Millisecond
+	// maxAdvance is more bytes than a caller acknowledges between two packets that this
+	// host sees: a packet that names more acknowledges nothing, as resets do.
+	maxAdvance = 1 << 24
 	// maxFlows bounds the flows on record; those beyond it are forwarded as well,
 	// but are not counted as load and not tried elsewhere.
 	maxFlows = 1 << 17
@@ -109,9 +112,11 @@
 			return cookie
 		}
 		p.answer(now, f, cookie)
-		f.begun, f.base = now, acknowledged
+		f.begun, f.base, f.acknowledged = now, acknowledged, acknowledged
+	}
+	if acknowledged-f.acknowledged < maxAdvance {
+		f.acknowledged = acknowledged
 	}
-	f.acknowledged = acknowledged
 	p.rouse(now, f)
 	if finishing && !f.closed {
 		p.close(now, f)
@@ -195,7 +200,7 @@
 		return // when it was opened is not known
 	}
 	p.ended(f.service, now.Sub(f.opened))
-	p.note(f, p.early(f))
+	p.finished(f)
 }
 
 // Tick notes that time has passed and returns the openings that were not answered.
@@ -225,9 +230,7 @@
 		case !f.idle && !f.closed && now.Sub(f.seen) > idleAfter:
 			f.idle = true
 			p.target(f.member.Cookie, now).add(now, -1)
-			if p.brokenOff(now) {
-				p.note(f, true)
-			}
+			p.fellSilent(now, f)
 		}
 	}
 	return retries
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"maps"
 	"net/netip"
 	"time"
 
@@ -20,10 +21,24 @@
 	service cornelbay.ServiceName
 }
 
-// note counts the outcome of one flow. Of a flow that another host has opened, or
-// seen begin, too little is known.
+// finished counts the outcome of a flow that its caller has finished.
+func (p *Placer) finished(f *Flow) {
+	if !f.begun.IsZero() {
+		p.note(f, p.early(f))
+	}
+}
+
+// fellSilent counts a flow as broken off, unless its packets may come to another
+// host or this one has missed them.
+func (p *Placer) fellSilent(now time.Time, f *Flow) {
+	if !f.begun.IsZero() && now.Sub(p.stood) > 2*idleAfter && now.Sub(p.stray) > 2*idleAfter {
+		p.note(f, true)
+	}
+}
+
+// note counts the outcome of a flow whose beginning this host has seen, once.
 func (p *Placer) note(f *Flow, failed bool) {
-	if f.noted || f.adopted || f.begun.IsZero() {
+	if f.noted {
 		return
 	}
 	f.noted = true
@@ -34,12 +49,6 @@
 	p.outliers.Note(f.member.Cookie, o)
 }
 
-// brokenOff reports whether a flow that has fallen silent seems to have lost its
-// target, and not to have been sent to another host.
-func (p *Placer) brokenOff(now time.Time) bool {
-	return now.Sub(p.stood) > 2*idleAfter && now.Sub(p.stray) > 2*idleAfter
-}
-
 // early reports whether the answer that the caller of a flow has acknowledged is
 // much shorter than is usual on its route.
 func (p *Placer) early(f *Flow) bool {
@@ -62,6 +71,7 @@
 	if p.view == nil {
 		return
 	}
+	maps.DeleteFunc(p.answers, func(k answerKey, _ float64) bool { return p.view.Routes[k.route] == nil })
 	for _, members := range p.view.Services {
 		var usable []uint32
 		for _, m := range members {
--- a/placement/outcome_test.go
+++ b/placement/outcome_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -78,6 +79,10 @@
 		{"short answer", func(p *Placer, k cornelbay.FlowKey, cookie uint32) {
 			p.Progress(start.Add(25*time.Millisecond), k, cookie, 200, true)
 		}, outlier.Outcome{Ended: 1, Failed: 1, Took: 20 * time.Millisecond}},
+		{"answered, and then reset by the caller", func(p *Placer, k cornelbay.FlowKey, cookie uint32) {
+			p.Progress(start.Add(24*time.Millisecond), k, cookie, 2001, false)
+			p.Progress(start.Add(25*time.Millisecond), k, cookie, 0, true)
+		}, outlier.Outcome{Ended: 1, Took: 20 * time.Millisecond}},
 		{"broken off", func(p *Placer, _ cornelbay.FlowKey, _ uint32) {
 			tickTo(p, start, start.Add(1500*time.Millisecond))
 		}, outlier.Outcome{Ended: 1, Failed: 1}},
@@ -98,6 +103,7 @@
 			cookie := open(t, p, start, 1)
 			p.Progress(start.Add(5*time.Millisecond), key(1), cookie, 1, false)
 			c.play(p, key(1), cookie)
+			is.True(p.answers[answerKey{key(1).Destination, service}] <= 2000)
 			is.Equal(p.Report(start.Add(2*time.Second), start).Outcomes[cookie], c.want)
 		})
 	}
@@ -110,6 +116,27 @@
 	p := placer(eight())
 	cookie := open(t, p, start, 1)
 	p.Learn(start, Doubt{Key: key(1), Tried: []uint32{cookie, cookie%8 + 1}, Chosen: cookie})
-	p.Progress(start.Add(25*time.Millisecond), key(1), cookie, 2001, true)
+	p.Progress(start.Add(25*time.Millisecond), key(1), cookie, 4_000_002_001, true)
 	is.Equal(len(p.Report(start.Add(2*time.Second), start).Outcomes), 0)
+
+	// Nor does the sequence number that it ended at stand for an answer's length.
+	later := start.Add(3 * time.Second)
+	for port := 2; port < 5; port++ {
+		cookie = open(t, p, later, port)
+		p.Progress(later.Add(5*time.Millisecond), key(port), cookie, 1, false)
+		p.Progress(later.Add(25*time.Millisecond), key(port), cookie, 2001, true)
+	}
+	for _, o := range p.Report(later.Add(time.Second), start).Outcomes {
+		is.Equal(o.Failed, 0.0)
+	}
+}
+
+func TestAnswersOfRoutesThatAreGoneAreForgotten(t *testing.T) {
+	is := is.New(t)
+	p := placer(eight())
+	p.view.Routes = map[netip.AddrPort]*registry.Route{key(1).Destination: {}}
+	gone := netip.MustParseAddrPort("198.18.0.9:443")
+	p.answers = map[answerKey]float64{{key(1).Destination, service}: 2000, {gone, service}: 2000}
+	p.Report(start, start)
+	is.Equal(p.answers, map[answerKey]float64{{key(1).Destination, service}: 2000})
 }
