Tell that the process stood still

Ruled out: the store, routes and targets, whose ages and revisions stand in the others' lines. Change: one line, stood still, with the time. Before and after: new test. No decision changes.

--- a/balancer/tick.go
+++ b/balancer/tick.go
@@ -41,8 +41,12 @@
 	}
 }
 
-// logBelief tells what a target is taken for from now on.
+// logBelief tells what a target, or this host, is taken for from now on.
 func logBelief(belief placement.Belief) {
+	if belief.State == placement.StoodStill {
+		log.WithField("forMs", belief.Pause.Milliseconds()).Warn("stood still")
+		return
+	}
 	line := log.WithFields(log.Fields{"target": belief.Member.Name, "dataCentre": belief.Member.DataCentre})
 	switch belief.State {
 	case placement.Answering:
--- a/placement/flow.go
+++ b/placement/flow.go
@@ -211,6 +211,7 @@
 	p.ticked = now
 	if stalled {
 		p.stood = now
+		p.believe(Belief{State: StoodStill, Pause: gap})
 	}
 	var retries []Retry
 	for key, f := range p.flows {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -444,3 +444,13 @@
 		p.Progress(start, key(1), 1, 0, false)
 	}
 }
+
+func TestAHostThatStoodStillTellsSo(t *testing.T) {
+	is := is.New(t)
+	p := placer(view(member(1, "near")))
+	p.Tick(start)
+	p.Tick(start.Add(10 * time.Millisecond))
+	is.Equal(len(p.Beliefs()), 0)
+	p.Tick(start.Add(4 * time.Second))
+	is.Equal(p.Beliefs(), []Belief{{State: StoodStill, Pause: 3990 * time.Millisecond}})
+}
--- a/placement/suspicion.go
+++ b/placement/suspicion.go
@@ -27,8 +27,9 @@
 	pause      time.Duration
 }
 
-// Belief is a change of what the placer takes a target for.
+// Belief is a change of what the placer takes a target, or its own host, for.
 type Belief struct {
+	// Member is the target; nil for StoodStill.
 	Member *registry.Member
 	State  State
 	// Outcome is what showed that the target is an outlier, and Pause the time for
@@ -50,6 +51,9 @@
 	Failing State = "failing"
 	// Slow is one whose flows last longer than those of others.
 	Slow State = "slow"
+	// StoodStill is this host itself, which has not run for Pause: until its flows have
+	// gone on, silence is no evidence.
+	StoodStill State = "stood still"
 )
 
 // maxBeliefs bounds the changes that wait to be taken.
