--- a/placement/flow.go
+++ b/placement/flow.go
@@ -93,9 +93,10 @@
 }
 
 // Progress notes a later packet of a flow, which carries the cookie of the target
-// that answered and the last byte that the caller has of it, and returns the cookie of the target that the flow is open at.
-// The first such packet decides where an opening was tried at several targets:
-// an answer that comes late must not move the flow.
+// that answered and the number of the last byte that the caller has of it, and
+// returns the cookie of the target that the flow is open at. The first such packet
+// decides where an opening was tried at several targets: an answer that comes late
+// must not move the flow.
 func (p *Placer) Progress(now time.Time, key cornelbay.FlowKey, cookie, acknowledged uint32, finishing bool) uint32 {
 	p.progressed = now
 	f, ok := p.flows[key]
