Order the states of the store by era

Cause: the store may come back from a copy some seconds old; it then numbers its changes from there again. Tables ignored every list below their revision, so the whole fleet would have kept the old state for good, and a number that was given out again made two different states look equal.

Change: registry.Revision holds the era (header Store-Era) above the number of the change. Lists, watches, deltas, heartbeats and pulls are ordered by it; a watch or list that spans a restore counts as gone history. What the copy lacks or undoes is kept for a while by kind: configuration by its version, draining by the target's start, evacuations for 15 s, deleted targets that are back for 5 s; hosts register again. fakeplatform can be restored from a copy. Digests are kept incrementally and views share the parts that have not changed.

--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/fakeplatform"
+	"github.com/cornelbay/cornelbay/gossip"
 	"github.com/cornelbay/cornelbay/platform"
 )
 
@@ -330,7 +331,7 @@
 	second.stateMu.Lock()
 	second.codec.Incarnation = 1 // as if it had started with an early clock
 	second.stateMu.Unlock()
-	second.pullFrom(first.self)
+	second.pullFrom(first.self, gossip.Revisions{})
 	w.eventually("the second is heard again", func() bool { return lastIncarnation(first, "h2") > before })
 }
 
--- a/balancer/kinds.go
+++ b/balancer/kinds.go
@@ -11,7 +11,7 @@
 
 // table is the part of registry.Table that syncTable uses.
 type table interface {
-	Revision() uint64
+	Revision() registry.Revision
 	Confirm(at time.Time) bool
 	ConfirmedAt() time.Time
 }
@@ -22,8 +22,8 @@
 	table func(*registry.Tables) table
 	// replace applies a full list of the objects, and apply a sequence of changes up
 	// to a revision; both report whether the table changed.
-	replace func(now time.Time, t *registry.Tables, revision uint64, objects []platform.Object) bool
-	apply   func(now time.Time, t *registry.Tables, revision uint64, events []platform.Event) bool
+	replace func(now time.Time, t *registry.Tables, revision registry.Revision, objects []platform.Object) bool
+	apply   func(now time.Time, t *registry.Tables, revision registry.Revision, events []platform.Event) bool
 }
 
 var (
@@ -39,14 +39,14 @@
 	routingKind = objectKind{
 		name:  platform.RoutingKind,
 		table: func(t *registry.Tables) table { return &t.Routes },
-		replace: func(now time.Time, t *registry.Tables, revision uint64, objects []platform.Object) bool {
+		replace: func(now time.Time, t *registry.Tables, revision registry.Revision, objects []platform.Object) bool {
 			changed := false
 			for _, o := range objects {
 				changed = applyRouting(now, t, revision, o) || changed
 			}
 			return changed
 		},
-		apply: func(now time.Time, t *registry.Tables, revision uint64, events []platform.Event) bool {
+		apply: func(now time.Time, t *registry.Tables, revision registry.Revision, events []platform.Event) bool {
 			changed := false
 			for _, e := range events {
 				if !e.Deleted {
@@ -60,7 +60,7 @@
 
 // applyRouting applies a configuration. If it is malformed, the last one stays in
 // force.
-func applyRouting(now time.Time, t *registry.Tables, revision uint64, o platform.Object) bool {
+func applyRouting(now time.Time, t *registry.Tables, revision registry.Revision, o platform.Object) bool {
 	r, err := platform.DecodeRouting(o)
 	if err != nil {
 		logSkipped(platform.RoutingKind, o, err)
@@ -83,7 +83,7 @@
 	return objectKind{
 		name:  name,
 		table: func(t *registry.Tables) table { return of(t) },
-		replace: func(now time.Time, t *registry.Tables, revision uint64, objects []platform.Object) bool {
+		replace: func(now time.Time, t *registry.Tables, revision registry.Revision, objects []platform.Object) bool {
 			var records []registry.Record[T]
 			for _, o := range objects {
 				if r, ok := record(o); ok {
@@ -92,7 +92,7 @@
 			}
 			return of(t).Replace(now, revision, records)
 		},
-		apply: func(now time.Time, t *registry.Tables, revision uint64, events []platform.Event) bool {
+		apply: func(now time.Time, t *registry.Tables, revision registry.Revision, events []platform.Event) bool {
 			var records []registry.Record[T]
 			for _, e := range events {
 				r, _ := record(e.Object)
@@ -107,5 +107,5 @@
 // logSkipped logs an object that another writer left malformed and that is therefore
 // not used.
 func logSkipped(name string, o platform.Object, err error) {
-	log.WithError(err).WithFields(log.Fields{"kind": name, "name": o.Name, "revision": o.Revision}).Warn("object skipped")
+	log.WithError(err).WithFields(log.Fields{"kind": name, "name": o.Name, "revision": o.Revision.Change()}).Warn("object skipped")
 }
--- a/balancer/metrics.go
+++ b/balancer/metrics.go
@@ -6,6 +6,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/cornelbay/cornelbay/gossip"
 	"github.com/cornelbay/cornelbay/peer"
 	"github.com/cornelbay/cornelbay/platform"
 	"github.com/cornelbay/cornelbay/registry"
@@ -53,11 +54,14 @@
 		{"cornelbay_targets_age_seconds", "Time since the targets were confirmed.", func(b *Balancer, now time.Time) float64 {
 			return now.Sub(b.tables.Targets.ConfirmedAt()).Seconds()
 		}},
-		{"cornelbay_routing_revision", "Revision of the routes.", func(b *Balancer, _ time.Time) float64 {
-			return float64(b.tables.Routes.Revision())
+		{"cornelbay_store_era", "Number of times that the store came back from an older copy.", func(b *Balancer, _ time.Time) float64 {
+			return float64(gossip.RevisionsOf(&b.tables).Era())
 		}},
-		{"cornelbay_targets_revision", "Revision of the targets.", func(b *Balancer, _ time.Time) float64 {
-			return float64(b.tables.Targets.Revision())
+		{"cornelbay_routing_revision", "Revision of the routes in the present era of the store.", func(b *Balancer, _ time.Time) float64 {
+			return float64(b.tables.Routes.Revision().Change())
+		}},
+		{"cornelbay_targets_revision", "Revision of the targets in the present era of the store.", func(b *Balancer, _ time.Time) float64 {
+			return float64(b.tables.Targets.Revision().Change())
 		}},
 		{"cornelbay_hosts_heard", "Other hosts that are heard.", func(b *Balancer, now time.Time) float64 {
 			return float64(len(b.members.Alive(now)))
@@ -91,7 +95,7 @@
 // observeDissemination observes the ages of the changes since a revision. Full tables
 // are skipped: they go to starting hosts, and their ages say nothing about
 // dissemination.
-func observeDissemination[T any](h prometheus.Histogram, since uint64, d registry.Delta[T]) {
+func observeDissemination[T any](h prometheus.Histogram, since registry.Revision, d registry.Delta[T]) {
 	if d.Full {
 		return
 	}
--- a/balancer/pull.go
+++ b/balancer/pull.go
@@ -74,7 +74,7 @@
 			behind := gossip.RevisionsOf(&b.tables).Behind(req.revisions)
 			b.stateMu.Unlock()
 			if behind {
-				b.pullFrom(req.host)
+				b.pullFrom(req.host, req.revisions)
 			}
 		}
 	}
@@ -88,7 +88,7 @@
 	for _, seed := range b.settings.Load().Seeds {
 		at := netip.AddrPortFrom(seed, b.settings.Load().PeerPort)
 		if at != b.self.Address {
-			all.Go(func() { b.pullFrom(registry.Host{Address: at}) })
+			all.Go(func() { b.pullFrom(registry.Host{Address: at}, gossip.Revisions{}) })
 		}
 	}
 	all.Wait()
@@ -101,17 +101,34 @@
 	if !r.Merge(now, &b.tables) {
 		return false
 	}
+	b.logRestore(before, "peer")
 	observeDissemination(b.metrics.disseminationSeconds, before.Routing, r.Routes)
 	observeDissemination(b.metrics.disseminationSeconds, before.Targets, r.Targets)
 	observeDissemination(b.metrics.disseminationSeconds, before.Evacuations, r.Evacuations)
 	return true
 }
 
-// pullFrom pulls the tables of one host. It also advances this host's incarnation past
-// the last one that the other host has seen.
-func (b *Balancer) pullFrom(h registry.Host) {
+// logRestore logs that the store came back from an older copy, if the tables have reached a
+// later era since before. The caller holds stateMu.
+func (b *Balancer) logRestore(before gossip.Revisions, by string) {
+	after := gossip.RevisionsOf(&b.tables)
+	if before == (gossip.Revisions{}) || before.Era() == after.Era() {
+		return
+	}
+	log.WithFields(log.Fields{
+		"by": by, "eraBefore": before.Era(), "era": after.Era(), "version": after.Version,
+		"routingBefore": before.Routing.Change(), "routing": after.Routing.Change(),
+		"targetsBefore": before.Targets.Change(), "targets": after.Targets.Change(),
+		"evacuationsBefore": before.Evacuations.Change(), "evacuations": after.Evacuations.Change(),
+	}).Warn("store came back from an older copy")
+}
+
+// pullFrom pulls the tables of one host, which has announced revisions, or the zero value
+// if it has announced none. It also advances this host's incarnation past the last one
+// that the other host has seen.
+func (b *Balancer) pullFrom(h registry.Host, revisions gossip.Revisions) {
 	b.stateMu.Lock()
-	since := gossip.DeltaBasesOf(&b.tables)
+	since := gossip.DeltaBasesOf(&b.tables, revisions)
 	b.stateMu.Unlock()
 	ctx, cancel := context.WithTimeout(b.ctx, pullTimeout)
 	defer cancel()
@@ -134,8 +151,8 @@
 	})
 	if changed {
 		log.WithFields(log.Fields{
-			"from": h.Address.String(), "routing": r.Routes.Revision, "targets": r.Targets.Revision,
-			"evacuations": r.Evacuations.Revision, "version": b.version(),
+			"from": h.Address.String(), "routing": r.Routes.Revision.Change(), "targets": r.Targets.Revision.Change(),
+			"evacuations": r.Evacuations.Revision.Change(), "version": b.version(),
 		}).Info("tables pulled")
 	}
 }
--- a/balancer/sync.go
+++ b/balancer/sync.go
@@ -40,6 +40,9 @@
 	// minBackoff and maxBackoff bound the pause after a failed call.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
+	// registrationCheckInterval is how often a host checks that the tables hold its record,
+	// on average. The variation spreads the writes of all hosts after a restore of the store.
+	registrationCheckInterval = 3 * time.Second
 	// readerCheckInterval is how often a host that doesn't read the store checks
 	// whether it has to.
 	readerCheckInterval = 100 * time.Millisecond
@@ -161,53 +164,63 @@
 
 // updateFromStore applies an answer of the store to the tables, pushes the changes to
 // the hosts of the data centre, and reports whether there were any.
-func (b *Balancer) updateFromStore(k objectKind, by string, confirmed time.Time, revision uint64, change func(time.Time, *registry.Tables) bool) bool {
+func (b *Balancer) updateFromStore(k objectKind, by string, confirmed time.Time, revision registry.Revision, change func(time.Time, *registry.Tables) bool) bool {
 	var before gossip.Revisions
 	changed := false
 	b.updateTables(func(now time.Time, t *registry.Tables) bool {
 		before = gossip.RevisionsOf(t)
-		recovered := k.table(t).Confirm(confirmed)
+		// A late answer from before a restore of the store confirms nothing.
+		recovered := revision.Era() >= k.table(t).Revision().Era() && k.table(t).Confirm(confirmed)
 		changed = change(now, t)
+		b.logRestore(before, by)
 		return changed || recovered
 	})
 	if changed {
-		log.WithFields(log.Fields{"kind": k.name, "revision": revision, "by": by, "version": b.version()}).Info("table changed")
+		log.WithFields(log.Fields{
+			"kind": k.name, "era": revision.Era(), "revision": revision.Change(), "by": by, "version": b.version(),
+		}).Info("table changed")
 		b.pushChanges(before)
 	}
 	return changed
 }
 
 // registerSelf puts this host's record into the store, unless the tables already hold
-// it. It retries until it succeeds; failures show only in the metrics of store calls.
+// it, and again whenever the store has lost it. Failures show only in the metrics of store
+// calls.
 func (b *Balancer) registerSelf() {
 	select {
 	case <-b.seedsDone:
 	case <-time.After(seedTimeout):
 	}
-	if b.selfRegistered() {
-		return
-	}
 	spec, err := json.Marshal(b.self)
 	if err != nil {
 		log.WithError(err).Error("encoding host record failed")
 		return
 	}
-	for backoff := minBackoff; b.ctx.Err() == nil; backoff = min(2*backoff, maxBackoff) {
-		err := b.store.Put(b.ctx, platform.HostKind, string(b.self.Name), spec)
-		if err == nil {
-			return
+	done, doneEra := false, uint64(0)
+	backoff := minBackoff
+	for wait := time.Duration(0); b.ctx.Err() == nil; b.sleep(wait) {
+		registered, era := b.selfRegistered()
+		if registered {
+			done, doneEra = true, era
 		}
-		b.sleep(backoff/2 + rand.N(backoff))
+		if !done || era > doneEra {
+			if err := b.store.Put(b.ctx, platform.HostKind, string(b.self.Name), spec); err != nil {
+				wait = backoff/2 + rand.N(backoff)
+				backoff = min(2*backoff, maxBackoff)
+				continue
+			}
+			done, doneEra = true, era
+		}
+		wait, backoff = registrationCheckInterval/2+rand.N(registrationCheckInterval), minBackoff
 	}
 }
 
-func (b *Balancer) selfRegistered() bool {
+// selfRegistered reports whether the tables hold this host's record, and the era of the
+// table of hosts.
+func (b *Balancer) selfRegistered() (bool, uint64) {
 	b.stateMu.Lock()
 	defer b.stateMu.Unlock()
-	for _, r := range b.tables.Hosts.All() {
-		if !r.Deleted && r.Value == b.self {
-			return true
-		}
-	}
-	return false
+	r, ok := b.tables.Hosts.Get(string(b.self.Name))
+	return ok && !r.Deleted && r.Value == b.self, b.tables.Hosts.Revision().Era()
 }
--- a/fakeplatform/store.go
+++ b/fakeplatform/store.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -62,6 +63,7 @@
 type Store struct {
 	mu             sync.Mutex
 	faults         Faults
+	era            uint64
 	revision       uint64
 	oldestRevision uint64
 	kinds          map[string]map[string]object
@@ -117,6 +119,41 @@
 	s.wakeWatches()
 }
 
+// Copy is the state of a Store at one time, from which it can be restored.
+type Copy struct {
+	revision uint64
+	kinds    map[string]map[string]object
+}
+
+// Copy returns a copy of the present state.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{s.revision, cloneKinds(s.kinds)}
+}
+
+func cloneKinds(kinds map[string]map[string]object) map[string]map[string]object {
+	all := make(map[string]map[string]object, len(kinds))
+	for kind, objects := range kinds {
+		all[kind] = maps.Clone(objects)
+	}
+	return all
+}
+
+// Restore brings the store back to the state of a copy: all later writes are lost, their
+// revisions are given out again, and a new era begins. Waiting watches from revisions that
+// the copy has go on; those from later ones fail with 410 Gone.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision, s.kinds = c.revision, cloneKinds(c.kinds)
+	for kind, events := range s.events {
+		s.events[kind] = slices.DeleteFunc(slices.Clone(events), func(e event) bool { return e.revision > c.revision })
+	}
+	s.wakeWatches()
+}
+
 func (s *Store) wakeWatches() {
 	if s.changed != nil {
 		close(s.changed)
@@ -169,6 +206,7 @@
 	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/v1/objects/"), "/")
 	s.mu.Lock()
 	f := s.faults
+	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
 	if s.calls == nil {
 		s.calls = make(map[string]int)
 	}
@@ -223,6 +261,7 @@
 func (s *Store) list(w http.ResponseWriter, r *http.Request, kind string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
 	size := s.PageSize
 	if size == 0 {
 		size = defaultPageSize
@@ -251,7 +290,8 @@
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		if since < s.oldestRevision {
+		w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10)) // a restore may have come meanwhile
+		if since < s.oldestRevision || since > s.revision {
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			return
@@ -294,6 +334,7 @@
 		return
 	}
 	s.mu.Lock()
+	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
 	status, stored := s.applyWrite(r.Method, kind, name, o)
 	s.mu.Unlock()
 	if f.DropResponses {
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
 	"github.com/cornelbay/cornelbay"
@@ -83,9 +84,9 @@
 }
 
 // filledTables returns tables at a revision, with one route and one target.
-func filledTables(at uint64) *registry.Tables {
+func filledTables(at registry.Revision) *registry.Tables {
 	var t registry.Tables
-	t.ReplaceRouting(start, at, at, registry.Routing{Policy: registry.Policy{Version: at}, Routes: []registry.Route{{
+	t.ReplaceRouting(start, at, at, registry.Routing{Policy: registry.Policy{Version: uint64(at)}, Routes: []registry.Route{{
 		Name: "r", Address: netip.MustParseAddrPort("198.18.0.1:80"), Shares: []registry.Share{{Service: "s", Weight: 1}},
 	}}})
 	t.Targets.Replace(start, at, []registry.Record[registry.Target]{{
@@ -218,3 +219,61 @@
 	is.True(!m.AllowReply(start, "c")) // gets heartbeats anyway
 	is.True(m.AllowReply(start.Add(minReplyInterval), "b"))
 }
+
+// TestEraDecidesBeforeRevision covers hosts of which one has noticed that the store came
+// back from an older copy.
+func TestEraDecidesBeforeRevision(t *testing.T) {
+	is := is.New(t)
+	ahead, behind := filledTables(registry.NewRevision(1, 5)), filledTables(900)
+	is.True(RevisionsOf(behind).Behind(RevisionsOf(ahead)))
+	// The later configuration version of the one behind is no reason to step back.
+	is.Equal(RevisionsOf(ahead).Targets.Era(), uint64(1))
+	r := Pull{Since: DeltaBasesOf(behind, RevisionsOf(ahead))}.Answer(start, ahead)
+	is.True(r.Merge(start, behind))
+	is.Equal(behind.Targets.Revision(), ahead.Targets.Revision())
+
+	late := Pull{}.Answer(start, filledTables(901))
+	is.True(!late.Merge(start, ahead))
+	is.Equal(ahead.Targets.Revision(), registry.NewRevision(1, 5))
+}
+
+// TestLaterConfigurationAtSameRevisionIsPulled covers a host that has kept a configuration
+// that the store has lost, and one that has started since and read the older one.
+func TestLaterConfigurationAtSameRevisionIsPulled(t *testing.T) {
+	is := is.New(t)
+	config := func(version uint64) registry.Routing {
+		return registry.Routing{Policy: registry.Policy{Version: version}}
+	}
+	var kept, started registry.Tables
+	kept.ReplaceRouting(start, 20, 20, config(7))
+	kept.ReplaceRouting(start, registry.NewRevision(1, 10), registry.NewRevision(1, 5), config(3))
+	started.ReplaceRouting(start, registry.NewRevision(1, 10), registry.NewRevision(1, 5), config(3))
+	is.Equal(kept.Routes.Revision(), started.Routes.Revision())
+	is.True(RevisionsOf(&started).Behind(RevisionsOf(&kept)))
+	is.True(!RevisionsOf(&kept).Behind(RevisionsOf(&started)))
+	r := Pull{Since: DeltaBasesOf(&started, RevisionsOf(&kept))}.Answer(start, &kept)
+	is.True(r.Merge(start, &started))
+	is.Equal(started.ConfigVersion(), uint64(7))
+}
+
+// TestHeartbeatOfEarlierVersionIsReadable checks that the revisions of a host that doesn't
+// know eras compare as those of era 0, and that it reads those of this version.
+func TestHeartbeatOfEarlierVersionIsReadable(t *testing.T) {
+	is := is.New(t)
+	type earlierRevisions struct {
+		Routing     uint64 `cbor:"1,keyasint"`
+		Targets     uint64 `cbor:"2,keyasint"`
+		Evacuations uint64 `cbor:"3,keyasint"`
+		Hosts       uint64 `cbor:"4,keyasint"`
+	}
+	b, err := cbor.Marshal(earlierRevisions{1, 2, 3, 4})
+	is.NoErr(err)
+	var now Revisions
+	is.NoErr(cbor.Unmarshal(b, &now))
+	is.Equal(now, Revisions{Routing: 1, Targets: 2, Evacuations: 3, Hosts: 4})
+	b, err = cbor.Marshal(Revisions{Routing: registry.NewRevision(1, 7), Targets: 2, Version: 9})
+	is.NoErr(err)
+	var earlier earlierRevisions
+	is.NoErr(cbor.Unmarshal(b, &earlier))
+	is.Equal(earlier.Routing, uint64(registry.NewRevision(1, 7)))
+}
--- a/gossip/messages.go
+++ b/gossip/messages.go
@@ -26,28 +26,45 @@
 
 // Revisions holds the revision of each of a host's tables.
 type Revisions struct {
-	Routing     uint64 `cbor:"1,keyasint"`
-	Targets     uint64 `cbor:"2,keyasint"`
-	Evacuations uint64 `cbor:"3,keyasint"`
-	Hosts       uint64 `cbor:"4,keyasint"`
+	Routing     registry.Revision `cbor:"1,keyasint"`
+	Targets     registry.Revision `cbor:"2,keyasint"`
+	Evacuations registry.Revision `cbor:"3,keyasint"`
+	Hosts       registry.Revision `cbor:"4,keyasint"`
+	// Version is that of the configuration. After a restore of the store, two hosts may
+	// have different versions at the same revision.
+	Version uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // RevisionsOf returns the revisions of tables.
 func RevisionsOf(t *registry.Tables) Revisions {
-	return Revisions{t.Routes.Revision(), t.Targets.Revision(), t.Evacuations.Revision(), t.Hosts.Revision()}
+	return Revisions{
+		t.Routes.Revision(), t.Targets.Revision(), t.Evacuations.Revision(), t.Hosts.Revision(), t.ConfigVersion(),
+	}
 }
 
-// DeltaBasesOf returns the revisions that a pull may request deltas from.
-func DeltaBasesOf(t *registry.Tables) Revisions {
-	return Revisions{min(t.Routes.DeltaBase(), t.Policy.DeltaBase()), t.Targets.DeltaBase(), t.Evacuations.DeltaBase(), t.Hosts.DeltaBase()}
+// DeltaBasesOf returns the revisions that a pull may request deltas from, given those of
+// the host to pull from. A configuration of a later version that is not at a later
+// revision has to be pulled whole.
+func DeltaBasesOf(t *registry.Tables, from Revisions) Revisions {
+	r := Revisions{
+		Routing: min(t.Routes.DeltaBase(), t.Policy.DeltaBase()), Targets: t.Targets.DeltaBase(),
+		Evacuations: t.Evacuations.DeltaBase(), Hosts: t.Hosts.DeltaBase(),
+	}
+	if from.Version > t.ConfigVersion() && from.Routing <= t.Routes.Revision() {
+		r.Routing = 0
+	}
+	return r
 }
 
 // Behind reports whether r is older than other in any table.
 func (r Revisions) Behind(other Revisions) bool {
 	return r.Routing < other.Routing || r.Targets < other.Targets ||
-		r.Evacuations < other.Evacuations || r.Hosts < other.Hosts
+		r.Evacuations < other.Evacuations || r.Hosts < other.Hosts || r.Version < other.Version
 }
 
+// Era returns the latest era of the store that any of the tables has reached.
+func (r Revisions) Era() uint64 { return max(r.Routing, r.Targets, r.Evacuations, r.Hosts).Era() }
+
 // Ages holds the milliseconds since a host's routes, targets and evacuations were last
 // confirmed. Heartbeats don't confirm the table of hosts.
 type Ages struct {
@@ -82,7 +99,7 @@
 }
 
 // confirmTable confirms one table; age is in milliseconds.
-func confirmTable[T any](now time.Time, age uint32, revision uint64, t *registry.Table[T]) {
+func confirmTable[T any](now time.Time, age uint32, revision registry.Revision, t *registry.Table[T]) {
 	if age < unknownAgeMs && revision > 0 && t.Revision() >= revision {
 		t.Confirm(now.Add(-time.Duration(age) * time.Millisecond))
 	}
@@ -187,12 +204,13 @@
 
 // Merge applies a reply to tables and reports whether they changed.
 func (r *PullReply) Merge(now time.Time, t *registry.Tables) bool {
-	revisions := Revisions{r.Routes.Revision, r.Targets.Revision, r.Evacuations.Revision, r.Hosts.Revision}
-	policy := t.Policy.Merge(now, r.Policy)
-	routes := t.Routes.Merge(now, r.Routes)
+	revisions := Revisions{
+		Routing: r.Routes.Revision, Targets: r.Targets.Revision, Evacuations: r.Evacuations.Revision, Hosts: r.Hosts.Revision,
+	}
+	routing := t.MergeRouting(now, r.Policy, r.Routes)
 	targets := t.Targets.Merge(now, r.Targets)
 	evacuations := t.Evacuations.Merge(now, r.Evacuations)
 	hosts := t.Hosts.Merge(now, r.Hosts)
 	r.Ages.Confirm(now, revisions, t)
-	return policy || routes || targets || evacuations || hosts
+	return routing || targets || evacuations || hosts
 }
--- a/registry/table.go
+++ b/registry/table.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"maps"
+	"reflect"
 	"slices"
 	"time"
 
@@ -15,13 +16,19 @@
 	Name string `json:"name"`
 	// Revision is the store revision of the last change of the object, not counting
 	// its deletion.
-	Revision uint64 `json:"revision"`
+	Revision Revision `json:"revision"`
 	// ChangedRevision is the table's revision at which the record got its present
 	// state. For a tombstone it is the one that showed the deletion, which is later
 	// than Revision.
-	ChangedRevision uint64 `json:"changed"`
-	Deleted         bool   `json:"gone,omitempty"`
-	Value           T      `json:"value"`
+	ChangedRevision Revision `json:"changed"`
+	Deleted         bool     `json:"gone,omitempty"`
+	// Lost is true for a tombstone of an object that existed when the store came back
+	// from an older copy without it. Its writer may be about to write it again.
+	Lost bool `json:"lost,omitempty"`
+	// Returned is true for an object that was known to be deleted when the store came
+	// back from an older copy that still has it.
+	Returned bool `json:"returned,omitempty"`
+	Value    T    `json:"value"`
 	// LearnedAt is when the host that read this state of the object from the store
 	// learned of it. Age carries the time from host to host.
 	LearnedAt time.Time `json:"-"`
@@ -34,9 +41,9 @@
 type Delta[T any] struct {
 	// Since is the revision that the delta starts from; it has no meaning if Full is
 	// set.
-	Since    uint64 `json:"since"`
-	Revision uint64 `json:"revision"`
-	Full     bool   `json:"full,omitempty"`
+	Since    Revision `json:"since"`
+	Revision Revision `json:"revision"`
+	Full     bool     `json:"full,omitempty"`
 	// Digest is the digest of the sender's table. A sender that has listed the store
 	// after an object was deleted has no tombstone for it, so its delta omits the
 	// deletion; the receiver detects this by the digest.
@@ -51,24 +58,36 @@
 	// TombstoneRetention is how long the records of deleted objects are kept.
 	TombstoneRetention time.Duration
 
-	revision uint64
+	revision Revision
 	// deltaFloor is the latest revision of a pruned tombstone. A delta from an earlier
 	// revision would lack that deletion.
-	deltaFloor  uint64
+	deltaFloor  Revision
 	confirmedAt time.Time
 	recoveredAt time.Time
 	// diverged is true after a delta was rolled back because the digests differed. The
 	// next pull then requests a full table.
 	diverged bool
 	records  map[string]*Record[T]
+	// digest is the XOR of the hashes of the live records.
+	digest uint64
+	// version counts the changes of the records.
+	version uint64
+}
+
+// Restorer is implemented by values that keep some of their state when the store comes
+// back from an older copy.
+type Restorer[T any] interface {
+	// Restore returns the value to use: copied is that of the store's copy, and the
+	// receiver the last one known before.
+	Restore(copied T) T
 }
 
 // Revision returns the table's revision, or 0 if nothing is known yet.
-func (t *Table[T]) Revision() uint64 { return t.revision }
+func (t *Table[T]) Revision() Revision { return t.revision }
 
 // DeltaBase returns the revision from which to request a delta, or 0 if a full one is
 // needed.
-func (t *Table[T]) DeltaBase() uint64 {
+func (t *Table[T]) DeltaBase() Revision {
 	if t.diverged {
 		return 0
 	}
@@ -77,14 +96,14 @@
 
 // Digest returns a digest of the names and revisions of the objects, without
 // tombstones.
-func (t *Table[T]) Digest() uint64 {
-	var sum uint64
-	for _, r := range t.records {
-		if !r.Deleted {
-			sum ^= xxhash.Sum64(binary.BigEndian.AppendUint64([]byte(r.Name), r.Revision))
-		}
+func (t *Table[T]) Digest() uint64 { return t.digest }
+
+// hash returns the record's part of the digest.
+func (r *Record[T]) hash() uint64 {
+	if r.Deleted {
+		return 0
 	}
-	return sum
+	return xxhash.Sum64(binary.BigEndian.AppendUint64([]byte(r.Name), uint64(r.Revision)))
 }
 
 // ConfirmedAt returns the time at which the table was last known to be up to date.
@@ -117,29 +136,66 @@
 
 // Replace applies a full list at a revision; objects that are not on it are deleted. A
 // list older than the table is ignored. It reports whether the table changed.
-func (t *Table[T]) Replace(now time.Time, revision uint64, list []Record[T]) bool {
+//
+// A list of a later era than the table's is that of a store that came back from an older
+// copy. What the copy lacks becomes lost, and what it has although it was known to be
+// deleted becomes returned; see Record and Restorer.
+func (t *Table[T]) Replace(now time.Time, revision Revision, list []Record[T]) bool {
 	if revision < t.revision || revision == 0 {
 		return false
 	}
-	changed := t.revision == 0
+	restored := t.revision > 0 && revision.Era() > t.revision.Era()
+	changed := t.revision == 0 || restored
 	listed := make(map[string]bool, len(list))
 	for i := range list {
 		listed[list[i].Name] = !list[i].Deleted
+		if restored {
+			t.restore(now, &list[i])
+			continue
+		}
 		changed = t.upsert(now, &list[i]) || changed
 	}
 	for name, r := range t.records {
-		if !listed[name] && !r.Deleted && r.Revision <= revision {
-			r.Deleted, r.ChangedRevision, r.LearnedAt = true, revision, now
+		switch {
+		case listed[name] || r.Revision > revision:
+		case !r.Deleted:
+			t.remove(now, r, revision)
+			r.Lost = restored
 			changed = true
+		case restored:
+			// An object that is written again has to supersede its tombstone.
+			r.Revision, r.ChangedRevision = revision, revision
 		}
 	}
 	t.revision, t.diverged = revision, false
 	return changed
 }
 
+// restore applies an object of a later era than the table's.
+func (t *Table[T]) restore(now time.Time, c *Record[T]) {
+	r, known := t.records[c.Name]
+	if !known || c.Deleted {
+		t.put(now, c)
+		return
+	}
+	next := *c
+	if v, ok := any(r.Value).(Restorer[T]); ok {
+		next.Value = v.Restore(c.Value)
+	}
+	next.Returned = c.Returned || r.Deleted
+	if !r.Deleted && reflect.DeepEqual(r.Value, next.Value) {
+		next.Age = now.Sub(r.LearnedAt)
+	}
+	t.put(now, &next)
+}
+
 // Apply applies changes up to a revision, in order, and reports whether the table
-// changed.
-func (t *Table[T]) Apply(now time.Time, revision uint64, changes []Record[T]) bool {
+// changed. Changes of another era than the table's are ignored: after a restore of the
+// store the table has to be listed.
+func (t *Table[T]) Apply(now time.Time, revision Revision, changes []Record[T]) bool {
+	if t.revision > 0 && revision.Era() != t.revision.Era() {
+		return false
+	}
 	changed := false
 	for i := range changes {
 		changed = t.apply(now, max(revision, t.revision), &changes[i]) || changed
@@ -148,7 +204,7 @@
 	return changed
 }
 
-func (t *Table[T]) apply(now time.Time, revision uint64, c *Record[T]) bool {
+func (t *Table[T]) apply(now time.Time, revision Revision, c *Record[T]) bool {
 	if !c.Deleted {
 		return t.upsert(now, c)
 	}
@@ -157,22 +213,39 @@
 	if !ok || r.Deleted || r.Revision > c.Revision {
 		return false
 	}
-	r.Deleted, r.ChangedRevision, r.LearnedAt = true, revision, now
+	t.remove(now, r, revision)
 	return true
 }
 
+// remove turns a live record into a tombstone.
+func (t *Table[T]) remove(now time.Time, r *Record[T], revision Revision) {
+	t.digest ^= r.hash()
+	t.version++
+	r.Deleted, r.Lost, r.Returned, r.ChangedRevision, r.LearnedAt = true, false, false, revision, now
+}
+
 func (t *Table[T]) upsert(now time.Time, c *Record[T]) bool {
 	if r, ok := t.records[c.Name]; ok && !c.supersedes(r) {
 		return false
 	}
+	t.put(now, c)
+	return true
+}
+
+// put stores a copy of a record in place of the one with its name.
+func (t *Table[T]) put(now time.Time, c *Record[T]) {
 	if t.records == nil {
 		t.records = make(map[string]*Record[T])
 	}
+	if r, ok := t.records[c.Name]; ok {
+		t.digest ^= r.hash()
+	}
 	r := *c
 	r.LearnedAt, r.Age = now.Add(-c.Age), 0
 	r.ChangedRevision = max(r.ChangedRevision, r.Revision)
 	t.records[c.Name] = &r
-	return true
+	t.digest ^= r.hash()
+	t.version++
 }
 
 // supersedes reports whether c is a later state of the object than r: a later
@@ -182,11 +255,14 @@
 }
 
 // DeltaSince returns the changes since a revision. It returns the full table if the
-// revision is 0 or if tombstones from after it have been pruned.
-func (t *Table[T]) DeltaSince(now time.Time, revision uint64) Delta[T] {
+// revision is 0 or of an earlier era, or if tombstones from after it have been pruned.
+func (t *Table[T]) DeltaSince(now time.Time, revision Revision) Delta[T] {
 	d := Delta[T]{
-		Since: revision, Revision: t.revision, Digest: t.Digest(),
-		Full: revision < t.deltaFloor || revision == 0,
+		Since: revision, Revision: t.revision, Digest: t.digest,
+		Full: revision < t.deltaFloor || revision == 0 || revision.Era() < t.revision.Era(),
+	}
+	if !d.Full && revision >= t.revision {
+		return d
 	}
 	for _, name := range slices.Sorted(maps.Keys(t.records)) {
 		if r := t.records[name]; d.Full || r.ChangedRevision > revision {
@@ -201,7 +277,8 @@
 // Merge applies a delta from another host and reports whether the table changed. A
 // delta to the table's own or an earlier revision is ignored, and so is one that
 // starts from a later revision than the table's. One that doesn't lead to the sender's
-// digest is rolled back, and the next delta has to be a full one.
+// digest, or that leads to a later era without being a full one, leaves the table
+// unchanged, and the next delta has to be a full one.
 func (t *Table[T]) Merge(now time.Time, d Delta[T]) bool {
 	if d.Revision <= t.revision {
 		return false
@@ -212,19 +289,48 @@
 	if d.Since > t.revision {
 		return false
 	}
-	before := maps.Clone(t.records)
+	if d.Revision.Era() != t.revision.Era() || t.digestAfter(d.Records) != d.Digest {
+		t.diverged = true
+		return false
+	}
 	changed := false
 	for i := range d.Records {
 		changed = t.upsert(now, &d.Records[i]) || changed
 	}
-	if t.Digest() != d.Digest {
-		t.records, t.diverged = before, true
-		return false
-	}
 	t.revision = d.Revision
 	return changed
 }
 
+// digestAfter returns the digest that the table would have with the given records, of
+// which no two have the same name.
+func (t *Table[T]) digestAfter(records []Record[T]) uint64 {
+	sum := t.digest
+	for i := range records {
+		c := &records[i]
+		r, known := t.records[c.Name]
+		if known && !c.supersedes(r) {
+			continue
+		}
+		if known {
+			sum ^= r.hash()
+		}
+		sum ^= c.hash()
+	}
+	return sum
+}
+
+// keep advances the table to a revision without changing its records.
+func (t *Table[T]) keep(revision Revision) {
+	t.revision, t.diverged = max(t.revision, revision), false
+}
+
+// adopt replaces the records by those of a full delta, whatever their revisions.
+func (t *Table[T]) adopt(now time.Time, d Delta[T]) {
+	revision := max(t.revision, d.Revision)
+	t.records, t.digest, t.revision = nil, 0, 0
+	t.Replace(now, revision, d.Records)
+}
+
 // Prune drops tombstones older than TombstoneRetention and reports whether there were
 // any.
 func (t *Table[T]) Prune(now time.Time) bool {
@@ -233,12 +339,21 @@
 		if r.Deleted && now.Sub(r.LearnedAt) > t.TombstoneRetention {
 			delete(t.records, name)
 			t.deltaFloor = max(t.deltaFloor, r.ChangedRevision)
+			t.version++
 			pruned = true
 		}
 	}
 	return pruned
 }
 
+// Get returns the record with a name, which may be a tombstone.
+func (t *Table[T]) Get(name string) (Record[T], bool) {
+	if r, ok := t.records[name]; ok {
+		return *r, true
+	}
+	return Record[T]{}, false
+}
+
 // All returns the records sorted by name, tombstones included.
 func (t *Table[T]) All() []Record[T] {
 	var all []Record[T]
--- a/registry/table_test.go
+++ b/registry/table_test.go
@@ -11,11 +11,11 @@
 
 var start = time.Unix(1_700_000_000, 0)
 
-func record(name string, revision uint64, value int) Record[int] {
+func record(name string, revision Revision, value int) Record[int] {
 	return Record[int]{Name: name, Revision: revision, Value: value}
 }
 
-func tombstone(name string, revision uint64) Record[int] {
+func tombstone(name string, revision Revision) Record[int] {
 	return Record[int]{Name: name, Revision: revision, Deleted: true}
 }
 
@@ -80,11 +80,11 @@
 	behind.Replace(start, 2, []Record[int]{record("a", 2, 1)})
 	sender.Replace(start, 3, nil)
 	behind.Merge(start, sender.DeltaSince(start, behind.DeltaBase()))
-	is.Equal(behind.Revision(), uint64(2)) // the delta is rejected
-	is.Equal(behind.DeltaBase(), uint64(0))
+	is.Equal(behind.Revision(), Revision(2)) // the delta is rejected
+	is.Equal(behind.DeltaBase(), Revision(0))
 	is.True(behind.Merge(start, sender.DeltaSince(start, behind.DeltaBase())))
 	is.Equal(live(&behind), map[string]int{})
-	is.Equal(behind.DeltaBase(), uint64(3))
+	is.Equal(behind.DeltaBase(), Revision(3))
 }
 
 // TestRejectedDeltaLeavesTableUnchanged guards against a delta that is rejected
@@ -118,7 +118,7 @@
 	var table Table[int]
 	table.Replace(start, 2, []Record[int]{record("a", 1, 1)})
 	is.True(!table.Merge(start, Delta[int]{Since: 4, Revision: 5, Records: []Record[int]{record("b", 5, 1)}}))
-	is.Equal(table.Revision(), uint64(2))
+	is.Equal(table.Revision(), Revision(2))
 }
 
 func TestRecoveredAtAfterOutage(t *testing.T) {
@@ -139,13 +139,13 @@
 	rapid.Check(t, func(t *rapid.T) {
 		type change struct {
 			record   Record[int]
-			revision uint64
+			revision Revision
 		}
 		var history []change
 		current := map[string]Record[int]{}
-		revision := uint64(1)
+		revision := Revision(1)
 		hosts := make([]Table[int], 3)
-		at := make([]uint64, 3) // lowest revision that each host may be at
+		at := make([]Revision, 3) // lowest revision that each host may be at
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			h := rapid.IntRange(0, 2).Draw(t, "host")
 			table := &hosts[h]
--- a/registry/view.go
+++ b/registry/view.go
@@ -20,6 +20,18 @@
 	Targets     Table[Target]
 	Evacuations Table[Evacuation]
 	Hosts       Table[Host]
+
+	// view is the last snapshot, whose parts the next one shares if the tables that
+	// they come from have not changed; viewOf are the states of these tables.
+	view   *View
+	viewOf viewState
+}
+
+// viewState identifies the states of the tables that the parts of a View come from.
+type viewState struct {
+	routes, hosts uint64
+	targets       [3]uint64 // the versions of targets, evacuations and policy
+	recoveredAt   time.Time
 }
 
 // Prune drops tombstones older than TombstoneRetention from the tables and reports
@@ -45,17 +57,30 @@
 // policyName names the single record of the policy table.
 const policyName = "policy"
 
+// ConfigVersion returns the version of the configuration, or 0 if there is none.
+func (t *Tables) ConfigVersion() uint64 {
+	if r, ok := t.Policy.records[policyName]; ok {
+		return r.Value.Version
+	}
+	return 0
+}
+
 // ReplaceRouting applies the configuration that was last changed at revision changed
 // and read at revision. Unchanged routes keep their records, so that deltas to other
-// hosts omit them. It reports whether anything changed.
-func (t *Tables) ReplaceRouting(now time.Time, revision, changed uint64, r Routing) bool {
+// hosts omit them. A configuration of an earlier version than the present one is that
+// of an older copy of the store, and has no effect. It reports whether anything changed.
+func (t *Tables) ReplaceRouting(now time.Time, revision, changed Revision, r Routing) bool {
 	if revision < t.Routes.Revision() {
 		return false
 	}
+	if r.Version < t.ConfigVersion() {
+		t.keepRouting(revision)
+		return false
+	}
 	var routes []Record[Route]
 	for i := range r.Routes {
 		rec := Record[Route]{Name: r.Routes[i].Name, Revision: changed, Value: r.Routes[i]}
-		if old, ok := t.Routes.records[rec.Name]; ok && !old.Deleted && old.Value.equal(&rec.Value) {
+		if old, ok := t.Routes.records[rec.Name]; ok && !old.Deleted && old.Revision.Era() == changed.Era() && old.Value.equal(&rec.Value) {
 			rec.Revision = old.Revision
 		}
 		routes = append(routes, rec)
@@ -64,12 +89,63 @@
 	return t.Routes.Replace(now, revision, routes) || policy
 }
 
+// MergeRouting applies the deltas of the configuration from another host and reports
+// whether anything changed. The version of the configuration decides before the
+// revisions: after a restore of the store, one host may have read an older configuration
+// at a revision at which another has kept a later one.
+func (t *Tables) MergeRouting(now time.Time, policy Delta[Policy], routes Delta[Route]) bool {
+	own := t.ConfigVersion()
+	for _, r := range policy.Records {
+		if r.Value.Version < own {
+			t.keepRouting(policy.Revision)
+			return false
+		}
+		if r.Value.Version > own && policy.Full && routes.Full && policy.Revision <= t.Policy.Revision() {
+			t.Policy.adopt(now, policy)
+			t.Routes.adopt(now, routes)
+			return true
+		}
+	}
+	changed := t.Policy.Merge(now, policy)
+	return t.Routes.Merge(now, routes) || changed
+}
+
+// keepRouting advances the tables of the configuration without changing them.
+func (t *Tables) keepRouting(revision Revision) {
+	t.Policy.keep(revision)
+	t.Routes.keep(revision)
+}
+
 // ExpiryGrace is the time after a recovery of the targets table in which targets that
 // disappear are still used unless they were draining: their announcements may have
 // expired during a store outage. Targets that are alive announce themselves again
 // within that time.
 const ExpiryGrace = 2 * time.Second
 
+const (
+	// RewriteTime is the time after a restore of the store in which operators write again
+	// what the older copy lacks. An evacuation that the copy lacks stays in force for that
+	// long.
+	RewriteTime = 15 * time.Second
+	// LeaseTime is longer than the store keeps a target that doesn't announce itself. A
+	// target that was known to be deleted, but is back with an older copy of the store, is
+	// alive if the store still lists it after that time.
+	LeaseTime = 5 * time.Second
+)
+
+// Restore returns the state of a target after the store came back from an older copy:
+// that of the later start, and draining if it was known to be, as a target doesn't end
+// its draining.
+func (t Target) Restore(copied Target) Target {
+	switch {
+	case t.StartedMs > copied.StartedMs:
+		return t
+	case t.StartedMs == copied.StartedMs && t.Number == copied.Number:
+		copied.Draining = copied.Draining || t.Draining
+	}
+	return copied
+}
+
 // Endpoint is a target with its state as the packet path uses it.
 type Endpoint struct {
 	Target
@@ -83,8 +159,13 @@
 	// Deleted is true for a target that the store no longer lists. It gets packets of
 	// its open flows, but new flows only until GraceUntil.
 	Deleted bool
+	// HeldUntil is the end of the time in which a target gets no new flows because it may
+	// be deleted although the store lists it; see Record.Returned.
+	HeldUntil time.Time
 	// Evacuated is true while the target's data centre is evacuated.
 	Evacuated bool
+	// EvacuatedUntil is the end of an evacuation that the store has lost.
+	EvacuatedUntil time.Time
 	// Shadowed is true if an earlier target has the same cookie; the target then gets
 	// no flows.
 	Shadowed bool
@@ -94,13 +175,14 @@
 
 // Usable reports whether new flows may be opened at the target.
 func (m *Endpoint) Usable(now time.Time) bool {
-	if m.Draining || m.Evacuated || m.Shadowed {
+	if m.Draining || m.Evacuated || m.Shadowed || now.Before(m.EvacuatedUntil) || now.Before(m.HeldUntil) {
 		return false
 	}
 	return !m.Deleted || now.Before(m.GraceUntil)
 }
 
-// View is an immutable snapshot of the tables for the packet path.
+// View is an immutable snapshot of the tables for the packet path. Views share the parts
+// that have not changed between them.
 type View struct {
 	// Version is that of the configuration.
 	Version uint64
@@ -113,38 +195,78 @@
 
 // View returns a snapshot of the tables.
 func (t *Tables) View() *View {
-	v := &View{
-		Routes:   make(map[netip.AddrPort]*Route),
-		Services: make(map[cornelbay.ServiceName][]*Endpoint),
-		Cookies:  make(map[uint32]*Endpoint),
+	now := viewState{
+		routes: t.Routes.version, hosts: t.Hosts.version,
+		targets:     [3]uint64{t.Targets.version, t.Evacuations.version, t.Policy.version},
+		recoveredAt: t.Targets.recoveredAt,
 	}
-	coldRates := make(map[cornelbay.ServiceName]float64)
-	for _, r := range t.Policy.All() {
-		v.Version = r.Value.Version
-		for _, s := range r.Value.Services {
-			coldRates[s.Name] = s.ColdPerSecond
-		}
+	v, last := &View{Version: t.ConfigVersion()}, t.view
+	if last != nil && now.routes == t.viewOf.routes {
+		v.Routes = last.Routes
+	} else {
+		v.Routes = t.viewRoutes()
 	}
+	if last != nil && now.hosts == t.viewOf.hosts {
+		v.Hosts = last.Hosts
+	} else {
+		v.Hosts = t.viewHosts()
+	}
+	if last != nil && now.targets == t.viewOf.targets && now.recoveredAt.Equal(t.viewOf.recoveredAt) {
+		v.Services, v.Cookies = last.Services, last.Cookies
+	} else {
+		t.viewTargets(v)
+	}
+	t.view, t.viewOf = v, now
+	return v
+}
+
+func (t *Tables) viewRoutes() map[netip.AddrPort]*Route {
+	routes := make(map[netip.AddrPort]*Route, len(t.Routes.records))
 	for _, r := range t.Routes.All() {
 		if !r.Deleted {
-			v.Routes[r.Value.Address] = &r.Value
+			routes[r.Value.Address] = &r.Value
+		}
+	}
+	return routes
+}
+
+// viewHosts returns the registered hosts by name. Those whose records the store has lost
+// are about to register again.
+func (t *Tables) viewHosts() []Host {
+	var hosts []Host
+	for _, r := range t.Hosts.All() {
+		if !r.Deleted || r.Lost {
+			hosts = append(hosts, r.Value)
+		}
+	}
+	return hosts
+}
+
+func (t *Tables) viewTargets(v *View) {
+	v.Services = make(map[cornelbay.ServiceName][]*Endpoint)
+	v.Cookies = make(map[uint32]*Endpoint, len(t.Targets.records))
+	coldRates := make(map[cornelbay.ServiceName]float64)
+	if r, ok := t.Policy.records[policyName]; ok {
+		for _, s := range r.Value.Services {
+			coldRates[s.Name] = s.ColdPerSecond
 		}
 	}
 	evacuated := make(map[cornelbay.DataCentreName]bool)
-	for _, r := range t.Evacuations.All() {
-		evacuated[r.Value.DataCentre] = evacuated[r.Value.DataCentre] || !r.Deleted
+	lostEvacuations := make(map[cornelbay.DataCentreName]time.Time)
+	for _, r := range t.Evacuations.records {
+		switch dc := r.Value.DataCentre; {
+		case !r.Deleted:
+			evacuated[dc] = true
+		case r.Lost:
+			lostEvacuations[dc] = r.LearnedAt.Add(RewriteTime)
+		}
 	}
 	for _, r := range t.Targets.All() {
 		m := t.endpoint(&r)
-		m.Evacuated, m.ColdPerSecond = evacuated[m.DataCentre], coldRates[m.Service]
+		m.Evacuated, m.EvacuatedUntil = evacuated[m.DataCentre], lostEvacuations[m.DataCentre]
+		m.ColdPerSecond = coldRates[m.Service]
 		v.add(m)
 	}
-	for _, r := range t.Hosts.All() {
-		if !r.Deleted {
-			v.Hosts = append(v.Hosts, r.Value)
-		}
-	}
-	return v
 }
 
 func (t *Tables) endpoint(r *Record[Target]) *Endpoint {
@@ -153,7 +275,13 @@
 		m.ColdUntil = r.LearnedAt.Add(r.Value.ColdFor)
 	}
 	recovered := t.Targets.RecoveredAt()
-	if r.Deleted && !r.Value.Draining && !r.LearnedAt.Before(recovered) && r.LearnedAt.Before(recovered.Add(ExpiryGrace)) {
+	switch {
+	case r.Returned:
+		m.HeldUntil = r.LearnedAt.Add(LeaseTime)
+	case !r.Deleted || r.Value.Draining:
+	case r.Lost:
+		m.GraceUntil = r.LearnedAt.Add(ExpiryGrace)
+	case !r.LearnedAt.Before(recovered) && r.LearnedAt.Before(recovered.Add(ExpiryGrace)):
 		m.GraceUntil = recovered.Add(ExpiryGrace)
 	}
 	return m
