--- a/balancer/ambiguous.go
+++ b/balancer/ambiguous.go
@@ -23,8 +23,8 @@
 )
 
 // queuedAmbiguousFlow is a flow whose opening was sent to several targets, and the
-// host to report it to. Without a valid address it goes to all recipients of
-// heartbeats.
+// host to report it to. Without a valid address it goes to all hosts that may get packets
+// of the flow.
 type queuedAmbiguousFlow struct {
 	placement.AmbiguousFlow
 	to netip.AddrPort
@@ -87,16 +87,21 @@
 		})
 	}
 	b.stateMu.Lock()
-	to := b.recipientAddrs
+	var to []netip.AddrPort
+	switch {
+	case batch[0].to.IsValid():
+		to = []netip.AddrPort{batch[0].to}
+	case b.inMesh:
+		to = b.withSeeds(addresses(b.members.Known()))
+	default:
+		to = addresses(b.members.KnownInDataCentre())
+	}
 	datagram, err := b.codec.Seal(m)
 	b.stateMu.Unlock()
 	if err != nil {
 		log.WithError(err).Error("doubts not sealed")
 		return 0
 	}
-	if batch[0].to.IsValid() {
-		to = []netip.AddrPort{batch[0].to}
-	}
 	b.sendToPeers(datagram, to)
 	return len(to)
 }
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -27,9 +27,8 @@
 	// tombstoneSlack is added to the maximum flow age to get the retention time of
 	// deleted targets, so that open flows still find theirs.
 	tombstoneSlack = 15 * time.Second
-	// tickInterval is how often the host checks for openings (first packets of flows)
-	// that were not answered in time.
-	tickInterval = 10 * time.Millisecond
+	// stopCheckInterval is how often a stopping host checks whether it may end.
+	stopCheckInterval = 10 * time.Millisecond
 	// readBufferBytes buffers the packets that arrive while the process isn't
 	// scheduled.
 	readBufferBytes = 2 << 20
@@ -87,24 +86,35 @@
 	placer    placement.Placer
 	view      *registry.View
 
-	// stateMu guards tables, members, codec and recipientAddrs. Lock order: stateMu
-	// before trafficMu. The packet path never takes stateMu.
+	// stateMu guards the fields up to inMesh. Lock order: stateMu before trafficMu. The
+	// packet path never takes stateMu.
 	stateMu sync.Mutex
 	tables  registry.Tables
 	members gossip.Members
 	codec   peer.Codec
-	// recipientAddrs are the addresses that the last heartbeat was sent to.
-	recipientAddrs []netip.AddrPort
+	// relay adds up the loads of other hosts in the tree of heartbeats. outcomesUp and
+	// outcomesDown are the outcomes to send up and down the tree.
+	relay                    placement.Relay
+	outcomesUp, outcomesDown placement.Sum
+	// bootstrapped is true once a seed has answered or this host no longer waits for one.
+	bootstrapped bool
+	// inMesh is true if the last heartbeat went to all hosts of a small fleet.
+	inMesh bool
 
 	// changed triggers a heartbeat when the tables have changed.
 	changed      chan struct{}
 	pullRequests chan pullRequest
 	// ambiguous queues the ambiguous flows to send to other hosts.
 	ambiguous chan queuedAmbiguousFlow
-	// seedsDone is closed when all seeds have answered or failed.
-	seedsDone chan struct{}
-	ready     atomic.Bool
-	stopping  atomic.Bool
+	// opened triggers a check for openings that are not answered in time.
+	opened chan struct{}
+	// readWanted wakes, by kind, the goroutine that keeps a table up to date.
+	readWanted map[string]chan struct{}
+	ready      atomic.Bool
+	stopping   atomic.Bool
+	// refusedAt is when the store last failed a call of syncTable, in nanoseconds since
+	// started, or 0 if the last call succeeded.
+	refusedAt atomic.Int64
 	// lastPacket is the arrival time of the last packet, in nanoseconds since started.
 	lastPacket atomic.Int64
 	started    time.Time
@@ -131,10 +141,14 @@
 		},
 		changed:      make(chan struct{}, 1),
 		pullRequests: make(chan pullRequest, 16),
-		seedsDone:    make(chan struct{}),
+		opened:       make(chan struct{}, 1),
+		readWanted:   make(map[string]chan struct{}),
 		ambiguous:    make(chan queuedAmbiguousFlow, maxQueuedAmbiguous),
 		started:      time.Now(),
 	}
+	for _, k := range objectKinds {
+		b.readWanted[k.name] = make(chan struct{}, 1)
+	}
 	b.settings.Store(&s)
 	b.ctx, b.cancel = context.WithCancel(context.Background())
 	b.placer = placement.Placer{
@@ -161,12 +175,15 @@
 	b.goRun(b.receiveGossip)
 	b.goRun(b.sendHeartbeats)
 	b.goRun(b.pull)
-	b.goRun(b.registerSelf)
 	b.goRun(b.sendQueuedAmbiguous)
-	for _, k := range []objectKind{routingKind, targetKind, evacuationKind, hostKind} {
+	for _, k := range objectKinds {
 		b.goRun(func() { b.syncTable(k) })
 	}
-	b.goRun(b.pullSeeds)
+	b.goRun(func() {
+		b.bootstrap()
+		b.announce()
+		b.registerSelf()
+	})
 }
 
 func (b *Balancer) goRun(f func()) {
@@ -242,15 +259,14 @@
 // stateMu.
 func (b *Balancer) publishTables(now time.Time) {
 	v := b.tables.View()
+	if v.HostsChanged {
+		b.members.SetRegistered(now, v.Hosts)
+	}
 	b.trafficMu.Lock()
 	b.view = v
 	b.placer.SetView(v)
 	b.trafficMu.Unlock()
-	if b.tables.Synced() && !b.stopping.Load() && !b.ready.Swap(true) {
-		log.WithFields(log.Fields{
-			"version": v.Version, "afterMs": now.Sub(b.started).Milliseconds(),
-		}).Info("ready")
-	}
+	b.checkReady(now)
 	select {
 	case b.changed <- struct{}{}:
 	default: // a heartbeat is already pending
@@ -294,7 +310,7 @@
 	b.ready.Store(false)
 	begin := time.Now()
 	for {
-		time.Sleep(tickInterval)
+		time.Sleep(stopCheckInterval)
 		elapsed := time.Since(begin)
 		idle := time.Since(b.started) - time.Duration(b.lastPacket.Load())
 		if elapsed > b.settings.Load().Grace-stopMargin || elapsed > routerDetectionTime && idle > routerIdleTime {
--- a/balancer/kinds.go
+++ b/balancer/kinds.go
@@ -58,6 +58,9 @@
 	}
 )
 
+// objectKinds are all kinds, in the order in which a starting host needs them.
+var objectKinds = []objectKind{routingKind, targetKind, evacuationKind, hostKind}
+
 // applyRouting applies a configuration. If it is malformed, the last one stays in
 // force.
 func applyRouting(now time.Time, t *registry.Tables, revision registry.Revision, o platform.Object) bool {
--- a/balancer/packets.go
+++ b/balancer/packets.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/placement"
 	"github.com/cornelbay/cornelbay/platform"
 	"github.com/cornelbay/cornelbay/registry"
 )
@@ -83,6 +84,12 @@
 	default:
 		b.flowLog(p.Key).WithFields(log.Fields{"reason": v.reason, "cookie": p.Cookie}).Info("packet dropped")
 	}
+	if v.reason == reasonOpened {
+		select {
+		case b.opened <- struct{}{}:
+		default: // a check is already requested
+		}
+	}
 	if v.reason == reasonOpened && sampled(p.Key) {
 		b.flowLog(p.Key).WithFields(log.Fields{"target": v.target.Name, "dataCentre": v.target.DataCentre}).Info("opened")
 	}
@@ -120,7 +127,10 @@
 	if p.Cookie == 0 {
 		return verdict{reason: reasonNoCookie}
 	}
-	cookie := b.placer.RoutePacket(now, p.Key, p.Cookie, p.Acknowledged, p.Finishing || p.Resetting)
+	cookie := b.placer.RoutePacket(now, p.Key, placement.Segment{
+		Cookie: p.Cookie, Sequence: p.Sequence, Bytes: len(packet) - platform.HeaderBytes,
+		Acknowledged: p.Acknowledged, Finishing: p.Finishing || p.Resetting,
+	})
 	m, ok := b.view.Cookies[cookie]
 	if !ok {
 		return verdict{reason: reasonUnknownCookie}
--- a/balancer/pull.go
+++ b/balancer/pull.go
@@ -3,8 +3,7 @@
 import (
 	"context"
 	"errors"
-	"net/netip"
-	"sync"
+	"slices"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -28,28 +27,34 @@
 
 var errUnknownCall = merry.New("call is not known")
 
-// pushChanges sends the hosts of the data centre all changes since the given
-// revisions. If they don't fit into a datagram, the hosts pull them after the next
-// heartbeat.
+// pushChanges sends the neighbours all changes since the given revisions. If they don't fit
+// into a datagram, the neighbours pull them after the next heartbeat.
 func (b *Balancer) pushChanges(since gossip.Revisions) {
 	b.stateMu.Lock()
+	defer b.stateMu.Unlock()
 	now := time.Now()
-	push := gossip.Push{PullReply: gossip.Pull{Since: since}.Answer(now, &b.tables)}
-	var to []netip.AddrPort
-	for _, h := range b.members.Alive(now) {
-		if h.DataCentre == b.self.DataCentre {
-			to = append(to, h.Address)
-		}
+	b.sendPush(gossip.Push{PullReply: gossip.Pull{Since: since}.Answer(now, &b.tables)}, b.members.Neighbours(now).All())
+}
+
+// forwardPush passes a push that has changed the tables on through the tree. In a small
+// fleet its sender has sent it to all. The caller holds stateMu.
+func (b *Balancer) forwardPush(now time.Time, from cornelbay.HostName, p gossip.Push) {
+	n := b.members.Neighbours(now)
+	if len(n.Mesh) > 0 {
+		return
 	}
-	datagram, err := b.codec.Seal(push)
-	b.stateMu.Unlock()
+	b.sendPush(p, slices.DeleteFunc(n.All(), func(h registry.Host) bool { return h.Name == from }))
+}
+
+func (b *Balancer) sendPush(p gossip.Push, to []registry.Host) {
+	datagram, err := b.codec.Seal(p)
 	if err != nil {
 		if !errors.Is(err, peer.ErrTooLarge) {
 			log.WithError(err).Error("news not sealed")
 		}
 		return
 	}
-	b.sendToPeers(datagram, to)
+	b.sendToPeers(datagram, addresses(to))
 }
 
 // pullRequest names a host whose heartbeat showed newer revisions than this host's.
@@ -80,20 +85,6 @@
 	}
 }
 
-// pullSeeds pulls the tables of the seeds in the settings, so that a host can start
-// while the store is unavailable.
-func (b *Balancer) pullSeeds() {
-	defer close(b.seedsDone)
-	var all sync.WaitGroup
-	for _, seed := range b.settings.Load().Seeds {
-		at := netip.AddrPortFrom(seed, b.settings.Load().PeerPort)
-		if at != b.self.Address {
-			all.Go(func() { b.pullFrom(registry.Host{Address: at}, gossip.Revisions{}) })
-		}
-	}
-	all.Wait()
-}
-
 // merge applies a delta from another host and reports whether the tables changed. The
 // caller holds stateMu.
 func (b *Balancer) merge(now time.Time, r *gossip.PullReply) bool {
@@ -126,7 +117,8 @@
 // pullFrom pulls the tables of one host, which has announced revisions, or the zero value
 // if it has announced none. It also advances this host's incarnation past the last one
 // that the other host has seen.
-func (b *Balancer) pullFrom(h registry.Host, revisions gossip.Revisions) {
+// It reports whether the other host has answered.
+func (b *Balancer) pullFrom(h registry.Host, revisions gossip.Revisions) bool {
 	b.stateMu.Lock()
 	since := gossip.DeltaBasesOf(&b.tables, revisions)
 	b.stateMu.Unlock()
@@ -138,7 +130,7 @@
 		if b.ctx.Err() == nil {
 			log.WithError(err).WithField("from", h.Address.String()).Info("pull failed")
 		}
-		return
+		return false
 	}
 	r := answer.(gossip.PullReply)
 	changed := false
@@ -155,6 +147,7 @@
 			"evacuations": r.Evacuations.Revision.Change(), "version": b.version(),
 		}).Info("tables pulled")
 	}
+	return true
 }
 
 // answerPull serves pulls of other hosts.
--- a/balancer/retry.go
+++ b/balancer/retry.go
@@ -14,20 +14,32 @@
 // retryLoop sends unanswered openings to other targets, and prunes the tables once
 // every pruneInterval.
 func (b *Balancer) retryLoop() {
-	t := time.NewTicker(tickInterval)
+	due := time.Now()
+	t := time.NewTimer(0)
 	defer t.Stop()
 	datagram := make([]byte, platform.TargetNumberBytes+platform.MaxPacketBytes)
-	pruned := time.Now()
+	pruned := due
 	for {
 		select {
 		case <-b.ctx.Done():
 			return
 		case <-t.C:
+		case <-b.opened:
+			b.trafficMu.Lock()
+			at := time.Now().Add(b.placer.TickInterval())
+			b.trafficMu.Unlock()
+			if at.Before(due) {
+				due = at
+				t.Reset(time.Until(due))
+			}
+			continue
 		}
 		now := time.Now()
 		b.trafficMu.Lock()
 		retries, changes, ambiguous := b.placer.Tick(now), b.placer.StateChanges(), b.placer.AmbiguousFlows()
+		due = now.Add(b.placer.TickInterval())
 		b.trafficMu.Unlock()
+		t.Reset(time.Until(due))
 		b.queueAmbiguous(ambiguous, netip.AddrPort{})
 		for _, change := range changes {
 			logTargetState(change)
--- a/balancer/sync.go
+++ b/balancer/sync.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -18,34 +19,34 @@
 	// force; the result is the timeout of a watch. A watch may miss a change
 	// without an error; with half of the bound the next call still delivers it in time.
 	watchDivisor = 2
-	// confirmationSlack is added to the timeout of a watch: a host whose table has not
-	// been confirmed for that long reads the store itself, as a heartbeat from the
-	// readers is overdue by then.
-	confirmationSlack = 500 * time.Millisecond
+	// readReserve is the part of the bound that a host needs to read the store itself. A
+	// table that has not been confirmed for the rest of the bound, less half of it for the
+	// watch of the reader, is overdue.
+	readReserve = time.Second
 	// hostsWatchTimeout is the timeout of a watch of the registered hosts, to which
-	// none of the bounds applies. As heartbeats don't confirm that table, every host
-	// that isn't a reader lists it about every 10.5 s, after this timeout and
-	// confirmationSlack.
+	// none of the bounds applies.
 	hostsWatchTimeout = 10 * time.Second
+	// overdueStep is the head start that a host with an overdue table has over the next one
+	// of its data centre. Its answer confirms the tables of the others, too.
+	overdueStep = 150 * time.Millisecond
 	// changeDebounce is the pause after a change, so that changes in quick succession
-	// are fetched by one call.
-	changeDebounce = 60 * time.Millisecond
-	// seedTimeout is how long a starting host waits for the tables of its seeds before
-	// it reads the store: a few round trips.
-	seedTimeout = 15 * time.Millisecond
-	// readerElectionDelay is how long after its start a host doesn't consider itself a
-	// reader, since it may not have heard the other hosts yet: several heartbeats. A
-	// reader lists the store after the delay, which includes the changes of that time.
-	readerElectionDelay = time.Second
+	// are fetched by one call. Changes of the registered hosts are less urgent.
+	changeDebounce      = 60 * time.Millisecond
+	hostsChangeDebounce = time.Second
+	// electionDelay is how long after its start a host doesn't consider itself the reader
+	// unless it is a seed, since it may not have heard the other hosts yet. Seeds wait for
+	// seedElectionDelay.
+	electionDelay     = 3 * time.Second
+	seedElectionDelay = 400 * time.Millisecond
+	// refusedTime is how long after a failed call the host counts as refused by the store,
+	// and leaves it to others to read.
+	refusedTime = 5 * time.Second
 	// minBackoff and maxBackoff bound the pause after a failed call.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
 	// registrationCheckInterval is how often a host checks that the tables hold its record,
 	// on average. The variation spreads the writes of all hosts after a restore of the store.
 	registrationCheckInterval = 3 * time.Second
-	// readerCheckInterval is how often a host that doesn't read the store checks
-	// whether it has to.
-	readerCheckInterval = 100 * time.Millisecond
 )
 
 // watchTimeout returns how long a watch waits for changes.
@@ -57,21 +58,19 @@
 	return min(s.ConfigBound, s.DrainBound, s.EvacuationBound) / watchDivisor
 }
 
-// syncTable keeps a table up to date. It reads the store while the host is a reader or
-// no other host has confirmed the table recently; otherwise the readers send the
-// changes. Heartbeats never confirm the table of hosts, so every host reads that one,
-// though rarely; see hostsWatchTimeout.
+// syncTable keeps a table up to date. It reads the store while the host is the reader or
+// no other host has confirmed the table for too long; otherwise the reader sends the
+// changes.
 func (b *Balancer) syncTable(k objectKind) {
-	select {
-	case <-b.seedsDone:
-	case <-time.After(seedTimeout):
-	}
 	backoff := minBackoff
 	storeLost, listed := false, false
 	for b.ctx.Err() == nil {
 		if !b.shouldReadStore(k) {
 			listed = false
-			b.sleep(readerCheckInterval)
+			select {
+			case <-b.ctx.Done():
+			case <-b.readWanted[k.name]:
+			}
 			continue
 		}
 		changed, err := b.readStore(k, listed)
@@ -88,6 +87,7 @@
 				log.WithError(err).WithField("kind", k.name).Warn("store lost")
 			}
 			storeLost = true
+			b.refusedAt.Store(int64(time.Since(b.started)))
 			b.sleep(backoff/2 + rand.N(backoff))
 			backoff = min(2*backoff, maxBackoff)
 		default:
@@ -95,8 +95,34 @@
 				log.WithField("kind", k.name).Info("store regained")
 			}
 			storeLost, backoff = false, minBackoff
+			b.refusedAt.Store(0)
 			if changed {
-				b.sleep(changeDebounce)
+				b.sleep(debounce(k))
+			}
+		}
+	}
+}
+
+func debounce(k objectKind) time.Duration {
+	if k.name == platform.HostKind {
+		return hostsChangeDebounce
+	}
+	return changeDebounce
+}
+
+// refused reports whether the store has recently failed a call of this host.
+func (b *Balancer) refused() bool {
+	at := b.refusedAt.Load()
+	return at > 0 && time.Since(b.started)-time.Duration(at) < refusedTime
+}
+
+// wakeReaders wakes the goroutines that have to read the store.
+func (b *Balancer) wakeReaders() {
+	for _, k := range objectKinds {
+		if b.shouldReadStore(k) {
+			select {
+			case b.readWanted[k.name] <- struct{}{}:
+			default: // already woken
 			}
 		}
 	}
@@ -112,17 +138,42 @@
 }
 
 // shouldReadStore reports whether the host reads a kind of objects itself: because it
-// is a reader, or because the table has not been confirmed for longer than a reader's
-// watch takes.
+// is the reader, or because the table is overdue and it is this host's turn.
 func (b *Balancer) shouldReadStore(k objectKind) bool {
 	b.stateMu.Lock()
 	defer b.stateMu.Unlock()
 	now := time.Now()
 	confirmed := k.table(&b.tables).ConfirmedAt()
-	if confirmed.IsZero() || now.Sub(confirmed) > b.watchTimeout(k.name)+confirmationSlack {
-		return true
+	if confirmed.Before(b.started) {
+		confirmed = b.started
+	}
+	watch := b.watchTimeout(k.name)
+	slack := max((watchDivisor-1)*watch-readReserve, gossip.MinInterval)
+	return now.Sub(confirmed) > watch+slack+time.Duration(b.members.Rank())*overdueStep || b.isReader(now)
+}
+
+// isReader reports whether this host reads the store for all. The caller holds stateMu.
+func (b *Balancer) isReader(now time.Time) bool {
+	age := now.Sub(b.started)
+	if age < electionDelay {
+		return age > seedElectionDelay && b.firstSeed(now)
 	}
-	return now.Sub(b.started) > readerElectionDelay && b.members.IsReader(now)
+	return b.members.IsReader(now, b.refused())
+}
+
+// firstSeed reports whether this host is the first seed that is alive. The caller holds
+// stateMu.
+func (b *Balancer) firstSeed(now time.Time) bool {
+	seeds := b.seedAddresses()
+	if !slices.Contains(seeds, b.self.Address) {
+		return false
+	}
+	for _, h := range b.members.Alive(now) {
+		if h.Name < b.self.Name && slices.Contains(seeds, h.Address) {
+			return false
+		}
+	}
+	return true
 }
 
 func (b *Balancer) sleep(d time.Duration) {
@@ -188,10 +239,6 @@
 // it, and again whenever the store has lost it. Failures show only in the metrics of store
 // calls.
 func (b *Balancer) registerSelf() {
-	select {
-	case <-b.seedsDone:
-	case <-time.After(seedTimeout):
-	}
 	spec, err := json.Marshal(b.self)
 	if err != nil {
 		log.WithError(err).Error("encoding host record failed")
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -19,15 +19,8 @@
 	// after which a host no longer counts as alive. A single lost heartbeat has no
 	// effect.
 	silentAfterIntervals = 4
-	// readersPerDataCentre is the number of hosts of a data centre that read the store
-	// for the others.
-	readersPerDataCentre = 1
-	// fullMeshLimit is the number of other hosts up to which every host sends
-	// heartbeats to every other.
-	fullMeshLimit = 12
-	// recipientsPerRemoteDataCentre is the number of hosts in each other data centre
-	// that a reader sends heartbeats to in a larger fleet.
-	recipientsPerRemoteDataCentre = 2
+	// forgetAfter is the silence after which a host that isn't registered is forgotten.
+	forgetAfter = 10 * time.Second
 	// minReplyInterval is the shortest time between two replies to heartbeats of the
 	// same host.
 	minReplyInterval = 300 * time.Millisecond
@@ -37,22 +30,103 @@
 type peerState struct {
 	host        registry.Host
 	incarnation cornelbay.Incarnation
-	lastHeard   time.Time
-	stopping    bool
-	interval    time.Duration
-	lastReply   time.Time
+	// knownSince is when the host became known, be it by its registration.
+	knownSince time.Time
+	registered bool
+	// lastHeard is zero until a heartbeat arrives. The fields up to lastReply are those of
+	// the last heartbeat.
+	lastHeard time.Time
+	stopping  bool
+	relay     bool
+	lead      bool
+	refused   bool
+	interval  time.Duration
+	lastReply time.Time
 }
 
-func (o *peerState) silent(now time.Time) bool {
-	return now.Sub(o.lastHeard) > silentAfterIntervals*o.interval
+func (o *peerState) silent(now time.Time) bool { return now.Sub(o.lastHeard) > o.silentAfter() }
+
+func (o *peerState) silentAfter() time.Duration {
+	return silentAfterIntervals * max(o.interval, MinInterval)
+}
+
+// signOfLife returns when the host was last heard. A host that was never heard counts as
+// alive when it became known.
+func (o *peerState) signOfLife() time.Time {
+	if o.lastHeard.After(o.knownSince) {
+		return o.lastHeard
+	}
+	return o.knownSince
 }
 
-// Members tracks the other hosts by their heartbeats. The zero value knows no hosts.
-// It is not safe for concurrent use.
+// Members tracks the other hosts by their registrations and heartbeats. The zero value
+// knows no hosts. It is not safe for concurrent use.
 type Members struct {
 	Self registry.Host
 
 	members map[cornelbay.HostName]*peerState
+	// heard are the members that have been heard lately. The others count as silent.
+	heard map[cornelbay.HostName]*peerState
+	// order are the known hosts of the own data centre, this host included, and remote
+	// those of the others, all by name. They are nil after a change; see index.
+	order    []*peerState
+	position int // of this host in order
+	remote   map[cornelbay.DataCentreName][]*peerState
+	// guesses counts the calls of Neighbours since a relay was last heard, and leadGuesses
+	// those since a lead of another data centre was.
+	guesses     int
+	leadGuesses map[cornelbay.DataCentreName]int
+}
+
+// SetRegistered replaces the registered hosts.
+func (m *Members) SetRegistered(now time.Time, hosts []registry.Host) {
+	for _, o := range m.members {
+		o.registered = false
+	}
+	for _, h := range hosts {
+		if h.Name == m.Self.Name {
+			continue
+		}
+		o := m.member(now, h)
+		if o.lastHeard.IsZero() {
+			o.host = h
+		}
+		o.registered = true
+	}
+	for name, o := range m.members {
+		if !o.registered && m.heard[name] == nil {
+			delete(m.members, name)
+		}
+	}
+	m.order = nil
+}
+
+// member returns the state of a host, which becomes known if it wasn't.
+func (m *Members) member(now time.Time, h registry.Host) *peerState {
+	if m.members == nil {
+		m.members = make(map[cornelbay.HostName]*peerState)
+	}
+	o, ok := m.members[h.Name]
+	if !ok {
+		o = &peerState{host: h, knownSince: now}
+		m.members[h.Name] = o
+		m.order = nil
+	}
+	return o
+}
+
+// forget drops the hosts that are no longer heard, unless they are registered.
+func (m *Members) forget(now time.Time) {
+	for name, o := range m.heard {
+		if now.Sub(o.lastHeard) <= forgetAfter {
+			continue
+		}
+		delete(m.heard, name)
+		if !o.registered {
+			delete(m.members, name)
+			m.order = nil
+		}
+	}
 }
 
 // Observe records a heartbeat. It reports whether the host was unknown or silent
@@ -62,16 +136,17 @@
 	if hb.IntervalMs == 0 {
 		return false
 	}
-	if m.members == nil {
-		m.members = make(map[cornelbay.HostName]*peerState)
+	o := m.member(now, hb.Host)
+	if m.heard == nil {
+		m.heard = make(map[cornelbay.HostName]*peerState)
 	}
-	o, ok := m.members[hb.Host.Name]
-	if !ok {
-		o = &peerState{}
-		m.members[hb.Host.Name] = o
+	m.heard[hb.Host.Name] = o
+	isNew := o.lastHeard.IsZero() || o.silent(now) || o.incarnation != incarnation
+	if o.host.DataCentre != hb.Host.DataCentre {
+		m.order = nil
 	}
-	isNew := !ok || o.silent(now) || o.incarnation != incarnation
-	o.host, o.incarnation, o.lastHeard, o.stopping = hb.Host, incarnation, now, hb.Stopping
+	o.host, o.incarnation, o.lastHeard = hb.Host, incarnation, now
+	o.stopping, o.relay, o.lead, o.refused = hb.Stopping, hb.Relay, hb.Lead, hb.Refused
 	o.interval = max(time.Duration(hb.IntervalMs)*time.Millisecond, MinInterval)
 	return isNew
 }
@@ -99,7 +174,7 @@
 // FellSilent returns the hosts that became silent between before and now.
 func (m *Members) FellSilent(before, now time.Time) []registry.Host {
 	var newlySilent []registry.Host
-	for _, o := range m.members {
+	for _, o := range m.heard {
 		if !o.silent(before) && o.silent(now) {
 			newlySilent = append(newlySilent, o.host)
 		}
@@ -110,7 +185,7 @@
 // Alive returns the other hosts that are neither silent nor stopping, sorted by name.
 func (m *Members) Alive(now time.Time) []registry.Host {
 	var alive []registry.Host
-	for _, o := range m.members {
+	for _, o := range m.heard {
 		if !o.silent(now) && !o.stopping {
 			alive = append(alive, o.host)
 		}
@@ -119,49 +194,58 @@
 	return alive
 }
 
-// IsReader reports whether this host is one of those of its data centre that read the
-// store: the first ones alive by name. Hosts that hear each other agree on the readers
-// without a vote. If hosts don't hear each other, several may read, which only costs
-// extra calls. A stopping host still counts itself, although the others no longer do.
-func (m *Members) IsReader(now time.Time) bool {
-	earlier := 0
-	for _, h := range m.Alive(now) {
-		if h.DataCentre == m.Self.DataCentre && h.Name < m.Self.Name {
-			earlier++
-		}
+// Known returns the other hosts that are registered or heard, sorted by name.
+func (m *Members) Known() []registry.Host {
+	known := make([]registry.Host, 0, len(m.members))
+	for _, o := range m.members {
+		known = append(known, o.host)
 	}
-	return earlier < readersPerDataCentre
+	slices.SortFunc(known, func(a, b registry.Host) int { return cmp.Compare(a.Name, b.Name) })
+	return known
 }
 
-// Recipients returns the hosts to send heartbeats to: all others in a small fleet,
-// else those of the own data centre and, for a reader, some of each other data centre.
-// Registered hosts count as others even if they have not been heard.
-func (m *Members) Recipients(now time.Time, registered []registry.Host, reader bool) []registry.Host {
-	all := m.Alive(now)
-	known := make(map[cornelbay.HostName]bool, len(all))
-	for _, h := range all {
-		known[h.Name] = true
+// KnownInDataCentre returns the other hosts of the own data centre that are registered or
+// heard, sorted by name.
+func (m *Members) KnownInDataCentre() []registry.Host {
+	return slices.DeleteFunc(m.Known(), func(h registry.Host) bool { return h.DataCentre != m.Self.DataCentre })
+}
+
+// IsReader reports whether this host is the one that reads the store for all: the first
+// one alive by data centre and name, in a large fleet among the leads. Those whose calls
+// the store refuses come last. Hosts that hear each other agree on the reader without a
+// vote. If hosts don't hear each other, several may read, which only costs extra calls. A
+// stopping host still counts itself, although the others no longer do.
+func (m *Members) IsReader(now time.Time, refused bool) bool {
+	mesh := m.isMesh()
+	if !mesh && !m.Leads(now) {
+		return false
 	}
-	for _, h := range registered {
-		if !known[h.Name] && h.Name != m.Self.Name {
-			all = append(all, h)
+	for _, o := range m.heard {
+		if o.stopping || o.silent(now) || !mesh && (!o.lead || o.host.DataCentre == m.Self.DataCentre) {
+			continue
 		}
-	}
-	if len(all) <= fullMeshLimit {
-		return all
-	}
-	var to []registry.Host
-	perDataCentre := make(map[cornelbay.DataCentreName]int)
-	for _, h := range all {
-		if h.DataCentre != m.Self.DataCentre {
-			perDataCentre[h.DataCentre]++
-			if !reader || perDataCentre[h.DataCentre] > recipientsPerRemoteDataCentre {
-				continue
+		if o.refused != refused {
+			if refused {
+				return false
 			}
+			continue
+		}
+		if cmp.Or(cmp.Compare(o.host.DataCentre, m.Self.DataCentre), cmp.Compare(o.host.Name, m.Self.Name)) < 0 {
+			return false
 		}
-		to = append(to, h)
 	}
-	return to
+	return true
+}
+
+// Relay returns the name of the host above this one in the tree, or "" if there is none.
+func (m *Members) Relay(now time.Time) cornelbay.HostName {
+	if m.isMesh() {
+		return ""
+	}
+	if o, _ := m.relay(now); o != nil {
+		return o.host.Name
+	}
+	return ""
 }
 
 // IntervalFor returns the heartbeat interval for a number of recipients.
--- a/gossip/messages.go
+++ b/gossip/messages.go
@@ -1,8 +1,8 @@
 // Package gossip is the protocol by which hosts exchange routes, targets and
 // evacuations, the freshness of these tables, and the load of their open flows.
 // Heartbeats are datagrams that carry the revisions of the sender's tables; a host
-// that is behind pulls the difference over net/rpc. The package also elects the hosts
-// that read the platform's store for the others.
+// that is behind pulls the difference over net/rpc. The package also decides which hosts
+// send heartbeats to each other, and which one reads the platform's store for the others.
 //
 // Metrics and log messages call a heartbeat a pulse, a push news, and an ambiguous
 // flow a doubt.
@@ -20,6 +20,7 @@
 func init() {
 	peer.Register(Heartbeat{})
 	peer.Register(Push{})
+	peer.Register(Outcomes{})
 	peer.Register(AmbiguousFlows{})
 	peer.RegisterCall[Pull, PullReply]()
 }
@@ -65,12 +66,13 @@
 // Era returns the latest era of the store that any of the tables has reached.
 func (r Revisions) Era() uint64 { return max(r.Routing, r.Targets, r.Evacuations, r.Hosts).Era() }
 
-// Ages holds the milliseconds since a host's routes, targets and evacuations were last
-// confirmed. Heartbeats don't confirm the table of hosts.
+// Ages holds the milliseconds since a host's tables were last confirmed.
 type Ages struct {
 	Routing     uint32 `cbor:"1,keyasint"`
 	Targets     uint32 `cbor:"2,keyasint"`
 	Evacuations uint32 `cbor:"3,keyasint"`
+	// Hosts is 0 in a heartbeat of a host that doesn't tell the age of this table.
+	Hosts uint32 `cbor:"4,keyasint,omitempty"`
 }
 
 // unknownAgeMs is sent for a table that was never confirmed, and caps the other ages.
@@ -78,7 +80,10 @@
 
 // AgesOf returns the ages of tables.
 func AgesOf(now time.Time, t *registry.Tables) Ages {
-	return Ages{age(now, t.Routes.ConfirmedAt()), age(now, t.Targets.ConfirmedAt()), age(now, t.Evacuations.ConfirmedAt())}
+	return Ages{
+		age(now, t.Routes.ConfirmedAt()), age(now, t.Targets.ConfirmedAt()), age(now, t.Evacuations.ConfirmedAt()),
+		max(age(now, t.Hosts.ConfirmedAt()), 1),
+	}
 }
 
 // age returns the milliseconds since a confirmation.
@@ -90,12 +95,15 @@
 	return uint32(max(ms, 0))
 }
 
-// Confirm applies the confirmations of another host to those of the routes, targets and
-// evacuations that have reached its revisions.
+// Confirm applies the confirmations of another host to those tables that have reached its
+// revisions.
 func (a Ages) Confirm(now time.Time, r Revisions, t *registry.Tables) {
 	confirmTable(now, a.Routing, r.Routing, &t.Routes)
 	confirmTable(now, a.Targets, r.Targets, &t.Targets)
 	confirmTable(now, a.Evacuations, r.Evacuations, &t.Evacuations)
+	if a.Hosts > 0 {
+		confirmTable(now, a.Hosts, r.Hosts, &t.Hosts)
+	}
 }
 
 // confirmTable confirms one table; age is in milliseconds.
@@ -111,13 +119,14 @@
 	Host      registry.Host `cbor:"1,keyasint"`
 	Revisions Revisions     `cbor:"2,keyasint"`
 	Ages      Ages          `cbor:"3,keyasint"`
-	// Loads are the host's mean active flows at each target, in hundredths of a flow,
-	// by the target's cookie. They are left out if they don't fit into a datagram.
+	// Loads are the mean active flows at each target, in hundredths of a flow, by the
+	// target's cookie: those of the host, in a tree also those of the hosts below it, and
+	// from a relay or lead those of all hosts. They are left out if they don't fit into a
+	// datagram.
 	Loads map[uint32]uint32 `cbor:"4,keyasint,omitempty"`
 	// Stopping is true while the host is shutting down.
 	Stopping bool `cbor:"5,keyasint,omitempty"`
-	// Reader is true if the host reads the store for its data centre. Receivers don't
-	// use it.
+	// Reader is true if the host reads the store for the others. Receivers don't use it.
 	Reader bool `cbor:"6,keyasint,omitempty"`
 	// IntervalMs is the time between two heartbeats of the host, in milliseconds. It
 	// is 0 for a reply to another host's heartbeat, which isn't one of a series.
@@ -126,6 +135,16 @@
 	// the target's cookie. If they don't fit into a datagram they are left out and
 	// lost.
 	Outcomes map[uint32]Outcome `cbor:"8,keyasint,omitempty"`
+	// Relay is true if the host sends this heartbeat to hosts below it; see Neighbours.
+	Relay bool `cbor:"9,keyasint,omitempty"`
+	// Lead is true if the host leads its data centre and sends this heartbeat to the lead
+	// of another.
+	Lead bool `cbor:"10,keyasint,omitempty"`
+	// Refused is true while the store refuses or does not answer this host's calls.
+	Refused bool `cbor:"11,keyasint,omitempty"`
+	// Joining is true in the single heartbeat that a starting host sends to all hosts of
+	// its data centre, which tell it of ambiguous flows.
+	Joining bool `cbor:"12,keyasint,omitempty"`
 }
 
 // Outcome summarizes the flows that ended at a target.
@@ -140,9 +159,21 @@
 // Kind returns KindPulse.
 func (Heartbeat) Kind() cornelbay.MessageKind { return cornelbay.KindPulse }
 
-// Push is sent by a host that has read a change from the store, be it a reader or not,
-// to the hosts of its data centre at once. It holds the changes since the sender's
-// previous revisions, and is only sent if it fits into a datagram.
+// Outcomes are those of flows that ended since the last such message, by the target's
+// cookie. In a tree of hosts they have a message of their own.
+type Outcomes struct {
+	Outcomes map[uint32]Outcome `cbor:"1,keyasint"`
+	// Relay and Lead are as in Heartbeat.
+	Relay bool `cbor:"2,keyasint,omitempty"`
+	Lead  bool `cbor:"3,keyasint,omitempty"`
+}
+
+// Kind returns KindOutcomes.
+func (Outcomes) Kind() cornelbay.MessageKind { return cornelbay.KindOutcomes }
+
+// Push is sent by a host that has read a change from the store to its neighbours at once,
+// and by these to theirs. It holds the changes since the sender's previous revisions, and
+// is only sent if it fits into a datagram.
 type Push struct {
 	PullReply
 }
--- a/message.go
+++ b/message.go
@@ -24,9 +24,10 @@
 	KindEpochsAnswer
 	KindServing
 	KindClear
-	KindPulse  // gossip.Heartbeat
-	KindNews   // gossip.Push
-	KindDoubts // gossip.AmbiguousFlows
+	KindPulse    // gossip.Heartbeat
+	KindNews     // gossip.Push
+	KindDoubts   // gossip.AmbiguousFlows
+	KindOutcomes // gossip.Outcomes
 )
 
 // Message is a control message from one host to another that fits into a
--- a/outlier/outlier.go
+++ b/outlier/outlier.go
@@ -60,7 +60,8 @@
 	return time.Duration(float64(o.TotalDuration) / o.Ended)
 }
 
-func (o Outcome) plus(other Outcome) Outcome {
+// Plus returns the sum of two outcomes.
+func (o Outcome) Plus(other Outcome) Outcome {
 	return Outcome{o.Ended + other.Ended, o.Failed + other.Failed, o.TotalDuration + other.TotalDuration}
 }
 
@@ -151,13 +152,13 @@
 // AddLocal adds flows that this host has seen end.
 func (d *Detector[K]) AddLocal(target K, o Outcome) {
 	r := d.record(target)
-	r.local = r.local.plus(o)
+	r.local = r.local.Plus(o)
 }
 
 // AddRemote adds flows that another host has reported.
 func (d *Detector[K]) AddRemote(target K, o Outcome) {
 	r := d.record(target)
-	r.allHosts = r.allHosts.plus(o)
+	r.allHosts = r.allHosts.Plus(o)
 }
 
 // Report returns the outcomes that this host has added since its last report, or nil if no
@@ -181,7 +182,7 @@
 			delete(d.records, target)
 			continue
 		}
-		r.allHosts = r.allHosts.scaled(left).plus(r.local)
+		r.allHosts = r.allHosts.scaled(left).Plus(r.local)
 		if r.local.Ended > 0 {
 			outcomes[target] = r.local
 		}
@@ -196,7 +197,7 @@
 	ejected := 0
 	for _, t := range targets {
 		if r, ok := d.records[t]; ok {
-			all = all.plus(r.allHosts)
+			all = all.Plus(r.allHosts)
 			if now.Before(r.ejectedUntil) {
 				ejected++
 			}
--- a/placement/flow.go
+++ b/placement/flow.go
@@ -41,9 +41,14 @@
 	// maxFlows limits the recorded flows. Flows beyond it are still forwarded, but do not
 	// count as load and are not retried at other targets.
 	maxFlows = 1 << 17
-	// stallThreshold is the gap between two ticks beyond which this host is assumed to
-	// have been stalled, so that silence is no evidence against targets; see Stalled.
-	stallThreshold = 100 * time.Millisecond
+	// stallThreshold is the delay of a tick beyond which this host is assumed to have been
+	// stalled, so that silence is no evidence against targets; see Stalled.
+	stallThreshold = 90 * time.Millisecond
+	// pendingTickInterval is the time between two ticks while openings are not answered,
+	// and idleTickInterval that without any. Ticks look at all flows every sweepInterval.
+	pendingTickInterval = 10 * time.Millisecond
+	idleTickInterval    = 100 * time.Millisecond
+	sweepInterval       = 100 * time.Millisecond
 )
 
 // Flow is a flow that this host has opened or taken over from another host.
@@ -55,15 +60,18 @@
 	// tried are the cookies of the targets that were sent the opening.
 	tried            []uint32
 	opened, lastSeen time.Time
-	// firstProgress is when the first packet after the opening arrived, firstAck the
-	// acknowledgement number in it, and lastAck that of the latest packet.
-	firstProgress     time.Time
-	firstAck, lastAck uint32
+	// lastAck is the highest acknowledgement number of the caller, and dataEnd the sequence
+	// number after the last data of the caller, if it has sent any.
+	lastAck, dataEnd uint32
+	hasData          bool
+	// exchange is the last request on the flow.
+	exchange exchange
 	// deadline is when the opening counts as unanswered.
 	deadline time.Time
 	// answered is true once it is known which target has the flow.
 	answered bool
-	// idle is true while the flow does not count as load of this host.
+	// idle is true while the flow does not count as load of this host: a flow is load from
+	// its opening, or a further request, until the answer begins.
 	idle   bool
 	closed bool
 	// adopted is true for a flow that another host opened.
@@ -74,8 +82,6 @@
 	unobserved bool
 	// retransmits counts the retransmissions of the opening that arrived.
 	retransmits int
-	// counted is true once the flow's outcome has been recorded.
-	counted bool
 }
 
 // Retry is an unanswered opening, which is to be sent to another target if there is one.
@@ -97,53 +103,69 @@
 	return min(max(answerFactor*rtt, minAnswerTimeout), maxAnswerTimeout)
 }
 
+// Segment is what a packet after the opening of a flow shows.
+type Segment struct {
+	// Cookie is that of the target to which the caller believes to talk.
+	Cookie uint32
+	// Sequence is the sequence number of the first of the packet's Bytes of data.
+	Sequence uint32
+	Bytes    int
+	// Acknowledged is the acknowledgement number.
+	Acknowledged uint32
+	// Finishing is true if the caller ends the flow.
+	Finishing bool
+}
+
 // RoutePacket records a packet that follows the opening of a flow and returns the cookie
-// of the target that has the flow. The packet carries the cookie of the target that
-// answered and the caller's acknowledgement number. When an opening was tried at several
-// targets, the first such packet decides which of them has the flow: a late answer of
-// another target must not move it.
-func (p *Placer) RoutePacket(now time.Time, key cornelbay.FlowKey, cookie, acknowledged uint32, finishing bool) uint32 {
+// of the target that has the flow. When an opening was tried at several targets, the first
+// such packet decides which of them has the flow: a late answer of another target must not
+// move it.
+func (p *Placer) RoutePacket(now time.Time, key cornelbay.FlowKey, s Segment) uint32 {
 	p.lastProgress = now
 	f, ok := p.flows[key]
 	if !ok {
-		p.clearSuspicion(now, cookie)
-		if !finishing {
-			p.adopt(now, key, cookie)
+		p.clearSuspicion(now, s.Cookie)
+		if s.Finishing {
+			return s.Cookie
+		}
+		if f = p.adopt(now, key, s.Cookie); f == nil {
+			return s.Cookie
 		}
-		return cookie
+		f.lastAck = s.Acknowledged
 	}
 	f.lastSeen = now
 	if !f.answered {
-		if !slices.Contains(f.tried, cookie) {
-			return cookie
+		if !slices.Contains(f.tried, s.Cookie) {
+			return s.Cookie
 		}
-		p.markAnswered(now, f, cookie)
-		f.firstProgress, f.firstAck, f.lastAck = now, acknowledged, acknowledged
+		p.markAnswered(now, f, s.Cookie)
+		f.lastAck = s.Acknowledged
+		p.beginExchange(now, f, f.adopted)
 	}
-	if acknowledged-f.lastAck < maxAckAdvance {
-		f.lastAck = acknowledged
+	if f.closed {
+		return f.target.Cookie
 	}
-	p.markActive(now, f)
-	if finishing && !f.closed {
+	p.follow(now, f, s)
+	if s.Finishing {
 		p.close(now, f)
 	}
 	return f.target.Cookie
 }
 
 // adopt records a flow that another host has opened and whose packets the routers now send
-// to this host.
-func (p *Placer) adopt(now time.Time, key cornelbay.FlowKey, cookie uint32) {
+// to this host. It returns nil if the flow cannot be recorded.
+func (p *Placer) adopt(now time.Time, key cornelbay.FlowKey, cookie uint32) *Flow {
 	p.foreignPacketAt = now
 	if p.view == nil || len(p.flows) >= maxFlows {
-		return
+		return nil
 	}
 	m, ok := p.view.Cookies[cookie]
 	if !ok {
-		return
+		return nil
 	}
-	f := &Flow{key: key, service: m.Service, target: m, lastSeen: now, answered: true, adopted: true}
+	f := &Flow{key: key, service: m.Service, target: m, lastSeen: now, answered: true, adopted: true, idle: true}
 	p.track(f)
-	p.targetState(cookie, now).adjustOpen(now, 1)
+	return f
 }
 
 func (p *Placer) track(f *Flow) {
@@ -180,15 +202,22 @@
 // packet of it arrives: the flow counts as load only at the host that receives its packets.
 func (p *Placer) resolve(now time.Time, f *Flow, cookie uint32) {
 	f.answered, f.opening = true, nil
-	if !f.idle {
-		p.targetState(f.target.Cookie, now).adjustOpen(now, -1)
-	}
+	delete(p.pending, f.key)
+	p.markIdle(now, f)
 	f.idle = true
 	if m, ok := p.view.Cookies[cookie]; ok {
 		f.target = m
 	}
 }
 
+// markIdle ends the load of a flow.
+func (p *Placer) markIdle(now time.Time, f *Flow) {
+	if !f.idle && !f.closed {
+		f.idle = true
+		p.targetState(f.target.Cookie, now).adjustOpen(now, -1)
+	}
+}
+
 // markActive counts an idle flow as load again.
 func (p *Placer) markActive(now time.Time, f *Flow) {
 	if f.idle && !f.closed {
@@ -198,49 +227,66 @@
 }
 
 func (p *Placer) close(now time.Time, f *Flow) {
-	if !f.idle {
-		p.targetState(f.target.Cookie, now).adjustOpen(now, -1)
-	}
+	p.markIdle(now, f)
 	f.closed = true
-	if f.adopted {
-		return // its opening time is unknown
+	delete(p.pending, f.key)
+	p.endExchange(f)
+}
+
+// TickInterval returns the time until the next call of Tick is due. An opening may make it
+// shorter.
+func (p *Placer) TickInterval() time.Duration {
+	if len(p.pending) > 0 {
+		return pendingTickInterval
 	}
-	p.recordDuration(f.service, now.Sub(f.opened))
-	p.recordFinished(f)
+	return idleTickInterval
 }
 
 // Tick advances the time and returns the openings that were not answered. It is to be
-// called every few milliseconds, after the packets that are waiting have been read.
+// called after each TickInterval, after the packets that are waiting have been read.
 func (p *Placer) Tick(now time.Time) []Retry {
 	gap := now.Sub(p.lastTick)
-	stalled := !p.lastTick.IsZero() && gap > stallThreshold
-	p.lastTick = now
+	stalled := !p.lastTick.IsZero() && gap > p.tickInterval+stallThreshold
 	if stalled {
 		p.stalledAt = now
 		p.queueStateChange(StateChange{State: Stalled, Duration: gap})
 	}
 	var retries []Retry
-	for key, f := range p.flows {
-		if stalled || !f.answered && f.retransmits < retransmitsDue(now.Sub(f.opened)) || p.bypassed(f) {
+	for _, f := range p.pending {
+		if stalled || f.retransmits < retransmitsDue(now.Sub(f.opened)) || p.bypassed(f) {
 			f.unobserved = true
 		}
 		switch {
-		case now.Sub(f.lastSeen) > forgetTimeout:
-			p.releaseLoad(now, f)
-			delete(p.flows, key)
-		case !f.answered && (f.adopted || f.unobserved):
-			// Another host retries it, or this host may have missed the answer.
-		case !f.answered && !f.closed && now.After(f.deadline) && f.retransmits == 0 && p.rerouted(f):
+		case f.unobserved || !now.After(f.deadline):
+			// Unobserved: this host may have missed the answer.
+		case f.retransmits == 0 && p.rerouted(f):
 			f.unobserved = true
-		case !f.answered && !f.closed && now.After(f.deadline):
+		default:
 			retries = append(retries, p.retry(now, f))
+		}
+	}
+	if now.Sub(p.sweptAt) >= sweepInterval {
+		p.sweptAt = now
+		p.sweep(now)
+	}
+	p.lastTick, p.tickInterval = now, p.TickInterval()
+	return retries
+}
+
+// sweep forgets the flows that have been silent for long, and ends the load of those that
+// have been silent for a while.
+func (p *Placer) sweep(now time.Time) {
+	for key, f := range p.flows {
+		switch {
+		case now.Sub(f.lastSeen) > forgetTimeout:
+			p.markIdle(now, f)
+			delete(p.flows, key)
+			delete(p.pending, key)
 		case !f.idle && !f.closed && now.Sub(f.lastSeen) > idleTimeout:
-			f.idle = true
-			p.targetState(f.target.Cookie, now).adjustOpen(now, -1)
+			p.markIdle(now, f)
 			p.recordBrokenOff(now, f)
 		}
 	}
-	return retries
 }
 
 // retransmitsDue returns how many times a caller without an answer has retransmitted its
@@ -268,12 +314,6 @@
 	return !p.foreignPacketAt.IsZero() && p.foreignPacketAt.Sub(f.opened).Abs() < rerouteWindow
 }
 
-func (p *Placer) releaseLoad(now time.Time, f *Flow) {
-	if !f.idle && !f.closed {
-		p.targetState(f.target.Cookie, now).adjustOpen(now, -1)
-	}
-}
-
 // retry records that a target did not answer an opening and moves the opening to another
 // target if there is one.
 func (p *Placer) retry(now time.Time, f *Flow) Retry {
@@ -291,9 +331,7 @@
 	if err != nil {
 		return r
 	}
-	if !f.idle {
-		p.targetState(f.target.Cookie, now).adjustOpen(now, -1)
-	}
+	p.markIdle(now, f)
 	f.idle = false
 	p.assign(now, f, m)
 	p.queueAmbiguous(AmbiguousFlow{Key: f.key, Tried: f.tried})
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -21,42 +21,41 @@
 	service cornelbay.ServiceName
 }
 
-// recordFinished records the outcome of a flow that its caller has finished.
-func (p *Placer) recordFinished(f *Flow) {
-	if !f.firstProgress.IsZero() {
-		p.recordOutcome(f, p.truncated(f))
-	}
-}
-
-// recordBrokenOff records a flow that fell silent as failed, unless its packets may arrive
-// at another host or this host may have missed them.
+// recordBrokenOff records a flow that fell silent before its request was answered as
+// failed, unless its packets may arrive at another host or this host may have missed them.
 func (p *Placer) recordBrokenOff(now time.Time, f *Flow) {
-	if !f.firstProgress.IsZero() && now.Sub(p.stalledAt) > 2*idleTimeout && now.Sub(p.foreignPacketAt) > 2*idleTimeout {
+	e := &f.exchange
+	if e.begun.IsZero() || e.partial || !e.answeredAt.IsZero() {
+		return
+	}
+	if now.Sub(p.stalledAt) > 2*idleTimeout && now.Sub(p.foreignPacketAt) > 2*idleTimeout {
 		p.recordOutcome(f, true)
 	}
+	f.exchange = exchange{}
 }
 
-// recordOutcome records, once, the outcome of a flow whose start this host has seen.
+// recordOutcome records the outcome of the last exchange of a flow. Its duration is the time
+// until the answer began, or until the caller's last packet.
 func (p *Placer) recordOutcome(f *Flow, failed bool) {
-	if f.counted {
-		return
+	e := &f.exchange
+	o := outlier.Outcome{Ended: 1, TotalDuration: f.lastSeen.Sub(e.begun)}
+	if !e.answeredAt.IsZero() {
+		o.TotalDuration = e.answeredAt.Sub(e.begun)
 	}
-	f.counted = true
-	o := outlier.Outcome{Ended: 1, TotalDuration: f.lastSeen.Sub(f.firstProgress)}
 	if failed {
 		o.Failed = 1
 	}
 	p.outliers.AddLocal(f.target.Cookie, o)
 }
 
-// truncated reports whether the answer that the caller of a flow has acknowledged is much
-// shorter than the mean of its route.
+// truncated reports whether the last answer that the caller of a flow has acknowledged is
+// much shorter than the mean of its route.
 func (p *Placer) truncated(f *Flow) bool {
 	if p.meanAnswerBytes == nil {
 		p.meanAnswerBytes = make(map[answerKey]float64)
 	}
 	key := answerKey{f.key.Destination, f.service}
-	size := float64(f.lastAck - f.firstAck)
+	size := float64(f.lastAck - f.exchange.ackedBefore)
 	mean, ok := p.meanAnswerBytes[key]
 	if !ok {
 		p.meanAnswerBytes[key] = size
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -58,9 +58,11 @@
 	// next packet.
 	OnAnswered func(time.Duration)
 
-	view          *registry.View
-	targets       map[uint32]*targetState
-	flows         map[cornelbay.FlowKey]*Flow
+	view    *registry.View
+	targets map[uint32]*targetState
+	flows   map[cornelbay.FlowKey]*Flow
+	// pending are the flows that this host has opened and that are not answered yet.
+	pending       map[cornelbay.FlowKey]*Flow
 	reports       map[cornelbay.HostName]Report
 	dataCentres   map[cornelbay.DataCentreName]*suspicion
 	meanDurations map[cornelbay.ServiceName]time.Duration
@@ -73,7 +75,10 @@
 	// roundTrip is the smoothed time from an opening to the caller's next packet, of flows
 	// that were tried at one target only; 0 until there was one.
 	roundTrip time.Duration
-	lastTick  time.Time
+	// lastTick is the time of the last call of Tick, tickInterval the TickInterval after it,
+	// and sweptAt when a call last looked at all flows.
+	lastTick, sweptAt time.Time
+	tickInterval      time.Duration
 	// lastProgress is when the last packet after an opening arrived, of any flow.
 	lastProgress time.Time
 	// foreignPacketAt is when a packet last arrived of a flow that this host had not
@@ -167,6 +172,10 @@
 	}
 	f := &Flow{key: key, service: service, opened: now, lastSeen: now, opening: slices.Clone(opening)}
 	p.track(f)
+	if p.pending == nil {
+		p.pending = make(map[cornelbay.FlowKey]*Flow)
+	}
+	p.pending[key] = f
 	p.assign(now, f, m)
 	if retransmitted {
 		p.queueAmbiguous(AmbiguousFlow{Key: key, Tried: f.tried})
@@ -304,7 +313,7 @@
 	}
 	for _, r := range p.reports {
 		if now.Sub(r.At) < reportLifetime {
-			n += r.Loads[cookie]
+			n += loadIn(r.Loads, cookie)
 		}
 	}
 	return n
--- a/placement/report.go
+++ b/placement/report.go
@@ -42,7 +42,12 @@
 		r.Loads = smooth(old.Loads, r.Loads, 1-math.Exp(-float64(age)/float64(smoothingTime)))
 	}
 	p.reports[from] = r
-	for cookie, o := range r.Outcomes {
+	p.MergeOutcomes(r.Outcomes)
+}
+
+// MergeOutcomes adds the outcomes of flows of other hosts.
+func (p *Placer) MergeOutcomes(outcomes map[uint32]outlier.Outcome) {
+	for cookie, o := range outcomes {
 		if !p.unknown(cookie) {
 			p.outliers.AddRemote(cookie, o)
 		}
@@ -52,18 +57,33 @@
 // smooth returns the weighted mean of old and new loads; share is the weight of the new
 // ones.
 func smooth(old, new map[uint32]float64, share float64) map[uint32]float64 {
+	rest := share*new[restOfTargets] + (1-share)*old[restOfTargets]
 	loads := make(map[uint32]float64, len(new))
 	for cookie, n := range new {
-		loads[cookie] = share * n
+		loads[cookie] = share*n + (1-share)*loadIn(old, cookie)
 	}
 	for cookie, n := range old {
-		if left := (1 - share) * n; left > minLoad {
-			loads[cookie] += left
+		if _, ok := new[cookie]; ok {
+			continue
 		}
+		if n = share*loadIn(new, cookie) + (1-share)*n; math.Abs(n-rest) > minLoad {
+			loads[cookie] = n
+		}
+	}
+	if rest > 0 {
+		loads[restOfTargets] = rest
 	}
 	return loads
 }
 
+// loadIn returns the load of a target, or that of the targets left out.
+func loadIn(loads map[uint32]float64, cookie uint32) float64 {
+	if n, ok := loads[cookie]; ok {
+		return n
+	}
+	return loads[restOfTargets]
+}
+
 // minLoad is the mean number of flows below which a load is dropped.
 const minLoad = 0.01
 
--- a/registry/restore_test.go
+++ b/registry/restore_test.go
@@ -227,6 +227,35 @@
 	is.Equal(kept.Routes.Digest(), started.Routes.Digest())
 }
 
+// TestHostThatReadOnlyTheCopyLearnsTheRest covers a host that has started after a restore
+// and has listed the same revision as one that knew more.
+func TestHostThatReadOnlyTheCopyLearnsTheRest(t *testing.T) {
+	is := is.New(t)
+	var kept, started Tables
+	drained := target("drained", 1)
+	drained.Value.Draining = true
+	kept.Targets.Replace(start, 20, []Record[Target]{drained, target("lost", 2)})
+	kept.Evacuations.Replace(start, 20, []Record[Evacuation]{{Name: "todra", Revision: 15, Value: Evacuation{DataCentre: "todra"}}})
+	listed := func() []Record[Target] {
+		r, evacuated := target("drained", 1), target("evacuated", 3)
+		r.Revision, evacuated.Revision, evacuated.Value.DataCentre = in(5), in(6), "todra"
+		return []Record[Target]{r, evacuated}
+	}
+	for _, tables := range []*Tables{&kept, &started} {
+		tables.Targets.Replace(start, in(10), listed())
+		tables.Evacuations.Replace(start, in(10), nil)
+	}
+	is.True(started.View().Cookies[1].Usable(start))
+	is.True(started.View().Cookies[3].Usable(start))
+	is.True(started.Targets.Merge(start, kept.Targets.DeltaSince(start, started.Targets.DeltaBase())))
+	is.True(started.Evacuations.Merge(start, kept.Evacuations.DeltaSince(start, started.Evacuations.DeltaBase())))
+	is.True(!started.View().Cookies[1].Usable(start))
+	is.True(started.View().Cookies[2].Usable(start)) // for a while
+	is.True(!started.View().Cookies[3].Usable(start))
+	is.Equal(started.Targets.Digest(), kept.Targets.Digest())
+	is.True(!started.Targets.Merge(start, kept.Targets.DeltaSince(start, started.Targets.DeltaBase()))) // the same again
+}
+
 // TestTablesConvergeAcrossRestores runs random changes to a store, restores of it from older
 // copies, lists and watches by several hosts, late answers among them, and pulls between
 // hosts. No table may step back, two tables at the same revision must hold the same objects,
--- a/registry/table.go
+++ b/registry/table.go
@@ -28,7 +28,11 @@
 	// Returned is true for an object that was known to be deleted when the store came
 	// back from an older copy that still has it.
 	Returned bool `json:"returned,omitempty"`
-	Value    T    `json:"value"`
+	// Kept is true if this state differs from that in the older copy, because a host knew
+	// more when the store came back. It supersedes the state in the copy, which has the same
+	// revision.
+	Kept  bool `json:"kept,omitempty"`
+	Value T    `json:"value"`
 	// LearnedAt is when the host that read this state of the object from the store
 	// learned of it. Age carries the time from host to host.
 	LearnedAt time.Time `json:"-"`
@@ -103,7 +107,11 @@
 	if r.Deleted {
 		return 0
 	}
-	return xxhash.Sum64(binary.BigEndian.AppendUint64([]byte(r.Name), uint64(r.Revision)))
+	b := binary.BigEndian.AppendUint64([]byte(r.Name), uint64(r.Revision))
+	if r.Kept {
+		b = append(b, 1)
+	}
+	return xxhash.Sum64(b)
 }
 
 // ConfirmedAt returns the time at which the table was last known to be up to date.
@@ -183,6 +191,7 @@
 		next.Value = v.Restore(c.Value)
 	}
 	next.Returned = c.Returned || r.Deleted
+	next.Kept = c.Kept || r.Deleted || !reflect.DeepEqual(next.Value, c.Value)
 	if !r.Deleted && reflect.DeepEqual(r.Value, next.Value) {
 		next.Age = now.Sub(r.LearnedAt)
 	}
@@ -221,7 +230,7 @@
 func (t *Table[T]) remove(now time.Time, r *Record[T], revision Revision) {
 	t.digest ^= r.hash()
 	t.version++
-	r.Deleted, r.Lost, r.Returned, r.ChangedRevision, r.LearnedAt = true, false, false, revision, now
+	r.Deleted, r.Lost, r.Returned, r.Kept, r.ChangedRevision, r.LearnedAt = true, false, false, false, revision, now
 }
 
 func (t *Table[T]) upsert(now time.Time, c *Record[T]) bool {
@@ -249,23 +258,25 @@
 }
 
 // supersedes reports whether c is a later state of the object than r: a later
-// revision, or the deletion of the same one.
+// revision, or the deletion of the same one, or what is known beyond a copy of it.
 func (c *Record[T]) supersedes(r *Record[T]) bool {
-	return c.Revision > r.Revision || c.Revision == r.Revision && c.Deleted && !r.Deleted
+	return c.Revision > r.Revision || c.Revision == r.Revision && !r.Deleted && (c.Deleted || c.Kept && !r.Kept)
 }
 
-// DeltaSince returns the changes since a revision. It returns the full table if the
+// beyondCopy reports whether the record holds what a host knew when the store came back
+// from an older copy, and the copy lacks.
+func (r *Record[T]) beyondCopy() bool { return r.Kept || r.Lost }
+
+// DeltaSince returns the changes since a revision, and what the last copy of the store
+// lacks, which the receiver may not know at any revision. It returns the full table if the
 // revision is 0 or of an earlier era, or if tombstones from after it have been pruned.
 func (t *Table[T]) DeltaSince(now time.Time, revision Revision) Delta[T] {
 	d := Delta[T]{
 		Since: revision, Revision: t.revision, Digest: t.digest,
 		Full: revision < t.deltaFloor || revision == 0 || revision.Era() < t.revision.Era(),
 	}
-	if !d.Full && revision >= t.revision {
-		return d
-	}
 	for _, name := range slices.Sorted(maps.Keys(t.records)) {
-		if r := t.records[name]; d.Full || r.ChangedRevision > revision {
+		if r := t.records[name]; d.Full || r.ChangedRevision > revision || r.beyondCopy() {
 			out := *r
 			out.Age = now.Sub(r.LearnedAt)
 			d.Records = append(d.Records, out)
@@ -281,7 +292,7 @@
 // unchanged, and the next delta has to be a full one.
 func (t *Table[T]) Merge(now time.Time, d Delta[T]) bool {
 	if d.Revision <= t.revision {
-		return false
+		return d.Revision.Era() == t.revision.Era() && t.mergeBeyondCopy(now, d.Records)
 	}
 	if d.Full {
 		return t.Replace(now, d.Revision, d.Records)
@@ -301,6 +312,17 @@
 	return changed
 }
 
+// mergeBeyondCopy applies what other hosts know beyond the last copy of the store.
+func (t *Table[T]) mergeBeyondCopy(now time.Time, records []Record[T]) bool {
+	changed := false
+	for i := range records {
+		if records[i].beyondCopy() {
+			changed = t.upsert(now, &records[i]) || changed
+		}
+	}
+	return changed
+}
+
 // digestAfter returns the digest that the table would have with the given records, of
 // which no two have the same name.
 func (t *Table[T]) digestAfter(records []Record[T]) uint64 {
--- a/registry/view.go
+++ b/registry/view.go
@@ -191,6 +191,8 @@
 	Services map[cornelbay.ServiceName][]*Endpoint
 	Cookies  map[uint32]*Endpoint
 	Hosts    []Host
+	// HostsChanged is true if the registered hosts are not those of the view before.
+	HostsChanged bool
 }
 
 // View returns a snapshot of the tables.
@@ -209,7 +211,7 @@
 	if last != nil && now.hosts == t.viewOf.hosts {
 		v.Hosts = last.Hosts
 	} else {
-		v.Hosts = t.viewHosts()
+		v.Hosts, v.HostsChanged = t.viewHosts(), true
 	}
 	if last != nil && now.targets == t.viewOf.targets && now.recoveredAt.Equal(t.viewOf.recoveredAt) {
 		v.Services, v.Cookies = last.Services, last.Cookies
