Pack large replies to pulls; wait less for a seed at start

Cause: a configuration of 1,400 routes is about 290 KB; a relay on a link of 20 Mbit/s sends it to 40 hosts in nearly 5 s. After a loss of power the seeds are down as well, and each host waited 100 ms for them before it got ready.

Change: a reply of more than 4 KB is compressed, and kept for a second for the next hosts that pull the same changes; hosts of the version before get it plain. A starting host waits 35 ms for a seed, and asks the next one after 15.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -96,6 +96,8 @@
 	// outcomesDown are the outcomes to send up and down the tree.
 	relay                    placement.Relay
 	outcomesUp, outcomesDown placement.Sum
+	// packed is the last packed reply to a pull.
+	packed packedReply
 	// bootstrapped is true once a seed has answered or this host no longer waits for one.
 	bootstrapped bool
 	// inMesh is true if the last heartbeat went to all hosts of a small fleet.
--- a/balancer/bootstrap.go
+++ b/balancer/bootstrap.go
@@ -19,10 +19,10 @@
 	copyTime = 60 * time.Millisecond
 	// seedPatience is how long a starting host that has the store's copies waits for a seed
 	// before it gets ready.
-	seedPatience = 100 * time.Millisecond
+	seedPatience = 35 * time.Millisecond
 	// nextSeedDelay is the time after which a starting host asks another seed if one has
 	// not answered.
-	nextSeedDelay = 100 * time.Millisecond
+	nextSeedDelay = 15 * time.Millisecond
 )
 
 // bootstrap fills the tables of a starting host. It lists the store's copies, which may be
--- a/balancer/pull.go
+++ b/balancer/pull.go
@@ -17,8 +17,10 @@
 
 const (
 	// pullTimeout allows for a few round trips and the transfer of whole tables over a
-	// slow link.
-	pullTimeout = 600 * time.Millisecond
+	// slow link, at which other hosts pull, too.
+	pullTimeout = 1500 * time.Millisecond
+	// maxPackedAge is how long a packed reply is used for further pulls of the same changes.
+	maxPackedAge = time.Second
 	// localPullDelay gives a push that is on its way time to arrive, and
 	// remotePullDelay a pull within the data centre time to complete.
 	localPullDelay  = 20 * time.Millisecond
@@ -124,7 +126,7 @@
 	b.stateMu.Unlock()
 	ctx, cancel := context.WithTimeout(b.ctx, pullTimeout)
 	defer cancel()
-	answer, err := b.rpcClient.Call(ctx, cornelbay.Host{Name: h.Name, RPC: h.Address}, gossip.Pull{Since: since})
+	answer, err := b.rpcClient.Call(ctx, cornelbay.Host{Name: h.Name, RPC: h.Address}, gossip.Pull{Since: since, Unpacks: true})
 	if err != nil {
 		b.metrics.count("pullFailed")
 		if b.ctx.Err() == nil {
@@ -132,7 +134,11 @@
 		}
 		return false
 	}
-	r := answer.(gossip.PullReply)
+	r, err := answer.(gossip.PullReply).Unpack()
+	if err != nil {
+		log.WithError(err).WithField("from", h.Address.String()).Warn("pull failed")
+		return false
+	}
 	changed := false
 	b.updateTables(func(now time.Time, _ *registry.Tables) bool {
 		if r.Incarnation >= b.codec.Incarnation {
@@ -150,6 +156,14 @@
 	return true
 }
 
+// packedReply is a reply to pulls with the same revisions, kept for the next hosts that
+// pull the same changes.
+type packedReply struct {
+	since, revisions gossip.Revisions
+	at               time.Time
+	reply            gossip.PullReply
+}
+
 // answerPull serves pulls of other hosts.
 func (b *Balancer) answerPull(from cornelbay.HostName, args peer.Args) (any, error) {
 	p, ok := args.(gossip.Pull)
@@ -158,7 +172,29 @@
 	}
 	b.stateMu.Lock()
 	defer b.stateMu.Unlock()
-	r := p.Answer(time.Now(), &b.tables)
-	r.Incarnation = b.members.Incarnation(from)
+	now := time.Now()
+	r, err := b.pullReply(now, p)
+	if err != nil {
+		return nil, err
+	}
+	r.Ages, r.Incarnation = gossip.AgesOf(now, &b.tables), b.members.Incarnation(from)
+	return r, nil
+}
+
+// pullReply returns the reply to a pull, packed if its sender understands that. The caller
+// holds stateMu.
+func (b *Balancer) pullReply(now time.Time, p gossip.Pull) (gossip.PullReply, error) {
+	if !p.Unpacks {
+		return p.Answer(now, &b.tables), nil
+	}
+	revisions := gossip.RevisionsOf(&b.tables)
+	if last := &b.packed; last.since == p.Since && last.revisions == revisions && now.Sub(last.at) < maxPackedAge {
+		return last.reply, nil
+	}
+	r, err := p.Answer(now, &b.tables).Pack()
+	if err != nil {
+		return r, err
+	}
+	b.packed = packedReply{p.Since, revisions, now, r}
 	return r, nil
 }
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -1,10 +1,12 @@
 package gossip
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
@@ -255,3 +257,36 @@
 	is.NoErr(cbor.Unmarshal(b, &earlier))
 	is.Equal(earlier.Routing, uint64(registry.NewRevision(1, 7)))
 }
+
+// TestLargeReplyIsPacked packs a configuration of 1,400 routes, which many hosts pull at
+// once over a link of 20 Mbit/s.
+func TestLargeReplyIsPacked(t *testing.T) {
+	is := is.New(t)
+	var from, to registry.Tables
+	r := registry.Routing{Policy: registry.Policy{Version: 3}}
+	for i := range uint16(1400) {
+		r.Routes = append(r.Routes, registry.Route{
+			Name: fmt.Sprintf("route-%x", xxhash.Sum64([]byte{byte(i), byte(i >> 8)})), Address: netip.AddrPortFrom(netip.MustParseAddr("198.18.0.1"), i),
+			Shares: []registry.Share{{Service: "statut", Weight: 1}}, Timeout: 2 * time.Second, Objective: 400 * time.Millisecond,
+		})
+	}
+	from.ReplaceRouting(start, 9, 9, r)
+	plain := Pull{}.Answer(start, &from)
+	packed, err := plain.Pack()
+	is.NoErr(err)
+	is.True(len(packed.Packed) > 0 && len(packed.Packed) < 64<<10)
+	b, err := cbor.Marshal(plain)
+	is.NoErr(err)
+	is.True(len(packed.Packed) < len(b)/4)
+	got, err := packed.Unpack()
+	is.NoErr(err)
+	is.True(got.Merge(start, &to))
+	is.Equal(to.Routes.Digest(), from.Routes.Digest())
+	is.Equal(to.ConfigVersion(), uint64(3))
+
+	small, err := Pull{Since: RevisionsOf(&from)}.Answer(start, &from).Pack()
+	is.NoErr(err)
+	is.Equal(len(small.Packed), 0)
+	_, err = PullReply{Packed: []byte("no flate")}.Unpack()
+	is.True(err != nil)
+}
--- a/gossip/messages.go
+++ b/gossip/messages.go
@@ -203,6 +203,8 @@
 // Pull requests everything that has changed since the given revisions.
 type Pull struct {
 	Since Revisions `cbor:"1,keyasint"`
+	// Unpacks is true if the sender understands PullReply.Packed.
+	Unpacks bool `cbor:"2,keyasint,omitempty"`
 }
 
 // Method returns the method's name.
@@ -219,6 +221,8 @@
 	// Incarnation is the last one that the answering host has seen of the asking host.
 	// A host that restarts after its clock was set back continues with a higher one.
 	Incarnation cornelbay.Incarnation `cbor:"6,keyasint"`
+	// Packed holds the compressed tables, whose fields are then empty; see Pack.
+	Packed []byte `cbor:"8,keyasint,omitempty"`
 }
 
 // Answer returns the reply to a pull from the tables t.
