Compare two targets at random in a large fleet; read overdue tables in time

Cause: with the same sums, all hosts of a large data centre chose the least loaded targets until the next report.

A host that others are ahead of, or that hears none, reads the store without waiting for its turn.

--- a/balancer/kinds.go
+++ b/balancer/kinds.go
@@ -5,6 +5,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/cornelbay/cornelbay/gossip"
 	"github.com/cornelbay/cornelbay/platform"
 	"github.com/cornelbay/cornelbay/registry"
 )
@@ -20,6 +21,8 @@
 type objectKind struct {
 	name  string
 	table func(*registry.Tables) table
+	// revision returns the revision of the table among those that a host announces.
+	revision func(gossip.Revisions) registry.Revision
 	// replace applies a full list of the objects, and apply a sequence of changes up
 	// to a revision; both report whether the table changed.
 	replace func(now time.Time, t *registry.Tables, revision registry.Revision, objects []platform.Object) bool
@@ -27,18 +30,19 @@
 }
 
 var (
-	targetKind = recordKind(platform.TargetKind, platform.DecodeTarget, func(t *registry.Tables) *registry.Table[registry.Target] {
+	targetKind = recordKind(platform.TargetKind, platform.DecodeTarget, func(r gossip.Revisions) registry.Revision { return r.Targets }, func(t *registry.Tables) *registry.Table[registry.Target] {
 		return &t.Targets
 	})
-	evacuationKind = recordKind(platform.EvacuationKind, platform.DecodeEvacuation, func(t *registry.Tables) *registry.Table[registry.Evacuation] {
+	evacuationKind = recordKind(platform.EvacuationKind, platform.DecodeEvacuation, func(r gossip.Revisions) registry.Revision { return r.Evacuations }, func(t *registry.Tables) *registry.Table[registry.Evacuation] {
 		return &t.Evacuations
 	})
-	hostKind = recordKind(platform.HostKind, platform.DecodeHost, func(t *registry.Tables) *registry.Table[registry.Host] {
+	hostKind = recordKind(platform.HostKind, platform.DecodeHost, func(r gossip.Revisions) registry.Revision { return r.Hosts }, func(t *registry.Tables) *registry.Table[registry.Host] {
 		return &t.Hosts
 	})
 	routingKind = objectKind{
-		name:  platform.RoutingKind,
-		table: func(t *registry.Tables) table { return &t.Routes },
+		name:     platform.RoutingKind,
+		table:    func(t *registry.Tables) table { return &t.Routes },
+		revision: func(r gossip.Revisions) registry.Revision { return r.Routing },
 		replace: func(now time.Time, t *registry.Tables, revision registry.Revision, objects []platform.Object) bool {
 			changed := false
 			for _, o := range objects {
@@ -74,7 +78,7 @@
 
 // recordKind returns an objectKind whose objects correspond one to one to the records
 // of a table.
-func recordKind[T any](name string, decode func(platform.Object) (T, error), of func(*registry.Tables) *registry.Table[T]) objectKind {
+func recordKind[T any](name string, decode func(platform.Object) (T, error), revision func(gossip.Revisions) registry.Revision, of func(*registry.Tables) *registry.Table[T]) objectKind {
 	record := func(o platform.Object) (registry.Record[T], bool) {
 		v, err := decode(o)
 		if err != nil {
@@ -84,8 +88,9 @@
 		return registry.Record[T]{Name: o.Name, Revision: o.Revision, Value: v}, true
 	}
 	return objectKind{
-		name:  name,
-		table: func(t *registry.Tables) table { return of(t) },
+		name:     name,
+		table:    func(t *registry.Tables) table { return of(t) },
+		revision: revision,
 		replace: func(now time.Time, t *registry.Tables, revision registry.Revision, objects []platform.Object) bool {
 			var records []registry.Record[T]
 			for _, o := range objects {
--- a/balancer/sync.go
+++ b/balancer/sync.go
@@ -148,8 +148,13 @@
 		confirmed = b.started
 	}
 	watch := b.watchTimeout(k.name)
-	slack := max((watchDivisor-1)*watch-readReserve, gossip.MinInterval)
-	return now.Sub(confirmed) > watch+slack+time.Duration(b.members.Rank())*overdueStep || b.isReader(now)
+	overdue := watch + max((watchDivisor-1)*watch-readReserve, gossip.MinInterval)
+	// While others are no better off, those before this host read first. A host that others
+	// are ahead of, or that hears none, has to meet the bound by itself.
+	if !b.ahead[k.name] && !b.members.IsAlone(now) {
+		overdue += time.Duration(b.members.Rank()) * overdueStep
+	}
+	return now.Sub(confirmed) > overdue || b.isReader(now)
 }
 
 // isReader reports whether this host reads the store for all. The caller holds stateMu.
--- a/gossip/neighbours.go
+++ b/gossip/neighbours.go
@@ -134,6 +134,15 @@
 	return now.Sub(earlier[last].signOfLife()) > wait
 }
 
+// IsAlone reports whether this host hears no host that could tell it of changes.
+func (m *Members) IsAlone(now time.Time) bool {
+	if m.isMesh() {
+		return len(m.Alive(now)) == 0
+	}
+	above, _ := m.relay(now)
+	return !m.Leads(now) && (above == nil || above.silent(now))
+}
+
 // Leads reports whether this host leads its data centre.
 func (m *Members) Leads(now time.Time) bool {
 	_, position := m.index()
--- a/placement/load_test.go
+++ b/placement/load_test.go
@@ -108,6 +108,10 @@
 	reports time.Duration
 	// noEjection hosts do not eject outliers.
 	noEjection bool
+	// relayed hosts get the sum of the loads of all instead of their reports.
+	relayed bool
+	// leastLoaded hosts choose among all targets, as those of a small fleet do.
+	leastLoaded bool
 }
 
 func run(l load, p policy, seed uint64) *model {
@@ -135,13 +139,19 @@
 		h := &Placer{Self: cornelbay.HostName(fmt.Sprint(i)), DataCentre: cornelbay.DataCentreName(fmt.Sprint(i % 3))}
 		v := view(endpoints...)
 		v.Hosts = hosts
+		if p.leastLoaded {
+			v.Hosts = hosts[:min(len(hosts), leastLoadedLimit)]
+		}
 		h.SetView(v)
 		m.hosts = append(m.hosts, h)
 		m.tick(h)
-		if p.reports > 0 {
+		if p.reports > 0 && !p.relayed {
 			m.report(h, m.time(), p)
 		}
 	}
+	if p.relayed {
+		m.relayReports(m.time(), p)
+	}
 	for dc := range l.perSecond {
 		m.arrive(l, dc)
 	}
@@ -182,6 +192,23 @@
 	m.after(p.reports, func() { m.report(h, now, p) })
 }
 
+// relayReports gives each host the sum of the loads of the others.
+func (m *model) relayReports(since time.Time, p policy) {
+	now := m.time()
+	var sum Sum
+	own := make([]map[uint32]float64, len(m.hosts))
+	for i, h := range m.hosts {
+		own[i] = h.Report(now, since).Loads
+		sum.Add(h.Self, Report{At: now, Loads: own[i]})
+	}
+	total := sum.Loads(now)
+	for i, h := range m.hosts {
+		r := Relay{own: own[i]}
+		h.MergeReport("", Report{At: now, Loads: r.Others(total)})
+	}
+	m.after(p.reports, func() { m.relayReports(now, p) })
+}
+
 // request is a caller's request on a flow of its own.
 type request struct {
 	asked  time.Duration
@@ -361,3 +388,23 @@
 		})
 	}
 }
+
+// TestManyHostsDoNotOverloadTheLeastLoadedTargets runs a load of which all targets together
+// could serve several times as much, with many hosts that get reports of their sums every
+// half second. Hosts that all choose the least loaded targets make these shed requests.
+func TestManyHostsDoNotOverloadTheLeastLoadedTargets(t *testing.T) {
+	l := load{"many hosts and targets", [3]float64{400, 400, 400}, [3]int{40, 40, 40}, [3]int{}, 0, 60, [3]int{}, [3]int{}}
+	is := is.New(t)
+	var got [2]*model
+	for i, p := range []policy{
+		{name: "least loaded", reports: 500 * time.Millisecond, relayed: true, leastLoaded: true},
+		{name: "best of some", reports: 500 * time.Millisecond, relayed: true},
+	} {
+		requests = make(map[cornelbay.FlowKey]*request)
+		got[i] = run(l, p, 1)
+		t.Logf("%s: %d asked, %d in time, %d shed, p99 %v", p.name, got[i].asked, got[i].inTime, got[i].shed, got[i].p99())
+	}
+	is.True(float64(got[1].inTime) >= 0.99*float64(got[1].asked))
+	is.True(10*got[1].shed < got[0].shed)
+	is.True(got[1].p99() < got[0].p99())
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -85,7 +85,8 @@
 	// recorded, such as one that another host opened. Later packets of the flow do not
 	// count once it is recorded, nor does one that finishes the flow.
 	foreignPacketAt time.Time
-	// choices is the number of choices so far, which varies how ties are broken.
+	// choices is the number of choices so far, which varies how ties are broken and which
+	// targets are compared.
 	choices      uint64
 	counters     Counters
 	stateChanges []StateChange
@@ -219,7 +220,8 @@
 	return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.load, b.load), cmp.Compare(a.tieBreak, b.tieBreak))
 }
 
-// choose returns the best target of a service that is not among those already tried.
+// choose returns the best target of a service that is not among those already tried, in a
+// large fleet the best of some; see sampler.
 // Suspected and ejected targets are used only when there is no other, or when a probe is
 // due that shows whether a suspected target answers again. A cold target is used, within
 // its rate limit, when no warm one has an expected cost below the mean duration of a flow.
@@ -228,6 +230,7 @@
 		return nil, ErrNoTarget
 	}
 	var best, lastResort, due, cold candidate
+	samples := sampler{all: len(p.view.Hosts) <= leastLoadedLimit}
 	p.choices++
 	for _, m := range p.view.Services[service] {
 		if !m.Usable(now) || slices.Contains(tried, m.Cookie) {
@@ -240,13 +243,14 @@
 		case p.ejected(now, m):
 			keepBest(&lastResort, c)
 		case !p.suspected(m):
-			keepBest(&best, c)
+			samples.add(c, m.DataCentre == p.DataCentre)
 		case p.probeDue(now, m):
 			keepBest(&due, c)
 		default:
 			keepBest(&lastResort, c)
 		}
 	}
+	best = samples.best()
 	if due.target != nil && (best.target == nil || compareCandidates(due, best) < 0) {
 		p.startProbe(now, due.target)
 		return due.target, nil
