Remember the latest revision that others have announced

Cause: whether others were ahead of a host was taken from the last heartbeat alone. A relay hears many hosts below it that are no further, and would have waited for its turn to read an overdue table although its lead had a later one.

Change: the latest announced revision of each kind is kept and compared.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -96,8 +96,8 @@
 	// outcomesDown are the outcomes to send up and down the tree.
 	relay                    placement.Relay
 	outcomesUp, outcomesDown placement.Sum
-	// ahead holds the kinds of objects of which the last host heard has a later table.
-	ahead map[string]bool
+	// newest holds, by kind of objects, the latest revision that another host has announced.
+	newest map[string]registry.Revision
 	// packed is the last packed reply to a pull.
 	packed packedReply
 	// bootstrapped is true once a seed has answered or this host no longer waits for one.
@@ -147,7 +147,7 @@
 		pullRequests: make(chan pullRequest, 16),
 		opened:       make(chan struct{}, 1),
 		readWanted:   make(map[string]chan struct{}),
-		ahead:        make(map[string]bool),
+		newest:       make(map[string]registry.Revision),
 		ambiguous:    make(chan queuedAmbiguousFlow, maxQueuedAmbiguous),
 		started:      time.Now(),
 	}
--- a/balancer/heartbeat.go
+++ b/balancer/heartbeat.go
@@ -84,7 +84,9 @@
 		b.handleReport(now, hb)
 	}
 	own := gossip.RevisionsOf(&b.tables)
-	b.noteAhead(own, hb.Revisions)
+	for _, k := range objectKinds {
+		b.newest[k.name] = max(b.newest[k.name], k.revision(hb.Revisions))
+	}
 	if hb.Revisions.Behind(own) && b.members.AllowReply(now, hb.Host.Name) {
 		b.sendToPeers(b.sealHeartbeat(now, gossip.Heartbeat{Host: b.self}), []netip.AddrPort{hb.Host.Address})
 	}
@@ -96,14 +98,6 @@
 	}
 }
 
-// noteAhead records the kinds of objects of which another host has a later table. The
-// caller holds stateMu.
-func (b *Balancer) noteAhead(own, other gossip.Revisions) {
-	for _, k := range objectKinds {
-		b.ahead[k.name] = k.revision(own) < k.revision(other)
-	}
-}
-
 // handleReport applies the loads and outcomes in a heartbeat. The caller holds stateMu.
 func (b *Balancer) handleReport(now time.Time, hb gossip.Heartbeat) {
 	r := reportFromHeartbeat(now, hb)
--- a/balancer/sync.go
+++ b/balancer/sync.go
@@ -142,8 +142,13 @@
 func (b *Balancer) shouldReadStore(k objectKind) bool {
 	b.stateMu.Lock()
 	defer b.stateMu.Unlock()
-	now := time.Now()
-	confirmed := k.table(&b.tables).ConfirmedAt()
+	return b.wantsRead(k, time.Now())
+}
+
+// wantsRead is shouldReadStore at a given time. The caller holds stateMu.
+func (b *Balancer) wantsRead(k objectKind, now time.Time) bool {
+	t := k.table(&b.tables)
+	confirmed := t.ConfirmedAt()
 	if confirmed.Before(b.started) {
 		confirmed = b.started
 	}
@@ -151,7 +156,7 @@
 	overdue := watch + max((watchDivisor-1)*watch-readReserve, gossip.MinInterval)
 	// While others are no better off, those before this host read first. A host that others
 	// are ahead of, or that hears none, has to meet the bound by itself.
-	if !b.ahead[k.name] && !b.members.IsAlone(now) {
+	if t.Revision() >= b.newest[k.name] && !b.members.IsAlone(now) {
 		overdue += time.Duration(b.members.Rank()) * overdueStep
 	}
 	return now.Sub(confirmed) > overdue || b.isReader(now)
@@ -218,8 +223,8 @@
 	}), nil
 }
 
-// updateFromStore applies an answer of the store to the tables, pushes the changes to
-// the hosts of the data centre, and reports whether there were any.
+// updateFromStore applies an answer of the store to the tables, pushes the changes to the
+// neighbours, and reports whether there were any.
 func (b *Balancer) updateFromStore(k objectKind, by string, confirmed time.Time, revision registry.Revision, change func(time.Time, *registry.Tables) bool) bool {
 	var before gossip.Revisions
 	changed := false
--- a/balancer/tree_test.go
+++ b/balancer/tree_test.go
@@ -1,10 +1,14 @@
 package balancer
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
+	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/fakeplatform"
+	"github.com/cornelbay/cornelbay/gossip"
+	"github.com/cornelbay/cornelbay/registry"
 )
 
 // fleetSize is large enough for heartbeats to follow a tree.
@@ -116,3 +120,29 @@
 	readerCalls := 10 // of the reader and its watches meanwhile
 	w.is.True(w.storeCalls()-calls <= len(objectKinds)+1+readerCalls)
 }
+
+// TestHostThatIsBehindReadsOverdueTableAtOnce guards against a host that waits for its turn
+// to read the store although it can't get what others already know.
+func TestHostThatIsBehindReadsOverdueTableAtOnce(t *testing.T) {
+	w := newTestEnv(t, 129)
+	w.target(1, "s1", "a")
+	b := w.host(1, "a")
+	b.stateMu.Lock()
+	defer b.stateMu.Unlock()
+	var others []registry.Host
+	for n := range fleetSize {
+		others = append(others, registry.Host{Name: cornelbay.HostName(fmt.Sprintf("a%02d", n)), DataCentre: "a"})
+	}
+	b.started = time.Now().Add(-time.Minute)
+	b.members = gossip.Members{Self: b.self}
+	b.members.SetRegistered(time.Now(), others) // all are before h1
+	b.members.Observe(time.Now(), 1, gossip.Heartbeat{Host: others[0], Relay: true, IntervalMs: 250})
+	overdue := 2*time.Second + 100*time.Millisecond
+	var confirmed registry.Table[registry.Target]
+	confirmed.Replace(time.Now(), b.tables.Targets.Revision(), nil)
+	confirmed.Confirm(time.Now().Add(-overdue))
+	b.tables.Targets = confirmed
+	w.is.True(!b.wantsRead(targetKind, time.Now()))
+	b.newest[targetKind.name] = b.tables.Targets.Revision() + 1
+	w.is.True(b.wantsRead(targetKind, time.Now()))
+}
