Seeds read the store 100 ms after a joint start

Cause: hosts start from copies of the store that may be some seconds old. When all hosts start together no peer knows better, and the first read came after 400 ms.

Change: seeds consider themselves for the reader after 100 ms.

--- a/balancer/sync.go
+++ b/balancer/sync.go
@@ -37,7 +37,7 @@
 	// unless it is a seed, since it may not have heard the other hosts yet. Seeds wait for
 	// seedElectionDelay.
 	electionDelay     = 3 * time.Second
-	seedElectionDelay = 400 * time.Millisecond
+	seedElectionDelay = 100 * time.Millisecond
 	// refusedTime is how long after a failed call the host counts as refused by the store,
 	// and leaves it to others to read.
 	refusedTime = 5 * time.Second
