Test that a relay later in the order is not above a host

Cause: with the check of the order switched off, no test failed; the one for cycles never lets a host hear a later relay.

Change: a test of that case, tests only.

--- a/gossip/neighbours_test.go
+++ b/gossip/neighbours_test.go
@@ -248,3 +248,15 @@
 		}
 	}
 }
+
+// TestRelayLaterInTheOrderIsNotAbove covers a host that hears a relay behind it in the order
+// before it hears the one that is above it.
+func TestRelayLaterInTheOrderIsNotAbove(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1, 20)
+	h, later := f.byName["dc00-0003"], f.byName["dc00-0010"]
+	h.Observe(f.now, 1, Heartbeat{Host: later.Self, Relay: true, IntervalMs: 250})
+	above, standIn := h.relay(f.now)
+	is.Equal(above.host.Name, cornelbay.HostName("dc00-0000"))
+	is.True(!standIn)
+}
