Add cornelbay check, a check of a configuration before it is sent

Cause: apply refuses invalid documents only, and hosts apply a routing configuration without a word although routes in it can never match, lead to no service or have limits that contradict each other.

--- a/cmd/cornelbay/apply.go
+++ b/cmd/cornelbay/apply.go
@@ -5,12 +5,14 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/config"
+	"github.com/cornelbay/cornelbay/lint"
 	"github.com/cornelbay/cornelbay/operator"
 )
 
@@ -98,10 +100,12 @@
 	if c.RollbackTo > 0 {
 		return c.printCommit(client.Rollback(ctx, c.RollbackTo, ch))
 	}
-	doc, err := loadDocument(c.Document)
+	doc, text, err := readDocument(c.Document)
 	if err != nil {
 		return err
 	}
+	// On standard error, since standard output may be JSON.
+	printFindings(os.Stderr, c.Document, lint.CheckDocument(doc, text))
 	return c.printCommit(client.Apply(ctx, doc, ch))
 }
 
--- a/cmd/cornelbay/document.go
+++ b/cmd/cornelbay/document.go
@@ -24,11 +24,18 @@
 }
 
 func loadDocument(path string) (*config.Document, error) {
+	doc, _, err := readDocument(path)
+	return doc, err
+}
+
+// readDocument returns the document in a file and the file's text.
+func readDocument(path string) (*config.Document, []byte, error) {
 	b, err := os.ReadFile(path)
 	if err != nil {
-		return nil, merry.Prepend(err, "read document")
+		return nil, nil, merry.Prepend(err, "read document")
 	}
-	return config.Parse(b)
+	doc, err := config.Parse(b)
+	return doc, b, err
 }
 
 type validateCmd struct {
--- a/cmd/cornelbay/main.go
+++ b/cmd/cornelbay/main.go
@@ -11,7 +11,8 @@
 )
 
 type cli struct {
-	Validate   validateCmd   `cmd:"" help:"Check a document."`
+	Validate   validateCmd   `cmd:"" help:"Check that a document may be committed."`
+	Check      checkCmd      `cmd:"" help:"Check a document or a routing configuration of the platform before it is sent."`
 	Schema     schemaCmd     `cmd:"" help:"Print the JSON Schema of a document."`
 	Apply      applyCmd      `cmd:"" help:"Commit a document, or an earlier generation's, as the next generation."`
 	Get        getCmd        `cmd:"" help:"Print the document of a generation."`
--- a/cmd/cornelbay/output.go
+++ b/cmd/cornelbay/output.go
@@ -19,13 +19,14 @@
 // The exit codes of the command.
 const (
 	exitFailure       = 1
+	exitWarnings      = 1 // of check only
 	exitInvalid       = 2
 	exitConflict      = 3
 	exitNotEverywhere = 4
 	exitAlert         = 5
 )
 
-const exitHelp = "Exit codes: 0 done, 1 failure, 2 invalid input, 3 another change was committed first, 4 not in force everywhere in time, 5 an alert fires."
+const exitHelp = "Exit codes: 0 done, 1 failure or, of check, warnings, 2 invalid input, 3 another change was committed first, 4 not in force everywhere in time, 5 an alert fires."
 
 // errUsage reports an invalid command line.
 var errUsage = merry.New("usage")
@@ -61,6 +62,10 @@
 	switch {
 	case errors.As(err, &conflict):
 		return exitConflict
+	case errors.Is(err, errWarnings):
+		return exitWarnings
+	case errors.Is(err, errFindings):
+		return exitInvalid
 	case errors.Is(err, errAlert):
 		return exitAlert
 	case errors.Is(err, operator.ErrNotEverywhere):
--- a/strictjson/strict.go
+++ b/strictjson/strict.go
@@ -17,6 +17,12 @@
 // maxDepth is the maximum nesting depth of a document.
 const maxDepth = 32
 
+// The messages of errors about keys.
+const (
+	UnknownKey   = "unknown key"
+	DuplicateKey = "duplicate key"
+)
+
 // Error is one error in a document.
 type Error struct {
 	// Path is the location of the error, such as services[0].targets[3].dataCentre; it is
@@ -164,9 +170,9 @@
 		field, ok := fieldOf(v, key)
 		switch {
 		case !ok:
-			s.errs.Add(at, "unknown key")
+			s.errs.Add(at, UnknownKey)
 		case seen[key]:
-			s.errs.Add(at, "duplicate key")
+			s.errs.Add(at, DuplicateKey)
 		}
 		if !ok || seen[key] {
 			var skipped json.RawMessage
