Divide slots among hosts, limit flows and queue openings by urgency

Cause: in a burst all hosts sent flows to the same targets by the same old reports, and full targets were ejected as faulty. At one and a half times the capacity nothing decided by urgency. Change: services of routes with a latency objective are limited. A host fills its own share of the slots, borrows others while they answer in time, and holds or refuses openings by priority. Rejections by full targets are no failures, and slow targets stay in use in a shortage.

--- a/balancer/metrics.go
+++ b/balancer/metrics.go
@@ -2,12 +2,14 @@
 
 import (
 	"errors"
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/cornelbay/cornelbay/gossip"
 	"github.com/cornelbay/cornelbay/peer"
+	"github.com/cornelbay/cornelbay/placement"
 	"github.com/cornelbay/cornelbay/platform"
 	"github.com/cornelbay/cornelbay/registry"
 )
@@ -15,6 +17,7 @@
 type metrics struct {
 	registry             *prometheus.Registry
 	packets              *prometheus.CounterVec
+	shed                 *prometheus.CounterVec
 	storeCalls           *prometheus.CounterVec
 	callSeconds          *prometheus.HistogramVec
 	openingSeconds       prometheus.Histogram
@@ -26,6 +29,9 @@
 	m.packets = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "cornelbay_packets_total", Help: "Packets by what was decided.",
 	}, []string{"verdict"})
+	m.shed = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cornelbay_shed_total", Help: "Waiting openings that were refused, by priority and reason.",
+	}, []string{"priority", "reason"})
 	m.storeCalls = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "cornelbay_store_calls_total", Help: "Calls to the platform's store by kind of object, call and outcome.",
 	}, []string{"kind", "call", "outcome"})
@@ -43,7 +49,7 @@
 		Help:    "Time from when the first host learned of a change until this host did.",
 		Buckets: prometheus.ExponentialBuckets(0.002, 2, 13),
 	})
-	m.registry.MustRegister(m.packets, m.storeCalls, m.callSeconds, m.openingSeconds, m.disseminationSeconds)
+	m.registry.MustRegister(m.packets, m.shed, m.storeCalls, m.callSeconds, m.openingSeconds, m.disseminationSeconds)
 	for _, g := range []struct {
 		name, help string
 		value      func(c *Balancer, now time.Time) float64
@@ -80,6 +86,11 @@
 // between hosts, such as pulseFailed and pullFailed.
 func (m *metrics) count(verdict string) { m.packets.WithLabelValues(verdict).Inc() }
 
+// countShed counts a waiting opening that was refused.
+func (m *metrics) countShed(a placement.Admission) {
+	m.shed.WithLabelValues(strconv.Itoa(a.Priority), string(a.Reason)).Inc()
+}
+
 // countRejected counts a datagram from another host that could not be opened.
 func (m *metrics) countRejected(err error) {
 	switch {
@@ -135,6 +146,7 @@
 var (
 	openingsDesc        = prometheus.NewDesc("cornelbay_openings_total", "Openings of flows by what became of them.", []string{"outcome"}, nil)
 	targetOpeningsDesc  = prometheus.NewDesc("cornelbay_target_openings_total", "Openings at each target by what became of them.", []string{"target", "outcome"}, nil)
+	shortagesDesc       = prometheus.NewDesc("cornelbay_shortages_total", "Times in which openings waited for slots.", nil, nil)
 	ejectionsDesc       = prometheus.NewDesc("cornelbay_ejections_total", "Findings that a target's flows fail or drag more than those of others.", nil, nil)
 	droppedLogLinesDesc = prometheus.NewDesc("cornelbay_log_lines_left_out_total", "Log lines over the rate or the queue.", nil, nil)
 )
@@ -144,7 +156,7 @@
 
 // Describe implements prometheus.Collector.
 func (c placementCollector) Describe(ch chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{openingsDesc, targetOpeningsDesc, ejectionsDesc, droppedLogLinesDesc} {
+	for _, d := range []*prometheus.Desc{openingsDesc, targetOpeningsDesc, shortagesDesc, ejectionsDesc, droppedLogLinesDesc} {
 		ch <- d
 	}
 }
@@ -163,6 +175,10 @@
 	counter(openingsDesc, n.Retried, "retried")
 	counter(openingsDesc, n.Refused, "refused")
 	counter(openingsDesc, n.Cold, "cold")
+	counter(openingsDesc, n.Admitted, "admitted")
+	counter(openingsDesc, n.Shed, "shed")
+	counter(openingsDesc, n.Rejected, "rejected")
+	counter(shortagesDesc, n.Shortages)
 	counter(ejectionsDesc, n.Ejected)
 	for name, t := range targets {
 		counter(targetOpeningsDesc, t.Opened, string(name), "opened")
--- a/balancer/metrics_test.go
+++ b/balancer/metrics_test.go
@@ -6,6 +6,9 @@
 	"regexp"
 	"slices"
 	"testing"
+
+	"github.com/cornelbay/cornelbay/admission"
+	"github.com/cornelbay/cornelbay/placement"
 )
 
 // TestMetricsAreDocumented checks that OPERATIONS.md names exactly the metrics that a
@@ -15,6 +18,7 @@
 	w.target(1, "s1", "a")
 	a, b := w.host(1, "a"), w.host(2, "a")
 	a.droppedLogLines = func() uint64 { return 0 }
+	a.metrics.countShed(placement.Admission{Reason: admission.Overload})
 	_, _ = w.mustOpen(1, service1)
 	w.store.PutRoutes(2, route(service1, "s1"))
 	w.eventually("the change has come by the other host", func() bool {
--- a/balancer/packets.go
+++ b/balancer/packets.go
@@ -28,6 +28,7 @@
 // parsing; reasonLength means that the length field of a packet is wrong.
 const (
 	reasonOpened        = "opened"
+	reasonWaiting       = "waiting"
 	reasonKnown         = "known"
 	reasonNoRoute       = "noRoute"
 	reasonNoTarget      = "noTarget"
@@ -69,7 +70,7 @@
 	}
 	b.trafficMu.Lock()
 	v := b.decide(now, &p, packet)
-	ambiguous := b.placer.AmbiguousFlows()
+	ambiguous, admissions := b.placer.AmbiguousFlows(), b.placer.Admissions()
 	b.trafficMu.Unlock()
 	b.queueAmbiguous(ambiguous, netip.AddrPort{})
 	b.metrics.count(v.reason)
@@ -81,10 +82,11 @@
 		b.send(buf[:platform.TargetNumberBytes+n], v.target)
 	case v.reset:
 		b.reset(&p, v.reason)
-	default:
+	case v.reason != reasonWaiting:
 		b.flowLog(p.Key).WithFields(log.Fields{"reason": v.reason, "cookie": p.Cookie}).Info("packet dropped")
 	}
-	if v.reason == reasonOpened {
+	b.applyAdmissions(admissions)
+	if v.reason == reasonOpened || v.reason == reasonWaiting {
 		select {
 		case b.opened <- struct{}{}:
 		default: // a check is already requested
@@ -156,6 +158,9 @@
 	}
 	// An opening that acknowledges data counts as a retransmission.
 	m, err := b.placer.Open(now, p.Key, service, packet, p.Acknowledged > 0)
+	if errors.Is(err, placement.ErrWaiting) {
+		return verdict{reason: reasonWaiting}
+	}
 	if err != nil {
 		return verdict{reset: true, reason: reasonNoTarget}
 	}
@@ -175,12 +180,16 @@
 // the port at which hosts receive packets, which is the same for callers; the source
 // port in the key is that of the flow inside the packet.
 func (b *Balancer) reset(p *platform.Packet, reason string) {
+	b.sendReset(p)
+	b.flowLog(p.Key).WithField("reason", reason).Info("reset")
+}
+
+func (b *Balancer) sendReset(p *platform.Packet) {
 	r := platform.Reset(p)
 	to := netip.AddrPortFrom(p.Key.Source.Addr(), b.settings.Load().Packets.Port())
 	if _, err := b.packets.WriteToUDPAddrPort(r[:], to); err != nil {
 		log.WithError(err).WithField("to", to.String()).Warn("sending reset failed")
 	}
-	b.flowLog(p.Key).WithField("reason", reason).Info("reset")
 }
 
 func (b *Balancer) version() uint64 {
--- a/balancer/retry.go
+++ b/balancer/retry.go
@@ -37,6 +37,7 @@
 		now := time.Now()
 		b.trafficMu.Lock()
 		retries, changes, ambiguous := b.placer.Tick(now), b.placer.StateChanges(), b.placer.AmbiguousFlows()
+		admissions, shortages := b.placer.Admissions(), b.placer.Shortages()
 		due = now.Add(b.placer.TickInterval())
 		b.trafficMu.Unlock()
 		t.Reset(time.Until(due))
@@ -44,9 +45,13 @@
 		for _, change := range changes {
 			logTargetState(change)
 		}
+		for _, s := range shortages {
+			logShortage(s)
+		}
 		for _, r := range retries {
 			b.retry(datagram, r)
 		}
+		b.applyAdmissions(admissions)
 		if now.Sub(pruned) > pruneInterval {
 			pruned = now
 			b.prune()
--- a/outlier/outlier.go
+++ b/outlier/outlier.go
@@ -116,6 +116,8 @@
 	// ejectedUntil is when the last ejection ends or ended, and ejectionTime its length.
 	ejectedUntil time.Time
 	ejectionTime time.Duration
+	// slow is true if the last ejection was for slowness.
+	slow bool
 }
 
 // eject starts an ejection, which is twice as long as the previous one, up to
@@ -193,6 +195,16 @@
 
 // Eject ejects the outliers among the targets of one service and returns the ejections.
 func (d *Detector[K]) Eject(now time.Time, targets []K) []Ejection[K] {
+	return d.eject(now, targets, true)
+}
+
+// EjectFailing ejects only those outliers whose flows fail. A service that is short of slots
+// needs those of its slow targets too.
+func (d *Detector[K]) EjectFailing(now time.Time, targets []K) []Ejection[K] {
+	return d.eject(now, targets, false)
+}
+
+func (d *Detector[K]) eject(now time.Time, targets []K, slow bool) []Ejection[K] {
 	var all Outcome
 	ejected := 0
 	for _, t := range targets {
@@ -214,11 +226,12 @@
 			continue
 		}
 		failing := r.allHosts.isFailing(others)
-		if !failing && !r.allHosts.isSlow(others) {
+		if !failing && !(slow && r.allHosts.isSlow(others)) {
 			continue
 		}
 		e := Ejection[K]{Target: t, Failing: failing, Outcome: r.allHosts}
 		r.eject(now)
+		r.slow = !failing
 		e.Duration = r.ejectionTime
 		found = append(found, e)
 		ejected++
@@ -226,6 +239,20 @@
 	return found
 }
 
+// Outcome returns the decayed outcomes of all hosts' flows at a target.
+func (d *Detector[K]) Outcome(target K) Outcome {
+	if r, ok := d.records[target]; ok {
+		return r.allHosts
+	}
+	return Outcome{}
+}
+
+// IsSlow reports whether a target was last ejected for slowness rather than failures.
+func (d *Detector[K]) IsSlow(target K) bool {
+	r, ok := d.records[target]
+	return ok && r.slow
+}
+
 // State returns the state of a target.
 func (d *Detector[K]) State(now time.Time, target K) State {
 	r, ok := d.records[target]
--- /dev/null
+++ b/placement/admit.go
@@ -0,0 +1,245 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/admission"
+	"github.com/cornelbay/cornelbay/registry"
+)
+
+const (
+	// waitShare is the fraction of a route's latency objective for which an opening may
+	// wait. A refusal within that time leaves the caller's next attempt most of the
+	// objective.
+	waitShare = 0.25
+	// maxWait is less than the time after which callers retransmit an opening. Until then no
+	// other host has the opening, so that a reset cannot reach an open flow.
+	maxWait = 150 * time.Millisecond
+	// maxWaiting limits the openings of a service that wait at a host. Each keeps a packet.
+	maxWaiting = 4096
+	// shortageEnd is the time without a waiting opening after which a shortage is over.
+	shortageEnd = time.Second
+)
+
+// ErrWaiting is returned by Open for an opening that waits for a slot; see Admissions.
+var ErrWaiting = merry.New("opening waits for a slot")
+
+// Admission is the decision on an opening that waited.
+type Admission struct {
+	Key     cornelbay.FlowKey
+	Opening []byte
+	// Target is the target to send the opening to, or nil if the flow is refused.
+	Target *registry.Endpoint
+	// Priority is that of the flow's route, and Waited the time since the opening arrived.
+	Priority int
+	Waited   time.Duration
+	// Reason says why the flow is refused, and ExpectedWait how much longer it would have
+	// waited, if that decided.
+	Reason       admission.Reason
+	ExpectedWait time.Duration
+}
+
+// Reasons for refusing waiting openings, beside those of package admission.
+const (
+	NoTarget admission.Reason = "no target"
+	NoRoute  admission.Reason = "no route"
+)
+
+// Admissions returns the decisions on waiting openings since the last call.
+func (p *Placer) Admissions() []Admission {
+	a := p.admissions
+	p.admissions = nil
+	return a
+}
+
+// Waiting returns the number of openings that wait for a slot.
+func (p *Placer) Waiting() int {
+	n := 0
+	for _, s := range p.services {
+		n += s.waiting.Len()
+	}
+	return n
+}
+
+// admit selects the target of a new flow of a limited service. Without room for it the
+// opening waits: the error is ErrWaiting, and Admissions returns the decision, which may be
+// due at once.
+func (p *Placer) admit(now time.Time, s *serviceState, f *Flow) (*registry.Endpoint, error) {
+	if p.sharesStale {
+		p.divide(now)
+	}
+	if s.waiting.Len() > 0 {
+		p.dispatch(now, s)
+	}
+	if s.waiting.Len() == 0 {
+		m, borrowed, full := p.chooseLimited(now, s)
+		if m != nil {
+			f.borrowed = borrowed
+			return m, nil
+		}
+		if !full {
+			return p.choose(now, s.name, nil)
+		}
+	}
+	p.hold(now, s, f)
+	return nil, ErrWaiting
+}
+
+// hold makes an opening wait, and refuses those that then cannot be served in time.
+func (p *Placer) hold(now time.Time, s *serviceState, f *Flow) {
+	f.waiting, f.idle = true, true
+	objective := s.objective
+	if r, ok := p.view.Routes[f.key.Destination]; ok {
+		f.priority = r.Priority
+		if r.Objective > 0 {
+			objective = r.Objective
+		}
+	}
+	deadline := now.Add(min(time.Duration(waitShare*float64(objective)), maxWait))
+	r := admission.Request[*Flow]{
+		Value: f, Caller: f.key.Source.Addr().String(), Priority: f.priority, Arrived: now, Deadline: deadline,
+	}
+	p.shorten(now, s)
+	rate := p.concurrency(now, s) / p.meanDuration(s.name).Seconds()
+	for _, refused := range s.waiting.Add(now, r, rate) {
+		p.refuse(now, refused)
+	}
+}
+
+// dispatch opens the flows of waiting openings while there is room for them, and refuses
+// those that have waited for too long.
+func (p *Placer) dispatch(now time.Time, s *serviceState) {
+	if s.routesChanged {
+		s.routesChanged = false
+		p.refuseAll(now, NoRoute, s.waiting.Remove(func(f *Flow) bool { return p.view.Routes[f.key.Destination] == nil }))
+	}
+	for _, r := range s.waiting.Expire(now) {
+		p.refuse(now, r)
+	}
+	for s.waiting.Len() > 0 {
+		m, borrowed, full := p.chooseLimited(now, s)
+		if m == nil && !full {
+			var err error
+			if m, err = p.choose(now, s.name, nil); err != nil {
+				p.refuseAll(now, NoTarget, s.waiting.Remove(func(*Flow) bool { return true }))
+				return
+			}
+		}
+		if m == nil {
+			return
+		}
+		r, ok := s.waiting.Next(now)
+		if !ok {
+			return
+		}
+		f := r.Value
+		if !f.waiting {
+			continue
+		}
+		f.waiting, f.idle, f.borrowed = false, false, borrowed
+		a := Admission{Key: f.key, Opening: f.opening, Target: m, Priority: f.priority, Waited: now.Sub(f.opened)}
+		f.opened, f.lastSeen = now, now
+		p.start(now, f, m)
+		p.admissions = append(p.admissions, a)
+		p.counters.Admitted++
+	}
+}
+
+// dispatchAll dispatches the waiting openings of all services.
+func (p *Placer) dispatchAll(now time.Time) {
+	for _, s := range p.services {
+		if s.waiting.Len() > 0 {
+			p.dispatch(now, s)
+		}
+		p.checkShortage(now, s)
+	}
+}
+
+// refuse forgets an opening that waited. No target has got it.
+func (p *Placer) refuse(now time.Time, r admission.Request[*Flow]) {
+	f := r.Value
+	if !f.waiting {
+		return
+	}
+	f.waiting = false
+	delete(p.flows, f.key)
+	p.counters.Refused++
+	p.counters.Shed++
+	p.admissions = append(p.admissions, Admission{
+		Key: f.key, Opening: f.opening, Priority: f.priority, Waited: now.Sub(f.opened),
+		Reason: r.Reason, ExpectedWait: r.Wait,
+	})
+}
+
+func (p *Placer) refuseAll(now time.Time, reason admission.Reason, requests []admission.Request[*Flow]) {
+	for _, r := range requests {
+		r.Reason = reason
+		p.refuse(now, r)
+	}
+}
+
+// shortage is a time in which openings wait for slots.
+type shortage struct {
+	active   bool
+	since    time.Time
+	lastWait time.Time
+}
+
+// Shortage is the begin or the end of a time in which openings of a service wait.
+type Shortage struct {
+	Service cornelbay.ServiceName
+	Begins  bool
+	// Lasted is the length of a shortage that ends.
+	Lasted time.Duration
+	// Slots is this host's share of the slots, Limit the number of flows that it may open,
+	// Borrowed the number of those open beyond its share, and Usual the time of a request
+	// that does not wait.
+	Slots, Limit float64
+	Borrowed     int
+	Usual        time.Duration
+}
+
+// Shortages returns the shortages that have begun or ended since the last call.
+func (p *Placer) Shortages() []Shortage {
+	s := p.shortages
+	p.shortages = nil
+	return s
+}
+
+// shorten records that an opening of a service has to wait.
+func (p *Placer) shorten(now time.Time, s *serviceState) {
+	s.shortage.lastWait = now
+	if !s.shortage.active {
+		s.shortage.active, s.shortage.since = true, now
+		p.counters.Shortages++
+		p.recordShortage(now, s)
+	}
+}
+
+// checkShortage ends a shortage when no opening has waited for a while.
+func (p *Placer) checkShortage(now time.Time, s *serviceState) {
+	if !s.shortage.active {
+		return
+	}
+	if s.waiting.Len() > 0 {
+		s.shortage.lastWait = now
+	}
+	if now.Sub(s.shortage.lastWait) > shortageEnd {
+		s.shortage.active = false
+		p.recordShortage(now, s)
+	}
+}
+
+func (p *Placer) recordShortage(now time.Time, s *serviceState) {
+	e := Shortage{
+		Service: s.name, Begins: s.shortage.active, Slots: s.slots, Limit: p.concurrency(now, s),
+		Borrowed: s.borrowed, Usual: p.usualTime(s.name),
+	}
+	if !e.Begins {
+		e.Lasted = now.Sub(s.shortage.since)
+	}
+	p.shortages = append(p.shortages, e)
+}
--- /dev/null
+++ b/placement/admit_test.go
@@ -0,0 +1,296 @@
+package placement
+
+import (
+	"errors"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/admission"
+	"github.com/cornelbay/cornelbay/outlier"
+	"github.com/cornelbay/cornelbay/pace"
+	"github.com/cornelbay/cornelbay/registry"
+)
+
+const objective = 400 * time.Millisecond
+
+// urgentAddress is the destination of the route with the more urgent priority.
+var urgentAddress = netip.MustParseAddrPort("198.18.0.2:443")
+
+func urgentKey(port int) cornelbay.FlowKey {
+	k := key(port)
+	k.Destination = urgentAddress
+	return k
+}
+
+// limited returns a view with routes that limit the flows to the service.
+func limited(targets ...*registry.Endpoint) *registry.View {
+	v := view(targets...)
+	v.Routes = map[netip.AddrPort]*registry.Route{}
+	for priority, address := range map[int]netip.AddrPort{1: urgentAddress, 2: key(0).Destination} {
+		v.Routes[address] = &registry.Route{
+			Address: address, Objective: objective, Priority: priority,
+			Shares: []registry.Share{{Service: service, Weight: 1}},
+		}
+	}
+	v.Hosts = []registry.Host{{Name: "h", DataCentre: "near"}}
+	return v
+}
+
+// fill opens flows until one has to wait, and returns their number.
+func fill(t *testing.T, p *Placer, now time.Time) int {
+	t.Helper()
+	for n := range 100 {
+		_, err := p.Open(now, key(1000+n), service, []byte("opening"), false)
+		if errors.Is(err, ErrWaiting) {
+			return n
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	t.Fatal("no opening waits")
+	return 0
+}
+
+// serve lets a target accept, answer and close a flow of fill.
+func serve(p *Placer, now time.Time, n int) {
+	f := p.flows[key(1000+n)]
+	c := f.target.Cookie
+	p.RoutePacket(now, f.key, Segment{Cookie: c, Acknowledged: 1})
+	p.RoutePacket(now, f.key, Segment{Cookie: c, Acknowledged: 2000})
+	p.RoutePacket(now, f.key, Segment{Cookie: c, Acknowledged: 2000, Finishing: true})
+}
+
+func reasons(admissions []Admission) map[admission.Reason]int {
+	n := make(map[admission.Reason]int)
+	for _, a := range admissions {
+		n[a.Reason]++
+	}
+	return n
+}
+
+// TestOpeningWaitsForASlot guards against openings that overrun the queues of targets, or
+// that are lost when a slot becomes free.
+func TestOpeningWaitsForASlot(t *testing.T) {
+	is := is.New(t)
+	p := placer(limited(warmTarget(1, "near"), warmTarget(2, "near")))
+	n := fill(t, p, start)
+	is.Equal(n, 6) // one and a half flows a slot
+	is.Equal(p.Waiting(), 1)
+	_, err := p.Open(start, urgentKey(1), service, []byte("urgent"), false)
+	is.True(errors.Is(err, ErrWaiting))
+	is.Equal(len(p.Admissions()), 0)
+	serve(p, start.Add(20*time.Millisecond), 0)
+	got := p.Admissions()
+	is.Equal(len(got), 1)
+	is.Equal(got[0].Key, urgentKey(1)) // the more urgent one first, although it came later
+	is.Equal(string(got[0].Opening), "urgent")
+	is.True(got[0].Target != nil)
+	is.Equal(got[0].Waited, 20*time.Millisecond)
+}
+
+// TestShortageRefusesTheLeastUrgent guards against openings that are held until they are
+// late, and against refusals of urgent ones while others wait.
+func TestShortageRefusesTheLeastUrgent(t *testing.T) {
+	is := is.New(t)
+	p := placer(limited(warmTarget(1, "near")))
+	fill(t, p, start)
+	const each = 30
+	for i := range each {
+		_, err := p.Open(start, key(2000+i), service, nil, false)
+		is.True(errors.Is(err, ErrWaiting))
+	}
+	is.True(reasons(p.Admissions())[admission.Overload] > each/2) // at once
+	before := p.Waiting()
+	_, err := p.Open(start, urgentKey(1), service, nil, false)
+	is.True(errors.Is(err, ErrWaiting))
+	for _, a := range p.Admissions() {
+		is.Equal(a.Priority, 2)
+	}
+	waiting := p.Waiting()
+	is.True(waiting >= before) // the urgent one has at most taken the place of another
+	p.Tick(start.Add(time.Duration(waitShare*float64(objective)) + time.Millisecond))
+	is.Equal(reasons(p.Admissions())[admission.Expired], waiting)
+	is.Equal(p.Waiting(), 0)
+}
+
+// TestRetransmittedOpeningIsNeverRefused guards against a reset of a flow that another host
+// has opened.
+func TestRetransmittedOpeningIsNeverRefused(t *testing.T) {
+	is := is.New(t)
+	p := placer(limited(warmTarget(1, "near")))
+	fill(t, p, start)
+	m, err := p.Open(start, key(1), service, nil, true)
+	is.NoErr(err)
+	is.Equal(m.Cookie, uint32(1))
+	is.True(maxWait < firstRetransmitTime-20*time.Millisecond)
+}
+
+// TestDroppedRouteResetsWaitingOpenings guards against openings that outlive their route or
+// the targets of their service.
+func TestDroppedRouteResetsWaitingOpenings(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct {
+		name   string
+		change func(v *registry.View)
+		reason admission.Reason
+	}{
+		{"route", func(v *registry.View) { delete(v.Routes, key(0).Destination) }, NoRoute},
+		{"targets", func(v *registry.View) { v.Services[service] = nil }, NoTarget},
+	} {
+		p := placer(limited(warmTarget(1, "near")))
+		fill(t, p, start)
+		v := limited(warmTarget(1, "near"))
+		c.change(v)
+		p.SetView(v)
+		p.divide(start)
+		p.Tick(start.Add(10 * time.Millisecond))
+		is.Equal(reasons(p.Admissions()), map[admission.Reason]int{c.reason: 1}) // c.name
+	}
+}
+
+// TestHostUsesItsShareFirst guards against hosts that all choose the same targets.
+func TestHostUsesItsShareFirst(t *testing.T) {
+	is := is.New(t)
+	var targets []*registry.Endpoint
+	for cookie := uint32(1); cookie <= 8; cookie++ {
+		targets = append(targets, warmTarget(cookie, "near"))
+	}
+	used := make(map[uint32]cornelbay.HostName)
+	for _, self := range []cornelbay.HostName{"a", "b", "c", "d"} {
+		p := &Placer{Self: self, DataCentre: "near"}
+		v := limited(targets...)
+		v.Hosts = nil
+		for _, name := range []cornelbay.HostName{"a", "b", "c", "d"} {
+			v.Hosts = append(v.Hosts, registry.Host{Name: name, DataCentre: "near"})
+		}
+		p.SetView(v)
+		for port := range 4 {
+			cookie := open(t, p, start, port)
+			is.True(used[cookie] == "" || used[cookie] == self)
+			used[cookie] = self
+		}
+	}
+	is.Equal(len(used), 8)
+}
+
+// TestRejectionsBackOffBorrowing guards against flows that go on to targets that others keep
+// full.
+func TestRejectionsBackOffBorrowing(t *testing.T) {
+	is := is.New(t)
+	v := limited(warmTarget(1, "near"), warmTarget(2, "near"))
+	v.Hosts = append(v.Hosts, registry.Host{Name: "other", DataCentre: "near"})
+	p := placer(v)
+	n := fill(t, p, start)
+	s := p.services[service]
+	is.Equal(s.borrowed, pace.InitialBorrowing)
+	is.Equal(n, 3+pace.InitialBorrowing)
+	p.Admissions()
+	p.meanAnswerBytes = map[answerKey]float64{{key(0).Destination, service}: 2000}
+	now := start.Add(time.Second / 10)
+	for i := range n {
+		f := p.flows[key(1000+i)]
+		if !f.borrowed {
+			continue
+		}
+		p.RoutePacket(start, f.key, Segment{Cookie: f.target.Cookie, Acknowledged: 1})
+		p.RoutePacket(now, f.key, Segment{Cookie: f.target.Cookie, Acknowledged: 100})
+		p.RoutePacket(now, f.key, Segment{Cookie: f.target.Cookie, Acknowledged: 100, Finishing: true})
+	}
+	is.True(s.borrowing.Limit(s.slots) <= float64(pace.InitialBorrowing)/2)
+	is.Equal(p.Counters().Rejected, uint64(pace.InitialBorrowing))
+	for _, o := range p.outliers.Report(now, func(uint32) bool { return true }) {
+		is.Equal(o.Failed, 0.0) // a rejection by a full target is no failure
+	}
+}
+
+// TestEarlyErrorIsAFailure guards against faulty targets that pass for full ones.
+func TestEarlyErrorIsAFailure(t *testing.T) {
+	is := is.New(t)
+	p := placer(limited(warmTarget(1, "near")))
+	p.meanAnswerBytes = map[answerKey]float64{{key(0).Destination, service}: 2000}
+	open(t, p, start, 1)
+	now := start.Add(5 * time.Millisecond)
+	p.RoutePacket(start, key(1), Segment{Cookie: 1, Acknowledged: 1})
+	p.RoutePacket(now, key(1), Segment{Cookie: 1, Acknowledged: 100})
+	p.RoutePacket(now, key(1), Segment{Cookie: 1, Acknowledged: 100, Finishing: true})
+	is.Equal(p.outliers.Report(now, func(uint32) bool { return true })[1].Failed, 1.0)
+}
+
+// TestSlowTargetsStayInUseInAShortage guards against ejections that take slots away from a
+// service that is short of them.
+func TestSlowTargetsStayInUseInAShortage(t *testing.T) {
+	is := is.New(t)
+	for _, short := range []bool{false, true} {
+		var targets []*registry.Endpoint
+		for cookie := uint32(1); cookie <= 4; cookie++ {
+			targets = append(targets, warmTarget(cookie, "near"))
+		}
+		p := placer(limited(targets...))
+		if short {
+			fill(t, p, start)
+		}
+		outcomes := make(map[uint32]outlier.Outcome)
+		for cookie := uint32(1); cookie <= 4; cookie++ {
+			outcomes[cookie] = outlier.Outcome{Ended: 20, TotalDuration: 20 * 20 * time.Millisecond}
+		}
+		outcomes[1] = outlier.Outcome{Ended: 20, TotalDuration: 20 * 200 * time.Millisecond}
+		p.MergeOutcomes(outcomes)
+		p.Report(start, start)
+		is.Equal(p.Counters().Ejected > 0, !short)
+	}
+}
+
+// TestRecoveredTargetStartsSlowly guards against a target that gets all its flows at once
+// when it answers again.
+func TestRecoveredTargetStartsSlowly(t *testing.T) {
+	is := is.New(t)
+	p := placer(limited(warmTarget(1, "near"), warmTarget(2, "near")))
+	p.divide(start)
+	p.suspect(start, p.view.Cookies[1], start)
+	p.clearSuspicion(start.Add(time.Second), 1)
+	got := make(map[uint32]int)
+	for i := range fill(t, p, start.Add(time.Second)) {
+		got[p.flows[key(1000+i)].target.Cookie]++
+	}
+	is.Equal(got, map[uint32]int{1: 1, 2: 3})
+}
+
+// TestServiceWithoutObjectiveIsNotLimited guards against a change for deployments that ask
+// for none.
+func TestServiceWithoutObjectiveIsNotLimited(t *testing.T) {
+	is := is.New(t)
+	v := limited(warmTarget(1, "near"))
+	for _, r := range v.Routes {
+		r.Objective = 0
+	}
+	p := placer(v)
+	for port := range 50 {
+		open(t, p, start, port)
+	}
+	is.Equal(p.Waiting(), 0)
+}
+
+// TestShortageIsReported guards against shortages that an operator can't see.
+func TestShortageIsReported(t *testing.T) {
+	is := is.New(t)
+	p := placer(limited(warmTarget(1, "near")))
+	fill(t, p, start)
+	got := p.Shortages()
+	is.Equal(len(got), 1)
+	is.True(got[0].Begins)
+	is.Equal(got[0].Slots, 2.0)
+	now := start
+	for range 150 {
+		now = now.Add(10 * time.Millisecond)
+		p.Tick(now)
+	}
+	got = p.Shortages()
+	is.Equal(len(got), 1)
+	is.True(!got[0].Begins)
+	is.True(got[0].Lasted > shortageEnd)
+}
--- a/placement/flow.go
+++ b/placement/flow.go
@@ -74,6 +74,14 @@
 	// its opening, or a further request, until the answer begins.
 	idle   bool
 	closed bool
+	// waiting is true while the opening waits for a slot, priority that of its route.
+	waiting  bool
+	priority int
+	// borrowed is true if the flow is open beyond this host's share of the slots.
+	borrowed bool
+	// contended is true if the request may have waited at the target: other flows were open
+	// there, as many as slots.
+	contended bool
 	// adopted is true for a flow that another host opened.
 	adopted bool
 	// unobserved is true for an opening whose answer this host may have missed: the host
@@ -149,6 +157,9 @@
 	if s.Finishing {
 		p.close(now, f)
 	}
+	if waits, ok := p.services[f.service]; ok && waits.waiting.Len() > 0 {
+		p.dispatch(now, waits)
+	}
 	return f.target.Cookie
 }
 
@@ -214,7 +225,7 @@
 func (p *Placer) markIdle(now time.Time, f *Flow) {
 	if !f.idle && !f.closed {
 		f.idle = true
-		p.targetState(f.target.Cookie, now).adjustOpen(now, -1)
+		p.adjustOpen(now, f, -1)
 	}
 }
 
@@ -222,7 +233,7 @@
 func (p *Placer) markActive(now time.Time, f *Flow) {
 	if f.idle && !f.closed {
 		f.idle = false
-		p.targetState(f.target.Cookie, now).adjustOpen(now, 1)
+		p.adjustOpen(now, f, 1)
 	}
 }
 
@@ -236,7 +247,7 @@
 // TickInterval returns the time until the next call of Tick is due. An opening may make it
 // shorter.
 func (p *Placer) TickInterval() time.Duration {
-	if len(p.pending) > 0 {
+	if len(p.pending) > 0 || p.Waiting() > 0 {
 		return pendingTickInterval
 	}
 	return idleTickInterval
@@ -265,6 +276,7 @@
 			retries = append(retries, p.retry(now, f))
 		}
 	}
+	p.dispatchAll(now)
 	if now.Sub(p.sweptAt) >= sweepInterval {
 		p.sweptAt = now
 		p.sweep(now)
@@ -332,7 +344,7 @@
 		return r
 	}
 	p.markIdle(now, f)
-	f.idle = false
+	f.idle, f.borrowed = false, false
 	p.assign(now, f, m)
 	p.queueAmbiguous(AmbiguousFlow{Key: f.key, Tried: f.tried})
 	p.counters.Retried++
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -34,6 +34,10 @@
 	f.exchange = exchange{}
 }
 
+// rejectionFactor is the number of usual times after which a short answer is taken as the
+// rejection of a request that waited in the target's queue. Errors come earlier.
+const rejectionFactor = 2
+
 // recordOutcome records the outcome of the last exchange of a flow. Its duration is the time
 // until the answer began, or until the caller's last packet.
 func (p *Placer) recordOutcome(f *Flow, failed bool) {
@@ -42,12 +46,74 @@
 	if !e.answeredAt.IsZero() {
 		o.TotalDuration = e.answeredAt.Sub(e.begun)
 	}
+	if s, ok := p.services[f.service]; ok {
+		if failed && !e.answeredAt.IsZero() && p.overloaded(f, o.TotalDuration) {
+			p.counters.Rejected++
+			p.recordPace(s, f, 0, false)
+			return
+		}
+		p.recordPace(s, f, o.TotalDuration, !failed)
+	}
 	if failed {
 		o.Failed = 1
 	}
 	p.outliers.AddLocal(f.target.Cookie, o)
 }
 
+// overloaded reports whether a short answer is the rejection of a full target. It is no
+// fault of the target, which would reject as much less from fewer flows.
+func (p *Placer) overloaded(f *Flow, took time.Duration) bool {
+	t := p.targetState(f.target.Cookie, f.lastSeen)
+	return t.open > slotsOf(f.target) || took > rejectionFactor*p.usualRouteTime(f)
+}
+
+// recordPace tells the limits of a service of the end of a request.
+func (p *Placer) recordPace(s *serviceState, f *Flow, took time.Duration, served bool) {
+	now, usual := f.lastSeen, p.usualRouteTime(f)
+	w := &p.targetState(f.target.Cookie, now).window
+	switch {
+	case served && f.borrowed:
+		s.borrowing.Answered(now, took, usual)
+	case served:
+		w.Answered(now, took, usual, f.contended)
+		if !f.contended {
+			p.recordUsualTime(f, took)
+		}
+	case f.borrowed:
+		s.borrowing.Rejected(now)
+	default:
+		w.Rejected(now)
+	}
+}
+
+// recordUsualTime updates the usual times by a request that did not wait at its target.
+func (p *Placer) recordUsualTime(f *Flow, took time.Duration) {
+	if p.usualTimes == nil {
+		p.usualTimes = make(map[cornelbay.ServiceName]time.Duration)
+		p.usualRouteTimes = make(map[answerKey]time.Duration)
+	}
+	usual := p.usualTime(f.service)
+	p.usualTimes[f.service] = usual + time.Duration(durationWeight*float64(took-usual))
+	usual = p.usualRouteTime(f)
+	p.usualRouteTimes[answerKey{f.key.Destination, f.service}] = usual + time.Duration(durationWeight*float64(took-usual))
+}
+
+// usualTime returns the mean time of a request of a service that does not wait at its target.
+func (p *Placer) usualTime(service cornelbay.ServiceName) time.Duration {
+	if d, ok := p.usualTimes[service]; ok {
+		return d
+	}
+	return initialDuration
+}
+
+// usualRouteTime returns the mean time of a request on a flow's route that does not wait.
+func (p *Placer) usualRouteTime(f *Flow) time.Duration {
+	if d, ok := p.usualRouteTimes[answerKey{f.key.Destination, f.service}]; ok {
+		return d
+	}
+	return p.usualTime(f.service)
+}
+
 // truncated reports whether the last answer that the caller of a flow has acknowledged is
 // much shorter than the mean of its route.
 func (p *Placer) truncated(f *Flow) bool {
@@ -71,19 +137,25 @@
 		return
 	}
 	maps.DeleteFunc(p.meanAnswerBytes, func(k answerKey, _ float64) bool { return p.view.Routes[k.route] == nil })
-	for _, targets := range p.view.Services {
+	maps.DeleteFunc(p.usualRouteTimes, func(k answerKey, _ time.Duration) bool { return p.view.Routes[k.route] == nil })
+	for name, targets := range p.view.Services {
 		var usable []uint32
 		for _, m := range targets {
 			if m.Usable(now) {
 				usable = append(usable, m.Cookie)
 			}
 		}
-		for _, e := range p.outliers.Eject(now, usable) {
+		eject := p.outliers.Eject
+		if s, ok := p.services[name]; ok && s.shortage.active {
+			eject = p.outliers.EjectFailing
+		}
+		for _, e := range eject(now, usable) {
 			c := StateChange{Target: p.view.Cookies[e.Target], State: Slow, Outcome: e.Outcome, Duration: e.Duration}
 			if e.Failing {
 				c.State = Failing
 			}
 			p.counters.Ejected++
+			p.targetState(e.Target, now).window.Restart(now)
 			p.queueStateChange(c)
 		}
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -12,6 +12,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"slices"
 	"time"
 
@@ -19,6 +20,7 @@
 
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/outlier"
+	"github.com/cornelbay/cornelbay/pace"
 	"github.com/cornelbay/cornelbay/registry"
 )
 
@@ -70,6 +72,15 @@
 	// meanAnswerBytes is the mean size of the answers of each route and service.
 	meanAnswerBytes map[answerKey]float64
 	outliers        outlier.Detector[uint32]
+	// services are the limited services, serviceOutcomes the outcomes of their flows at all
+	// targets. sharesStale is true if the shares of the slots have to be divided again.
+	services        map[cornelbay.ServiceName]*serviceState
+	serviceOutcomes map[cornelbay.ServiceName]outlier.Outcome
+	sharesStale     bool
+	// usualTimes are the mean times of requests that did not wait at their targets, by
+	// service and by route.
+	usualTimes      map[cornelbay.ServiceName]time.Duration
+	usualRouteTimes map[answerKey]time.Duration
 	// stalledAt is when this host last resumed after a stall.
 	stalledAt time.Time
 	// roundTrip is the smoothed time from an opening to the caller's next packet, of flows
@@ -91,6 +102,8 @@
 	counters     Counters
 	stateChanges []StateChange
 	ambiguous    []AmbiguousFlow
+	admissions   []Admission
+	shortages    []Shortage
 }
 
 // Counters count the outcomes of openings.
@@ -100,6 +113,11 @@
 	Cold uint64
 	// Ejected counts the ejections of targets as outliers.
 	Ejected uint64
+	// Rejected counts the requests that full targets rejected.
+	Rejected uint64
+	// Admitted counts the openings that waited for a slot and got one. Shed counts those that
+	// were refused, which Refused includes, and Shortages the times in which any waited.
+	Admitted, Shed, Shortages uint64
 }
 
 // TargetCounters count the outcomes of the openings at one target.
@@ -117,6 +135,11 @@
 	integratedTo time.Time
 	suspicion
 	counters TargetCounters
+	// window limits the flows of this host at a target of its share.
+	window pace.Window
+	// cold and startedMs are those of the last endpoint; see follow.
+	cold      bool
+	startedMs int64
 }
 
 func (t *targetState) adjustOpen(now time.Time, n int) {
@@ -130,7 +153,10 @@
 }
 
 // SetView replaces the placer's view of the targets.
-func (p *Placer) SetView(v *registry.View) { p.view = v }
+func (p *Placer) SetView(v *registry.View) {
+	p.view, p.sharesStale = v, true
+	p.limitServices()
+}
 
 // Counters returns the outcomes of all openings so far.
 func (p *Placer) Counters() Counters { return p.counters }
@@ -152,7 +178,7 @@
 // Open selects the target of a new flow and records the flow. Opening is the flow's first
 // packet, which is kept until the flow is answered. A retransmission of the opening of a
 // known flow goes to that flow's target; that of an unknown flow may belong to a flow that
-// another host opened.
+// another host opened. The error ErrWaiting means that the opening waits for a slot.
 func (p *Placer) Open(now time.Time, key cornelbay.FlowKey, service cornelbay.ServiceName, opening []byte, retransmitted bool) (*registry.Endpoint, error) {
 	if f, ok := p.flows[key]; ok && !f.closed {
 		f.lastSeen = now
@@ -160,40 +186,72 @@
 		if f.unobserved {
 			f.unobserved, f.deadline = false, now.Add(p.answerTimeout())
 		}
+		if f.waiting {
+			return nil, ErrWaiting
+		}
 		return f.target, nil
 	}
-	m, err := p.choose(now, service, nil)
+	f := &Flow{key: key, service: service, opened: now, lastSeen: now, opening: slices.Clone(opening)}
+	var m *registry.Endpoint
+	var err error
+	// Another host may have opened the flow of a retransmitted opening, which therefore must
+	// not be refused later.
+	if s, ok := p.services[service]; ok && !retransmitted && len(p.flows) < maxFlows {
+		m, err = p.admit(now, s, f)
+	} else {
+		m, err = p.choose(now, service, nil)
+	}
+	if errors.Is(err, ErrWaiting) {
+		if f.waiting {
+			p.track(f)
+		}
+		return nil, err
+	}
 	if err != nil {
 		p.counters.Refused++
 		return nil, err
 	}
-	p.counters.Opened++
 	if len(p.flows) >= maxFlows {
+		p.counters.Opened++
 		return m, nil
 	}
-	f := &Flow{key: key, service: service, opened: now, lastSeen: now, opening: slices.Clone(opening)}
 	p.track(f)
-	if p.pending == nil {
-		p.pending = make(map[cornelbay.FlowKey]*Flow)
-	}
-	p.pending[key] = f
-	p.assign(now, f, m)
+	p.start(now, f, m)
 	if retransmitted {
 		p.queueAmbiguous(AmbiguousFlow{Key: key, Tried: f.tried})
 	}
 	return m, nil
 }
 
+// start opens a flow at the first target that is tried.
+func (p *Placer) start(now time.Time, f *Flow, m *registry.Endpoint) {
+	p.counters.Opened++
+	if p.pending == nil {
+		p.pending = make(map[cornelbay.FlowKey]*Flow)
+	}
+	p.pending[f.key] = f
+	p.assign(now, f, m)
+}
+
 // assign opens a flow at a target.
 func (p *Placer) assign(now time.Time, f *Flow, m *registry.Endpoint) {
 	f.target = m
 	f.tried = append(f.tried, m.Cookie)
 	f.deadline = now.Add(p.answerTimeout())
 	t := p.targetState(m.Cookie, now)
-	t.adjustOpen(now, 1)
+	f.contended = f.borrowed || t.open >= slotsOf(m)
+	p.adjustOpen(now, f, 1)
 	t.counters.Opened++
 }
 
+// adjustOpen changes the number of open flows at a flow's target by n.
+func (p *Placer) adjustOpen(now time.Time, f *Flow, n int) {
+	p.targetState(f.target.Cookie, now).adjustOpen(now, n)
+	if s, ok := p.services[f.service]; ok && f.borrowed {
+		s.borrowed += n
+	}
+}
+
 func (p *Placer) targetState(cookie uint32, now time.Time) *targetState {
 	if p.targets == nil {
 		p.targets = make(map[uint32]*targetState)
@@ -283,12 +341,9 @@
 // is zero while a slot is free and otherwise the time until the flows ahead have been
 // served, plus the round trip to another data centre.
 func (p *Placer) estimate(now time.Time, m *registry.Endpoint) candidate {
-	slots := m.Slots
-	if slots <= 0 {
-		slots = defaultSlots
-	}
+	slots := slotsOf(m)
 	load := p.load(now, m.Cookie) / float64(slots)
-	c := candidate{target: m, load: load, tieBreak: mix(p.choices<<32 | uint64(m.Cookie))}
+	c := candidate{target: m, load: load, tieBreak: p.tieBreak(m)}
 	if ahead := load + 1/float64(slots) - 1; ahead > 0 {
 		c.cost = time.Duration(ahead * float64(p.meanDuration(m.Service)))
 	}
--- a/placement/report.go
+++ b/placement/report.go
@@ -97,6 +97,11 @@
 	if r.Outcomes != nil {
 		p.ejectOutliers(now)
 	}
+	if len(p.services) > 0 && p.view != nil {
+		p.divide(now)
+		p.measureUtilization(now)
+		p.sumOutcomes()
+	}
 	elapsed := float64(now.Sub(since))
 	for cookie, t := range p.targets {
 		t.integrate(now)
--- a/placement/suspicion.go
+++ b/placement/suspicion.go
@@ -143,6 +143,7 @@
 	}
 	p.dataCentreSuspicion(m).recordAnswer(now)
 	if was {
+		t.window.Restart(now)
 		p.queueStateChange(StateChange{Target: m, State: Recovered})
 	}
 }
