--- a/pace/factor.go
+++ b/pace/factor.go
@@ -18,9 +18,9 @@
 	// maxSample is the largest sample relative to the time factor.
 	maxSample = 4
 	// surprising is the sample, relative to the time factor, from which a request counts as
-	// surprising. After surprisingRun such requests in a row, each divides the weight of the
-	// earlier evidence by discount: 2 s of evidence hide a target that became slow for
-	// longer than a second.
+	// surprising. From the surprisingRun-th such request in a row on, each divides the
+	// weight of the earlier evidence by discount. Otherwise 2 s of evidence of its former
+	// speed would hide for more than a second that a target has become five times slower.
 	surprising    = 2
 	surprisingRun = 2
 	discount      = 2
--- a/share/share.go
+++ b/share/share.go
@@ -76,6 +76,9 @@
 		from := boundary(own.neededFrom, own.neededTo, need, i, n)
 		to := boundary(own.neededFrom, own.neededTo, need, i+1, n)
 		for _, s := range sites {
+			if s.surplusTo == s.surplusFrom {
+				continue
+			}
 			s.take(s.pooled(from), s.pooled(to), out)
 		}
 		break
@@ -90,7 +93,7 @@
 	if i == n {
 		return end
 	}
-	return start + length*float64(i)/float64(n)
+	return min(end, start+length*float64(i)/float64(n))
 }
 
 // site is a data centre's hosts and targets, both in the order of their hashes.
