Allow two flows per slot; show windows and shortages in metrics and logs

Cause: at one and a half times the capacity 7% of the slots stayed idle between the end of a request and the acknowledgement that shows it; a data centre that is short borrowed too slowly in the first half second (265 requests lost). Change: a whole target gets two flows per slot, falls back to one after a rejection; borrowing doubles while nothing was rejected for a second. Metrics and log lines for limits, ramps and speeds; StateChange has the time factor.

--- a/balancer/metrics.go
+++ b/balancer/metrics.go
@@ -146,6 +146,10 @@
 var (
 	openingsDesc        = prometheus.NewDesc("cornelbay_openings_total", "Openings of flows by what became of them.", []string{"outcome"}, nil)
 	targetOpeningsDesc  = prometheus.NewDesc("cornelbay_target_openings_total", "Openings at each target by what became of them.", []string{"target", "outcome"}, nil)
+	waitingDesc         = prometheus.NewDesc("cornelbay_waiting", "Openings that wait for a slot.", []string{"service"}, nil)
+	flowLimitDesc       = prometheus.NewDesc("cornelbay_flow_limit", "Flows that this host may have open, in its share of the slots and beyond.", []string{"service", "part"}, nil)
+	rampingDesc         = prometheus.NewDesc("cornelbay_ramping_targets", "Targets of this host's share that are in slow start.", []string{"service"}, nil)
+	timeFactorDesc      = prometheus.NewDesc("cornelbay_target_time_factor", "Time of a request at a target of this host's share, relative to the usual time.", []string{"target"}, nil)
 	shortagesDesc       = prometheus.NewDesc("cornelbay_shortages_total", "Times in which openings waited for slots.", nil, nil)
 	ejectionsDesc       = prometheus.NewDesc("cornelbay_ejections_total", "Findings that a target's flows fail or drag more than those of others.", nil, nil)
 	droppedLogLinesDesc = prometheus.NewDesc("cornelbay_log_lines_left_out_total", "Log lines over the rate or the queue.", nil, nil)
@@ -156,7 +160,7 @@
 
 // Describe implements prometheus.Collector.
 func (c placementCollector) Describe(ch chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{openingsDesc, targetOpeningsDesc, shortagesDesc, ejectionsDesc, droppedLogLinesDesc} {
+	for _, d := range []*prometheus.Desc{openingsDesc, targetOpeningsDesc, waitingDesc, flowLimitDesc, rampingDesc, timeFactorDesc, shortagesDesc, ejectionsDesc, droppedLogLinesDesc} {
 		ch <- d
 	}
 }
@@ -165,6 +169,7 @@
 func (c placementCollector) Collect(ch chan<- prometheus.Metric) {
 	c.b.trafficMu.Lock()
 	n, targets := c.b.placer.Counters(), c.b.placer.TargetCounters()
+	services := c.b.placer.ServiceStats(time.Now())
 	c.b.trafficMu.Unlock()
 	counter := func(d *prometheus.Desc, n uint64, labels ...string) {
 		ch <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, float64(n), labels...)
@@ -185,6 +190,18 @@
 		counter(targetOpeningsDesc, t.Answered, string(name), "answered")
 		counter(targetOpeningsDesc, t.Unanswered, string(name), "unanswered")
 	}
+	gauge := func(d *prometheus.Desc, x float64, labels ...string) {
+		ch <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, x, labels...)
+	}
+	for name, s := range services {
+		gauge(waitingDesc, float64(s.Waiting), string(name))
+		gauge(flowLimitDesc, s.Limit-s.Borrowing, string(name), "share")
+		gauge(flowLimitDesc, s.Borrowing, string(name), "borrowed")
+		gauge(rampingDesc, float64(s.Ramping), string(name))
+		for target, f := range s.TimeFactors {
+			gauge(timeFactorDesc, f, string(target))
+		}
+	}
 	if c.b.droppedLogLines != nil {
 		counter(droppedLogLinesDesc, c.b.droppedLogLines())
 	}
--- a/balancer/retry.go
+++ b/balancer/retry.go
@@ -70,6 +70,8 @@
 	switch change.State {
 	case placement.Recovered:
 		line.Info("target answers again")
+	case placement.RampBegun, placement.RampEnded, placement.SpeedChanged:
+		line.WithField("timeFactor", math.Round(100*change.TimeFactor)/100).Info("target " + string(change.State))
 	case placement.Failing, placement.Slow:
 		line.WithFields(log.Fields{
 			"ended": math.Round(change.Outcome.Ended), "failed": math.Round(change.Outcome.Failed),
--- a/fakeplatform/objects.go
+++ b/fakeplatform/objects.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"strings"
+	"time"
 
 	"github.com/cornelbay/cornelbay/platform"
 )
@@ -12,6 +13,10 @@
 type Route struct {
 	Address netip.AddrPort
 	Service string
+	// Objective is the latency objective, or 0 for none.
+	Objective time.Duration
+	// Priority is 0 for the most urgent requests.
+	Priority int
 }
 
 // PutRoutes writes the routing configuration, as an operator does.
@@ -20,7 +25,7 @@
 	for _, r := range routes {
 		list = append(list, map[string]any{
 			"name": r.Address.String(), "host": r.Address.Addr().String(), "path_prefix": fmt.Sprintf("/%d/", r.Address.Port()),
-			"route_type": "safe", "service": r.Service,
+			"route_type": "safe", "service": r.Service, "target_latency_ms": r.Objective.Milliseconds(), "priority": r.Priority,
 		})
 	}
 	s.Put(platform.RoutingKind, "main", map[string]any{
--- a/pace/borrowing.go
+++ b/pace/borrowing.go
@@ -15,13 +15,19 @@
 // which the limit grows. Answers to fewer flows don't show that more would be answered.
 const usedFraction = 0.5
 
+// probingTime is the time after a decrease in which the limit grows by one per round. Later
+// it doubles: what was full then says nothing of the slots that are free now.
+const probingTime = time.Second
+
 // Borrowing is the limit of a host's flows at all targets outside its share of a service:
-// additive increase, multiplicative decrease. Its zero value allows InitialBorrowing flows.
+// slow start, then additive increase and multiplicative decrease. Its zero value allows InitialBorrowing flows.
 // It is not safe for concurrent use.
 type Borrowing struct {
 	// limit is 0 before the first change.
 	limit, floor float64
-	hold         hold
+	// decreasedAt is the time of the last decrease.
+	decreasedAt time.Time
+	hold        hold
 	// roundFrom is the start of the current round, which lasts at least the usual time. busy
 	// is the time that requests answered in time in this round have taken.
 	roundFrom time.Time
@@ -67,7 +73,11 @@
 		return
 	}
 	if limit := b.current(); float64(b.busy) >= usedFraction*limit*float64(elapsed) {
-		b.limit = min(MaxBorrowing, limit+1)
+		grown := limit + 1
+		if now.Sub(b.decreasedAt) > probingTime {
+			grown = 2 * limit
+		}
+		b.limit = min(MaxBorrowing, grown)
 	}
 	b.roundFrom, b.busy = now, 0
 }
@@ -75,7 +85,7 @@
 // Rejected records that a borrowed flow was rejected, cut short or never answered.
 func (b *Borrowing) Rejected(now time.Time) {
 	if b.hold.begin(now) {
-		b.limit = max(b.current()/2, b.floor, minBorrowing)
+		b.limit, b.decreasedAt = max(b.current()/2, b.floor, minBorrowing), now
 		b.roundFrom, b.busy = b.hold.until, 0
 	}
 }
--- a/pace/borrowing_test.go
+++ b/pace/borrowing_test.go
@@ -167,6 +167,27 @@
 	fmt.Println(b.Limit(3))
 	// Output:
 	// 4
-	// 5
-	// 2.5
+	// 8
+	// 4
+}
+
+// TestBorrowingDoublesAfterQuietTime guards against free slots that stay unused for the first
+// half second of a burst in one data centre.
+func TestBorrowingDoublesAfterQuietTime(t *testing.T) {
+	is := is.New(t)
+	var b Borrowing
+	now := start
+	for range 5 { // rounds
+		now = now.Add(usual)
+		borrow(&b, now, 1000)
+	}
+	is.Equal(b.Limit(1), 64.0)
+	b.Rejected(now)
+	is.Equal(b.Limit(1), 32.0)
+	now = now.Add(3 * usual) // the limit holds for two usual times
+	for range 4 {
+		now = now.Add(usual)
+		borrow(&b, now, 1000)
+	}
+	is.True(b.Limit(1) <= 36) // one flow a round
 }
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -6,9 +6,12 @@
 
 // Limits of a whole target.
 const (
-	// FlowsPerSlot is more than one, as the acknowledgement that shows a free slot arrives
-	// some milliseconds after the slot became free.
-	FlowsPerSlot = 1.5
+	// FlowsPerSlot leaves a flow waiting at each slot: the acknowledgement that shows a free
+	// slot arrives some milliseconds after the slot became free.
+	FlowsPerSlot = 2
+	// rampFlowsPerSlot is the limit at which a ramp ends. Below FlowsPerSlot, requests that
+	// wait for each other are still answered in time.
+	rampFlowsPerSlot = 1.5
 	// MinShare is the smallest share, in slots, that allows flows.
 	MinShare = 0.05
 )
@@ -65,13 +68,16 @@
 	case share < MinShare:
 		return 0
 	case w.state == Ramping:
-		return min(w.ramp, wholeLimit(share))
+		return min(w.ramp, rampLimit(share))
 	}
 	return wholeLimit(share)
 }
 
 func wholeLimit(share float64) float64 { return max(1, FlowsPerSlot*share) }
 
+// rampLimit returns the limit at which a ramp ends.
+func rampLimit(share float64) float64 { return max(1, rampFlowsPerSlot*share) }
+
 // Answered records that a request was answered; usual is the time of a request that doesn't
 // wait. A contended request may have waited at the target, as the host had its slots there
 // in use: it is no evidence of the time factor.
@@ -118,7 +124,7 @@
 	} else {
 		w.ramp++
 	}
-	if w.ramp >= wholeLimit(w.share) {
+	if w.ramp >= rampLimit(w.share) {
 		w.state = Whole
 	}
 }
@@ -132,10 +138,15 @@
 	}
 }
 
-// Rejected records that a request was rejected, cut short or never answered.
+// Rejected records that a request was rejected, cut short or never answered. A whole target
+// that rejects is back in its ramp, with a flow for each slot of the share.
 func (w *Window) Rejected(now time.Time) {
 	if w.state == Ramping {
 		w.decrease(now)
+		return
+	}
+	if w.share >= MinShare && w.hold.begin(now) {
+		w.state, w.linear, w.ramp, w.alone = Ramping, true, max(1, w.share), now
 	}
 }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -140,6 +140,9 @@
 	// cold and startedMs are those of the last endpoint; see follow.
 	cold      bool
 	startedMs int64
+	// reportedState and reportedFactor are those of the window in the last StateChange.
+	reportedState  pace.State
+	reportedFactor float64
 }
 
 func (t *targetState) adjustOpen(now time.Time, n int) {
--- a/placement/report.go
+++ b/placement/report.go
@@ -99,6 +99,7 @@
 	}
 	if len(p.services) > 0 && p.view != nil {
 		p.divide(now)
+		p.reportWindows(now)
 		p.measureUtilization(now)
 		p.sumOutcomes()
 	}
--- a/placement/service.go
+++ b/placement/service.go
@@ -130,6 +130,68 @@
 	t.cold, t.startedMs = cold, m.StartedMs
 }
 
+// speedChange is the ratio between two time factors that counts as a change of speed.
+const speedChange = 1.5
+
+// reportWindows queues the state changes of the windows of this host's share.
+func (p *Placer) reportWindows(now time.Time) {
+	for _, s := range p.services {
+		for _, o := range s.own {
+			t := p.targetState(o.target.Cookie, now)
+			f := t.window.TimeFactor(now)
+			if state := t.window.State(); state != t.reportedState {
+				t.reportedState = state
+				change := StateChange{Target: o.target, State: RampEnded, TimeFactor: f}
+				if state == pace.Ramping {
+					change.State = RampBegun
+				}
+				p.queueStateChange(change)
+			}
+			if t.reportedFactor == 0 {
+				t.reportedFactor = 1
+			}
+			if r := f / t.reportedFactor; r > speedChange || r < 1/speedChange {
+				t.reportedFactor = f
+				p.queueStateChange(StateChange{Target: o.target, State: SpeedChanged, TimeFactor: f})
+			}
+		}
+	}
+}
+
+// ServiceStats is the state of a limited service at one host.
+type ServiceStats struct {
+	// Slots is this host's share of the slots, and Limit the number of flows that it may have
+	// open, of which Borrowing beyond its share.
+	Slots, Limit, Borrowing float64
+	// Borrowed is the number of flows that are open beyond the share, and Waiting that of
+	// the openings that wait for a slot.
+	Borrowed, Waiting int
+	// TimeFactors are those of the targets of the share, and Ramping the number of these
+	// whose flows are limited by slow start.
+	TimeFactors map[cornelbay.TargetName]float64
+	Ramping     int
+}
+
+// ServiceStats returns the state of all limited services.
+func (p *Placer) ServiceStats(now time.Time) map[cornelbay.ServiceName]ServiceStats {
+	all := make(map[cornelbay.ServiceName]ServiceStats, len(p.services))
+	for name, s := range p.services {
+		st := ServiceStats{
+			Slots: s.slots, Limit: p.concurrency(now, s), Borrowing: s.borrowing.Limit(s.slots),
+			Borrowed: s.borrowed, Waiting: s.waiting.Len(), TimeFactors: make(map[cornelbay.TargetName]float64, len(s.own)),
+		}
+		for _, o := range s.own {
+			t := p.targetState(o.target.Cookie, now)
+			st.TimeFactors[o.target.Name] = t.window.TimeFactor(now)
+			if t.window.State() == pace.Ramping {
+				st.Ramping++
+			}
+		}
+		all[name] = st
+	}
+	return all
+}
+
 func slotsOf(m *registry.Endpoint) int {
 	if m.Slots <= 0 {
 		return defaultSlots
--- a/placement/suspicion.go
+++ b/placement/suspicion.go
@@ -36,6 +36,9 @@
 	// gets no flows, or how long this host was stalled.
 	Outcome  outlier.Outcome
 	Duration time.Duration
+	// TimeFactor is the time of a request at the target relative to the usual time, for
+	// RampBegun, RampEnded and SpeedChanged.
+	TimeFactor float64
 }
 
 // State is the state that a target, or this host, is believed to be in.
@@ -51,6 +54,12 @@
 	Failing State = "failing"
 	// Slow targets have flows that last longer than those of others.
 	Slow State = "slow"
+	// RampBegun targets are fresh or have recovered, and get more flows with each answer.
+	RampBegun State = "ramp begun"
+	// RampEnded targets get as many flows as others again.
+	RampEnded State = "ramp ended"
+	// SpeedChanged targets have become slower or faster by half, relative to the others.
+	SpeedChanged State = "speed changed"
 	// Stalled is the state of this host after it has not run for Duration. Openings made
 	// before then are no evidence against targets unless they are retransmitted, and flows
 	// that fall silent within 2*idleTimeout after it do not count as failed.
