Borrow near and far slots apart; judge answers after some are known

Cause: a data centre that is short borrowed from its own full targets, whose late answers also stopped it from borrowing in others (466 requests lost in the first half second of a burst in one data centre). Change: one window for slots in the own data centre and one for those of others; single late answers do not narrow them while utilization is low. The mean size of answers counts from the fifth answer on, from all so far.

--- a/placement/admit.go
+++ b/placement/admit.go
@@ -75,9 +75,9 @@
 		p.dispatch(now, s)
 	}
 	if s.waiting.Len() == 0 {
-		m, borrowed, full := p.chooseLimited(now, s)
+		m, from, full := p.chooseLimited(now, s)
 		if m != nil {
-			f.borrowed = borrowed
+			f.borrowed = from
 			return m, nil
 		}
 		if !full {
@@ -120,7 +120,7 @@
 		p.refuse(now, r)
 	}
 	for s.waiting.Len() > 0 {
-		m, borrowed, full := p.chooseLimited(now, s)
+		m, from, full := p.chooseLimited(now, s)
 		if m == nil && !full {
 			var err error
 			if m, err = p.choose(now, s.name, nil); err != nil {
@@ -139,7 +139,7 @@
 		if !f.waiting {
 			continue
 		}
-		f.waiting, f.idle, f.borrowed = false, false, borrowed
+		f.waiting, f.idle, f.borrowed = false, false, from
 		a := Admission{Key: f.key, Opening: f.opening, Target: m, Priority: f.priority, Waited: now.Sub(f.opened)}
 		f.opened, f.lastSeen = now, now
 		p.start(now, f, m)
@@ -236,7 +236,7 @@
 func (p *Placer) recordShortage(now time.Time, s *serviceState) {
 	e := Shortage{
 		Service: s.name, Begins: s.shortage.active, Slots: s.slots, Limit: p.concurrency(now, s),
-		Borrowed: s.borrowed, Usual: p.usualTime(s.name),
+		Borrowed: s.borrowed(), Usual: p.usualTime(s.name),
 	}
 	if !e.Begins {
 		e.Lasted = now.Sub(s.shortage.since)
--- a/placement/flow.go
+++ b/placement/flow.go
@@ -77,8 +77,8 @@
 	// waiting is true while the opening waits for a slot, priority that of its route.
 	waiting  bool
 	priority int
-	// borrowed is true if the flow is open beyond this host's share of the slots.
-	borrowed bool
+	// borrowed is set if the flow is open beyond this host's share of the slots.
+	borrowed *borrowed
 	// contended is true if the request may have waited at the target: other flows were open
 	// there, as many as slots.
 	contended bool
@@ -344,7 +344,7 @@
 		return r
 	}
 	p.markIdle(now, f)
-	f.idle, f.borrowed = false, false
+	f.idle, f.borrowed = false, nil
 	p.assign(now, f, m)
 	p.queueAmbiguous(AmbiguousFlow{Key: f.key, Tried: f.tried})
 	p.counters.Retried++
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -46,13 +46,13 @@
 	if !e.answeredAt.IsZero() {
 		o.TotalDuration = e.answeredAt.Sub(e.begun)
 	}
-	if s, ok := p.services[f.service]; ok {
+	if _, ok := p.services[f.service]; ok {
 		if failed && !e.answeredAt.IsZero() && p.overloaded(f, o.TotalDuration) {
 			p.counters.Rejected++
-			p.recordPace(s, f, 0, false)
+			p.recordPace(f, 0, false)
 			return
 		}
-		p.recordPace(s, f, o.TotalDuration, !failed)
+		p.recordPace(f, o.TotalDuration, !failed)
 	}
 	if failed {
 		o.Failed = 1
@@ -68,19 +68,19 @@
 }
 
 // recordPace tells the limits of a service of the end of a request.
-func (p *Placer) recordPace(s *serviceState, f *Flow, took time.Duration, served bool) {
+func (p *Placer) recordPace(f *Flow, took time.Duration, served bool) {
 	now, usual := f.lastSeen, p.usualRouteTime(f)
 	w := &p.targetState(f.target.Cookie, now).window
 	switch {
-	case served && f.borrowed:
-		s.borrowing.Answered(now, took, usual)
+	case served && f.borrowed != nil:
+		f.borrowed.limit.Answered(now, took, usual)
 	case served:
 		w.Answered(now, took, usual, f.contended)
 		if !f.contended {
 			p.recordUsualTime(f, took)
 		}
-	case f.borrowed:
-		s.borrowing.Rejected(now)
+	case f.borrowed != nil:
+		f.borrowed.limit.Rejected(now)
 	default:
 		w.Rejected(now)
 	}
@@ -114,21 +114,30 @@
 	return p.usualTime(f.service)
 }
 
+// answerSize is the mean size of the answers of a route.
+type answerSize struct {
+	mean    float64
+	answers int
+}
+
+// minSizeSample is the number of answers below which their mean says nothing of the next.
+const minSizeSample = 5
+
 // truncated reports whether the last answer that the caller of a flow has acknowledged is
 // much shorter than the mean of its route.
 func (p *Placer) truncated(f *Flow) bool {
-	if p.meanAnswerBytes == nil {
-		p.meanAnswerBytes = make(map[answerKey]float64)
+	if p.answerSizes == nil {
+		p.answerSizes = make(map[answerKey]answerSize)
 	}
 	key := answerKey{f.key.Destination, f.service}
 	size := float64(f.lastAck - f.exchange.ackedBefore)
-	mean, ok := p.meanAnswerBytes[key]
-	if !ok {
-		p.meanAnswerBytes[key] = size
-		return false
-	}
-	p.meanAnswerBytes[key] = mean + durationWeight*(size-mean)
-	return size < truncatedShare*mean
+	s := p.answerSizes[key]
+	known := s.answers >= minSizeSample
+	mean := s.mean
+	s.answers++
+	s.mean += max(durationWeight, 1/float64(s.answers)) * (size - s.mean)
+	p.answerSizes[key] = s
+	return known && size < truncatedShare*mean
 }
 
 // ejectOutliers ejects the outliers among the targets of each service.
@@ -136,7 +145,7 @@
 	if p.view == nil {
 		return
 	}
-	maps.DeleteFunc(p.meanAnswerBytes, func(k answerKey, _ float64) bool { return p.view.Routes[k.route] == nil })
+	maps.DeleteFunc(p.answerSizes, func(k answerKey, _ answerSize) bool { return p.view.Routes[k.route] == nil })
 	maps.DeleteFunc(p.usualRouteTimes, func(k answerKey, _ time.Duration) bool { return p.view.Routes[k.route] == nil })
 	for name, targets := range p.view.Services {
 		var usable []uint32
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -69,9 +69,9 @@
 	dataCentres   map[cornelbay.DataCentreName]*suspicion
 	meanDurations map[cornelbay.ServiceName]time.Duration
 	coldBuckets   map[uint32]*TokenBucket
-	// meanAnswerBytes is the mean size of the answers of each route and service.
-	meanAnswerBytes map[answerKey]float64
-	outliers        outlier.Detector[uint32]
+	// answerSizes are the mean sizes of the answers of each route and service.
+	answerSizes map[answerKey]answerSize
+	outliers    outlier.Detector[uint32]
 	// services are the limited services, serviceOutcomes the outcomes of their flows at all
 	// targets. sharesStale is true if the shares of the slots have to be divided again.
 	services        map[cornelbay.ServiceName]*serviceState
@@ -242,7 +242,7 @@
 	f.tried = append(f.tried, m.Cookie)
 	f.deadline = now.Add(p.answerTimeout())
 	t := p.targetState(m.Cookie, now)
-	f.contended = f.borrowed || t.open >= slotsOf(m)
+	f.contended = f.borrowed != nil || t.open >= slotsOf(m)
 	p.adjustOpen(now, f, 1)
 	t.counters.Opened++
 }
@@ -250,8 +250,8 @@
 // adjustOpen changes the number of open flows at a flow's target by n.
 func (p *Placer) adjustOpen(now time.Time, f *Flow, n int) {
 	p.targetState(f.target.Cookie, now).adjustOpen(now, n)
-	if s, ok := p.services[f.service]; ok && f.borrowed {
-		s.borrowed += n
+	if f.borrowed != nil {
+		f.borrowed.open += n
 	}
 }
 
--- a/placement/service.go
+++ b/placement/service.go
@@ -27,10 +27,12 @@
 	cold []*registry.Endpoint
 	// utilization is the mean load per slot that is reported for each data centre.
 	utilization map[cornelbay.DataCentreName]float64
-	// borrowing limits borrowed, the number of flows that are open at targets beyond this
-	// host's share.
-	borrowing pace.Borrowing
-	borrowed  int
+	// farUtilization is the lowest of the other data centres.
+	farUtilization float64
+	// borrowedNear and borrowedFar are the flows that are open at targets beyond this host's
+	// share, in the own data centre and in the others. One may be full while the others
+	// have room.
+	borrowedNear, borrowedFar borrowed
 	// waiting are the openings that wait for a slot.
 	waiting  admission.Queue[*Flow]
 	shortage shortage
@@ -38,6 +40,26 @@
 	routesChanged bool
 }
 
+// borrowed are flows that are open beyond this host's share of the slots.
+type borrowed struct {
+	open  int
+	limit pace.Borrowing
+}
+
+// room reports whether one more flow may be opened. slots is this host's share, and
+// utilization the load per slot that is reported of the targets.
+func (b *borrowed) room(slots, utilization float64) bool {
+	limit := b.limit.Limit(slots)
+	if utilization < lowUtilization {
+		limit = max(limit, pace.InitialBorrowing)
+	}
+	return float64(b.open) < limit
+}
+
+// lowUtilization is the load per slot below which single late answers or rejections are no
+// sign of a shortage.
+const lowUtilization = 0.5
+
 // ownTarget is a target of which some slots belong to this host.
 type ownTarget struct {
 	target *registry.Endpoint
@@ -60,7 +82,7 @@
 	}
 	for name, s := range p.services {
 		s.routesChanged = true
-		if _, ok := objectives[name]; !ok && s.waiting.Len() == 0 && s.borrowed == 0 {
+		if _, ok := objectives[name]; !ok && s.waiting.Len() == 0 && s.borrowed() == 0 {
 			delete(p.services, name)
 		}
 	}
@@ -131,7 +153,7 @@
 }
 
 // speedChange is the ratio between two time factors that counts as a change of speed.
-const speedChange = 1.5
+const speedChange = 2
 
 // reportWindows queues the state changes of the windows of this host's share.
 func (p *Placer) reportWindows(now time.Time) {
@@ -177,8 +199,8 @@
 	all := make(map[cornelbay.ServiceName]ServiceStats, len(p.services))
 	for name, s := range p.services {
 		st := ServiceStats{
-			Slots: s.slots, Limit: p.concurrency(now, s), Borrowing: s.borrowing.Limit(s.slots),
-			Borrowed: s.borrowed, Waiting: s.waiting.Len(), TimeFactors: make(map[cornelbay.TargetName]float64, len(s.own)),
+			Slots: s.slots, Limit: p.concurrency(now, s), Borrowing: s.borrowingLimit(),
+			Borrowed: s.borrowed(), Waiting: s.waiting.Len(), TimeFactors: make(map[cornelbay.TargetName]float64, len(s.own)),
 		}
 		for _, o := range s.own {
 			t := p.targetState(o.target.Cookie, now)
@@ -209,8 +231,12 @@
 				slots[m.DataCentre] += float64(slotsOf(m))
 			}
 		}
+		s.farUtilization = 1
 		for dc := range loads {
 			loads[dc] /= slots[dc]
+			if dc != p.DataCentre {
+				s.farUtilization = min(s.farUtilization, loads[dc])
+			}
 		}
 		s.utilization = loads
 	}
@@ -221,10 +247,7 @@
 
 // concurrency returns the number of flows of a service that this host may have open.
 func (p *Placer) concurrency(now time.Time, s *serviceState) float64 {
-	n := 0.0
-	if len(s.near)+len(s.far) > 0 {
-		n = s.borrowing.Limit(s.slots)
-	}
+	n := s.borrowingLimit()
 	for _, o := range s.own {
 		if !p.suspected(o.target) {
 			n += float64(p.limit(o, p.targetState(o.target.Cookie, now)))
@@ -233,6 +256,21 @@
 	return n
 }
 
+// borrowed returns the number of flows that are open beyond this host's share.
+func (s *serviceState) borrowed() int { return s.borrowedNear.open + s.borrowedFar.open }
+
+// borrowingLimit returns the number of flows that may be open beyond this host's share.
+func (s *serviceState) borrowingLimit() float64 {
+	n := 0.0
+	if len(s.near) > 0 {
+		n += s.borrowedNear.limit.Limit(s.slots)
+	}
+	if len(s.far) > 0 {
+		n += s.borrowedFar.limit.Limit(s.slots)
+	}
+	return n
+}
+
 const (
 	// acceptableFactor is the expected time, relative to the usual time, up to which a flow
 	// stays at its host's share, and in its data centre: differences below it are within
@@ -248,46 +286,47 @@
 // chooseLimited returns the target with the shortest expected time for a flow of a limited
 // service: of this host's share in its data centre while that time is acceptable, else of
 // others there, else of other data centres. It answers the load of callers that want more
-// than the slots can serve, and of targets that are not equally fast. borrowed is true for a
-// target beyond this host's share. Without a target, full is true if there are targets but
-// all have as many flows as this host may open.
-func (p *Placer) chooseLimited(now time.Time, s *serviceState) (m *registry.Endpoint, borrowed, full bool) {
+// than the slots can serve, and of targets that are not equally fast. from is nil for a
+// target of this host's share. Without a target, full is true if there are targets but all
+// have as many flows as this host may open.
+func (p *Placer) chooseLimited(now time.Time, s *serviceState) (m *registry.Endpoint, from *borrowed, full bool) {
 	p.choices++
-	own, ownFar, due, full := p.chooseOwn(now, s)
-	if due.target != nil && (own.target == nil || compareCandidates(due, own) < 0) {
+	best, ownFar, due, full := p.chooseOwn(now, s)
+	if due.target != nil && (best.target == nil || compareCandidates(due, best) < 0) {
 		p.startProbe(now, due.target)
-		return due.target, false, false
+		return due.target, nil, false
 	}
 	acceptable := time.Duration(acceptableFactor * float64(p.usualTime(s.name)))
-	best := own
-	if own.target != nil && own.cost <= acceptable {
-		return own.target, false, false
+	if best.target != nil && best.cost <= acceptable {
+		return best.target, nil, false
 	}
-	mayBorrow := float64(s.borrowed) < s.borrowing.Limit(s.slots)
-	if mayBorrow {
-		for _, c := range p.sample(now, s, s.near) {
-			keepBest(&best, c)
+	borrow := func(b *borrowed, list []*registry.Endpoint, utilization float64) {
+		if len(list) == 0 {
+			return
 		}
-	} else if len(s.near)+len(s.far) > 0 {
-		full = true
-	}
-	if best.target == nil || best.cost > acceptable {
-		if ownFar.target != nil {
-			keepBest(&best, ownFar)
+		if !b.room(s.slots, utilization) {
+			full = true
+			return
 		}
-		if mayBorrow {
-			for _, c := range p.sample(now, s, s.far) {
-				keepBest(&best, c)
+		for _, c := range p.sample(now, s, list) {
+			if best.target == nil || compareCandidates(c, best) < 0 {
+				best, from = c, b
 			}
 		}
 	}
+	borrow(&s.borrowedNear, s.near, s.utilization[p.DataCentre])
+	if best.target == nil || best.cost > acceptable {
+		if ownFar.target != nil && (best.target == nil || compareCandidates(ownFar, best) < 0) {
+			best, from = ownFar, nil
+		}
+		borrow(&s.borrowedFar, s.far, s.farUtilization)
+	}
 	if best.target == nil || best.cost > 2*acceptable {
 		if m := p.takeCold(now, s); m != nil {
-			return m, false, false
+			return m, nil, false
 		}
 	}
-	borrowed = best.target != nil && best.target != own.target && best.target != ownFar.target
-	return best.target, borrowed, best.target == nil && full
+	return best.target, from, best.target == nil && full
 }
 
 // chooseOwn returns the best targets of this host's share that may get a flow, in its data
