Test that late answers do not narrow an idle service

Change: the test sets the load; another one covers the idle service. Measured: the tests of package placement pass.

--- a/placement/admit_test.go
+++ b/placement/admit_test.go
@@ -308,6 +308,7 @@
 	for range 20 {
 		s.borrowedNear.limit.Rejected(start) // others fill the near targets
 	}
+	s.utilization = map[cornelbay.DataCentreName]float64{"near": 0.9}
 	got := make(map[cornelbay.DataCentreName]int)
 	for i := range fill(t, p, start) {
 		got[p.flows[key(1000+i)].target.DataCentre]++
@@ -315,3 +316,17 @@
 	is.True(got["near"] <= 5)
 	is.Equal(got["far"], pace.InitialBorrowing)
 }
+
+// TestLateAnswersDoNotNarrowAnIdleService guards against openings that wait although most slots
+// are free.
+func TestLateAnswersDoNotNarrowAnIdleService(t *testing.T) {
+	is := is.New(t)
+	v := limited(warmTarget(1, "near"), warmTarget(2, "near"))
+	v.Hosts = append(v.Hosts, registry.Host{Name: "other", DataCentre: "near"})
+	p := placer(v)
+	p.divide(start)
+	for range 20 {
+		p.services[service].borrowedNear.limit.Rejected(start)
+	}
+	is.Equal(fill(t, p, start), 4+pace.InitialBorrowing)
+}
