Keep the least loaded target in small fleets with free slots

Cause: in a fleet of 7 to 10 hosts shares sent flows to other data centres that reports, 150 ms old, show to be needless: 0.015 GB between data centres in place of 0.006, and 47 requests lost in a cut in place of 7. Change: up to 13 hosts, a service whose targets have free slots by the reports is placed as before; shares take over in a shortage.

--- a/placement/admit_test.go
+++ b/placement/admit_test.go
@@ -40,6 +40,13 @@
 	return v
 }
 
+// short makes a placer of a small fleet use its share of the slots, as in a shortage and as
+// those of a large fleet do.
+func short(p *Placer) {
+	s := p.services[service]
+	s.shortage.active, s.shortage.lastWait = true, start
+}
+
 // fill opens flows until one has to wait, and returns their number.
 func fill(t *testing.T, p *Placer, now time.Time) int {
 	t.Helper()
@@ -169,6 +176,7 @@
 			v.Hosts = append(v.Hosts, registry.Host{Name: name, DataCentre: "near"})
 		}
 		p.SetView(v)
+		short(p)
 		for port := range 4 {
 			cookie := open(t, p, start, port)
 			is.True(used[cookie] == "" || used[cookie] == self)
@@ -185,6 +193,7 @@
 	v := limited(warmTarget(1, "near"), warmTarget(2, "near"))
 	v.Hosts = append(v.Hosts, registry.Host{Name: "other", DataCentre: "near"})
 	p := placer(v)
+	short(p)
 	n := fill(t, p, start)
 	s := p.services[service]
 	is.Equal(s.borrowed(), pace.InitialBorrowing)
@@ -250,6 +259,7 @@
 func TestRecoveredTargetStartsSlowly(t *testing.T) {
 	is := is.New(t)
 	p := placer(limited(warmTarget(1, "near"), warmTarget(2, "near")))
+	short(p)
 	p.divide(start)
 	p.suspect(start, p.view.Cookies[1], start)
 	p.clearSuspicion(start.Add(time.Second), 1)
@@ -303,6 +313,7 @@
 	v.Hosts = append(v.Hosts, registry.Host{Name: "other", DataCentre: "near"}, registry.Host{Name: "distant", DataCentre: "far"},
 		registry.Host{Name: "remote", DataCentre: "far"})
 	p := placer(v)
+	short(p)
 	p.divide(start)
 	s := p.services[service]
 	for range 20 {
@@ -324,9 +335,23 @@
 	v := limited(warmTarget(1, "near"), warmTarget(2, "near"))
 	v.Hosts = append(v.Hosts, registry.Host{Name: "other", DataCentre: "near"})
 	p := placer(v)
+	short(p)
 	p.divide(start)
 	for range 20 {
 		p.services[service].borrowedNear.limit.Rejected(start)
 	}
 	is.Equal(fill(t, p, start), 4+pace.InitialBorrowing)
 }
+
+// TestSmallFleetUsesTheLeastLoadedTarget guards against a change for small fleets whose targets
+// have free slots.
+func TestSmallFleetUsesTheLeastLoadedTarget(t *testing.T) {
+	is := is.New(t)
+	v := limited(warmTarget(1, "near"), warmTarget(2, "near"))
+	v.Hosts = append(v.Hosts, registry.Host{Name: "other", DataCentre: "near"})
+	p := placer(v)
+	p.divide(start)
+	own := p.services[service].own[0].target.Cookie
+	p.MergeReport("other", Report{At: start, Loads: map[uint32]float64{own: 1}})
+	is.Equal(open(t, p, start, 1), 3-own)
+}
--- a/placement/service.go
+++ b/placement/service.go
@@ -290,6 +290,12 @@
 // target of this host's share. Without a target, full is true if there are targets but all
 // have as many flows as this host may open.
 func (p *Placer) chooseLimited(now time.Time, s *serviceState) (m *registry.Endpoint, from *borrowed, full bool) {
+	if len(p.view.Hosts) <= leastLoadedLimit && !s.shortage.active && p.hasFreeSlot(now, s) {
+		m, err := p.choose(now, s.name, nil)
+		if err == nil {
+			return m, nil, false
+		}
+	}
 	p.choices++
 	best, ownFar, due, full := p.chooseOwn(now, s)
 	if due.target != nil && (best.target == nil || compareCandidates(due, best) < 0) {
@@ -329,6 +335,21 @@
 	return best.target, from, best.target == nil && full
 }
 
+// hasFreeSlot reports whether a target has a free slot, as far as reports tell. The hosts of a
+// small fleet report so often that the least loaded target is the better choice while there
+// is one.
+func (p *Placer) hasFreeSlot(now time.Time, s *serviceState) bool {
+	for _, m := range p.view.Services[s.name] {
+		if !m.Usable(now) || now.Before(m.ColdUntil) || p.suspected(m) || p.ejected(now, m) {
+			continue
+		}
+		if p.load(now, m.Cookie)+1 <= float64(slotsOf(m)) {
+			return true
+		}
+	}
+	return false
+}
+
 // chooseOwn returns the best targets of this host's share that may get a flow, in its data
 // centre and in the others, and the best suspected one that is due for a probe. full is true
 // if one has as many flows as this host may open.
