Keep usual times through a shortage; judge borrowed flows by their mean time

Change: usual times are learned outside of shortages, from running means. Borrowing shrinks when the smoothed time of borrowed flows passes twice the usual one; one long request alone does not count.

--- a/pace/borrowing.go
+++ b/pace/borrowing.go
@@ -19,9 +19,19 @@
 // it doubles: what was full then says nothing of the slots that are free now.
 const probingTime = time.Second
 
+const (
+	// lateMean is the mean time of borrowed flows, relative to the usual time, that shows that
+	// the slots are taken: the hosts whose share they are keep FlowsPerSlot flows at each.
+	lateMean = 2
+	// meanWeight is the weight of a new sample in that mean, and maxLateness bounds the
+	// sample, so that one long request alone does not count as late.
+	meanWeight  = 0.25
+	maxLateness = 4
+)
+
 // Borrowing is the limit of a host's flows at all targets outside its share of a service:
-// slow start, then additive increase and multiplicative decrease. Its zero value allows InitialBorrowing flows.
-// It is not safe for concurrent use.
+// slow start, then additive increase and multiplicative decrease. Its zero value allows
+// InitialBorrowing flows. It is not safe for concurrent use.
 type Borrowing struct {
 	// limit is 0 before the first change.
 	limit, floor float64
@@ -32,6 +42,8 @@
 	// is the time that requests answered in time in this round have taken.
 	roundFrom time.Time
 	busy      time.Duration
+	// excess is the smoothed time of answers relative to the usual time, less 1.
+	excess float64
 }
 
 // Limit returns the number of borrowed flows. It is never below floor, the host's own share
@@ -55,9 +67,12 @@
 	if usual > 0 {
 		b.hold.usual = usual
 	}
-	if usual > 0 && took > tooLate*usual {
-		b.Rejected(now)
-		return
+	if usual > 0 {
+		b.excess += meanWeight * (min(float64(took)/float64(usual), maxLateness) - 1 - b.excess)
+		if 1+b.excess > lateMean {
+			b.Rejected(now)
+			return
+		}
 	}
 	if b.hold.active(now) {
 		return
@@ -85,7 +100,7 @@
 // Rejected records that a borrowed flow was rejected, cut short or never answered.
 func (b *Borrowing) Rejected(now time.Time) {
 	if b.hold.begin(now) {
-		b.limit, b.decreasedAt = max(b.current()/2, b.floor, minBorrowing), now
+		b.limit, b.decreasedAt, b.excess = max(b.current()/2, b.floor, minBorrowing), now, 0
 		b.roundFrom, b.busy = b.hold.until, 0
 	}
 }
--- a/pace/borrowing_test.go
+++ b/pace/borrowing_test.go
@@ -96,18 +96,20 @@
 	}
 }
 
-// TestAnswersBetweenKeepBorrowing guards against growth, or a decrease, by answers that are
-// neither in time nor too late.
-func TestAnswersBetweenKeepBorrowing(t *testing.T) {
+// TestLateAnswersShrinkBorrowing guards against flows that go on to targets whose slots are
+// taken, where all hosts wait for each other, and against a decrease for one long request.
+func TestLateAnswersShrinkBorrowing(t *testing.T) {
 	is := is.New(t)
 	var b Borrowing
+	b.Answered(start, 50*usual, usual)
+	is.Equal(b.Limit(1), float64(InitialBorrowing))
 	for i := range 50 {
 		now := start.Add(time.Duration(i) * usual)
 		for range int(b.Limit(1)) {
 			b.Answered(now, 3*usual, usual)
 		}
 	}
-	is.Equal(b.Limit(1), float64(InitialBorrowing))
+	is.Equal(b.Limit(1), 1.0)
 }
 
 // TestUnusedBorrowingDoesNotGrow guards against a limit that grew by the answers of a light
--- a/placement/admit_test.go
+++ b/placement/admit_test.go
@@ -199,7 +199,7 @@
 	is.Equal(s.borrowed(), pace.InitialBorrowing)
 	is.Equal(n, 4+pace.InitialBorrowing)
 	p.Admissions()
-	p.answerSizes = map[answerKey]answerSize{{key(0).Destination, service}: usualSize}
+	p.answerSizes = map[answerKey]runningMean{{key(0).Destination, service}: usualSize}
 	now := start.Add(time.Second / 10)
 	for i := range n {
 		f := p.flows[key(1000+i)]
@@ -221,7 +221,7 @@
 func TestEarlyErrorIsAFailure(t *testing.T) {
 	is := is.New(t)
 	p := placer(limited(warmTarget(1, "near")))
-	p.answerSizes = map[answerKey]answerSize{{key(0).Destination, service}: usualSize}
+	p.answerSizes = map[answerKey]runningMean{{key(0).Destination, service}: usualSize}
 	open(t, p, start, 1)
 	now := start.Add(5 * time.Millisecond)
 	p.RoutePacket(start, key(1), Segment{Cookie: 1, Acknowledged: 1})
@@ -355,3 +355,20 @@
 	p.MergeReport("other", Report{At: start, Loads: map[uint32]float64{own: 1}})
 	is.Equal(open(t, p, start, 1), 3-own)
 }
+
+// TestUsualTimeIsKeptInAShortage guards against waiting times in a shortage that pass for the
+// usual time, so that late answers no longer show that the slots are taken.
+func TestUsualTimeIsKeptInAShortage(t *testing.T) {
+	is := is.New(t)
+	p := placer(limited(warmTarget(1, "near")))
+	f := &Flow{key: key(1), service: service}
+	for range minUsualSample {
+		p.recordUsualTime(f, 20*time.Millisecond)
+	}
+	short(p)
+	for range 100 {
+		p.recordUsualTime(f, 80*time.Millisecond)
+	}
+	is.Equal(p.usualRouteTime(f), 20*time.Millisecond)
+	is.Equal(p.usualTime(service), 20*time.Millisecond)
+}
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -75,7 +75,7 @@
 	case served && f.borrowed != nil:
 		f.borrowed.limit.Answered(now, took, usual)
 	case served:
-		w.Answered(now, took, usual, f.contended)
+		w.Answered(now, took, usual, f.contended || p.services[f.service].shortage.active)
 		if !f.contended {
 			p.recordUsualTime(f, took)
 		}
@@ -86,40 +86,40 @@
 	}
 }
 
+// minUsualSample is the number of requests from which the usual time of a route is known well
+// enough to be kept through a shortage, in which requests wait for those of other hosts.
+const minUsualSample = 16
+
 // recordUsualTime updates the usual times by a request that did not wait at its target.
 func (p *Placer) recordUsualTime(f *Flow, took time.Duration) {
+	key := answerKey{f.key.Destination, f.service}
+	if p.services[f.service].shortage.active && p.usualRouteTimes[key].samples >= minUsualSample {
+		return
+	}
 	if p.usualTimes == nil {
-		p.usualTimes = make(map[cornelbay.ServiceName]time.Duration)
-		p.usualRouteTimes = make(map[answerKey]time.Duration)
+		p.usualTimes = make(map[cornelbay.ServiceName]runningMean)
+		p.usualRouteTimes = make(map[answerKey]runningMean)
 	}
-	usual := p.usualTime(f.service)
-	p.usualTimes[f.service] = usual + time.Duration(durationWeight*float64(took-usual))
-	usual = p.usualRouteTime(f)
-	p.usualRouteTimes[answerKey{f.key.Destination, f.service}] = usual + time.Duration(durationWeight*float64(took-usual))
+	p.usualTimes[f.service] = p.usualTimes[f.service].plus(float64(took))
+	p.usualRouteTimes[key] = p.usualRouteTimes[key].plus(float64(took))
 }
 
 // usualTime returns the mean time of a request of a service that does not wait at its target.
 func (p *Placer) usualTime(service cornelbay.ServiceName) time.Duration {
-	if d, ok := p.usualTimes[service]; ok {
-		return d
+	if m := p.usualTimes[service]; m.samples > 0 {
+		return time.Duration(m.value)
 	}
 	return initialDuration
 }
 
 // usualRouteTime returns the mean time of a request on a flow's route that does not wait.
 func (p *Placer) usualRouteTime(f *Flow) time.Duration {
-	if d, ok := p.usualRouteTimes[answerKey{f.key.Destination, f.service}]; ok {
-		return d
+	if m := p.usualRouteTimes[answerKey{f.key.Destination, f.service}]; m.samples > 0 {
+		return time.Duration(m.value)
 	}
 	return p.usualTime(f.service)
 }
 
-// answerSize is the mean size of the answers of a route.
-type answerSize struct {
-	mean    float64
-	answers int
-}
-
 // minSizeSample is the number of answers below which their mean says nothing of the next.
 const minSizeSample = 5
 
@@ -127,17 +127,26 @@
 // much shorter than the mean of its route.
 func (p *Placer) truncated(f *Flow) bool {
 	if p.answerSizes == nil {
-		p.answerSizes = make(map[answerKey]answerSize)
+		p.answerSizes = make(map[answerKey]runningMean)
 	}
 	key := answerKey{f.key.Destination, f.service}
 	size := float64(f.lastAck - f.exchange.ackedBefore)
-	s := p.answerSizes[key]
-	known := s.answers >= minSizeSample
-	mean := s.mean
-	s.answers++
-	s.mean += max(durationWeight, 1/float64(s.answers)) * (size - s.mean)
-	p.answerSizes[key] = s
-	return known && size < truncatedShare*mean
+	m := p.answerSizes[key]
+	p.answerSizes[key] = m.plus(size)
+	return m.samples >= minSizeSample && size < truncatedShare*m.value
+}
+
+// runningMean is the mean of the first samples, and then an exponentially weighted moving
+// average. Its zero value has no samples.
+type runningMean struct {
+	value   float64
+	samples int
+}
+
+func (m runningMean) plus(x float64) runningMean {
+	m.samples++
+	m.value += max(durationWeight, 1/float64(m.samples)) * (x - m.value)
+	return m
 }
 
 // ejectOutliers ejects the outliers among the targets of each service.
@@ -145,8 +154,8 @@
 	if p.view == nil {
 		return
 	}
-	maps.DeleteFunc(p.answerSizes, func(k answerKey, _ answerSize) bool { return p.view.Routes[k.route] == nil })
-	maps.DeleteFunc(p.usualRouteTimes, func(k answerKey, _ time.Duration) bool { return p.view.Routes[k.route] == nil })
+	maps.DeleteFunc(p.answerSizes, func(k answerKey, _ runningMean) bool { return p.view.Routes[k.route] == nil })
+	maps.DeleteFunc(p.usualRouteTimes, func(k answerKey, _ runningMean) bool { return p.view.Routes[k.route] == nil })
 	for name, targets := range p.view.Services {
 		var usable []uint32
 		for _, m := range targets {
--- a/placement/outcome_test.go
+++ b/placement/outcome_test.go
@@ -67,7 +67,7 @@
 }
 
 // usualSize is that of answers of 2,000 bytes, of which there were many.
-var usualSize = answerSize{mean: 2000, answers: 100}
+var usualSize = runningMean{value: 2000, samples: 100}
 
 // TestWhatCountsAsFailed runs single flows at a target whose answers have 2,000 bytes.
 func TestWhatCountsAsFailed(t *testing.T) {
@@ -102,11 +102,11 @@
 		t.Run(c.title, func(t *testing.T) {
 			is := is.New(t)
 			p := placer(eightTargets())
-			p.answerSizes = map[answerKey]answerSize{{key(1).Destination, service}: usualSize}
+			p.answerSizes = map[answerKey]runningMean{{key(1).Destination, service}: usualSize}
 			cookie := open(t, p, start, 1)
 			p.RoutePacket(start.Add(5*time.Millisecond), key(1), Segment{Cookie: cookie, Acknowledged: 1})
 			c.play(p, key(1), cookie)
-			is.True(p.answerSizes[answerKey{key(1).Destination, service}].mean <= 2000)
+			is.True(p.answerSizes[answerKey{key(1).Destination, service}].value <= 2000)
 			is.Equal(p.Report(start.Add(2*time.Second), start).Outcomes[cookie], c.want)
 		})
 	}
@@ -158,9 +158,9 @@
 	p := placer(eightTargets())
 	p.view.Routes = map[netip.AddrPort]*registry.Route{key(1).Destination: {}}
 	gone := netip.MustParseAddrPort("198.18.0.9:443")
-	p.answerSizes = map[answerKey]answerSize{{key(1).Destination, service}: usualSize, {gone, service}: usualSize}
+	p.answerSizes = map[answerKey]runningMean{{key(1).Destination, service}: usualSize, {gone, service}: usualSize}
 	p.Report(start, start)
-	is.Equal(p.answerSizes, map[answerKey]answerSize{{key(1).Destination, service}: usualSize})
+	is.Equal(p.answerSizes, map[answerKey]runningMean{{key(1).Destination, service}: usualSize})
 }
 
 // longFlow opens a flow and plays a number of requests on it, each answered with 2000 bytes
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -70,7 +70,7 @@
 	meanDurations map[cornelbay.ServiceName]time.Duration
 	coldBuckets   map[uint32]*TokenBucket
 	// answerSizes are the mean sizes of the answers of each route and service.
-	answerSizes map[answerKey]answerSize
+	answerSizes map[answerKey]runningMean
 	outliers    outlier.Detector[uint32]
 	// services are the limited services, serviceOutcomes the outcomes of their flows at all
 	// targets. sharesStale is true if the shares of the slots have to be divided again.
@@ -79,8 +79,8 @@
 	sharesStale     bool
 	// usualTimes are the mean times of requests that did not wait at their targets, by
 	// service and by route.
-	usualTimes      map[cornelbay.ServiceName]time.Duration
-	usualRouteTimes map[answerKey]time.Duration
+	usualTimes      map[cornelbay.ServiceName]runningMean
+	usualRouteTimes map[answerKey]runningMean
 	// stalledAt is when this host last resumed after a stall.
 	stalledAt time.Time
 	// roundTrip is the smoothed time from an opening to the caller's next packet, of flows
