Keep full targets in use in a shortage

Cause: in a shortage targets that rejected 9 of 106 requests were ejected as failing, and each rejection halved the limit of a target of the own share. Change: while a service is short, or nearly all slots of a data centre are reported taken, only targets that fail more than a quarter are ejected; a rejection puts a whole target to one flow per slot for some answers.

--- a/outlier/outlier.go
+++ b/outlier/outlier.go
@@ -20,6 +20,9 @@
 	// rate of the others by failureDeviations standard deviations plus failureSlack.
 	failureDeviations = 3
 	failureSlack      = 2
+	// shortFailedShare is the fraction of its flows that a target of a service that is short
+	// of slots has to fail to be ejected.
+	shortFailedShare = 0.25
 	// A target is also an outlier if its flows, of which there are at least minSlowSample,
 	// last more than slowFactor times as long as those of the others, and more than
 	// slowExcess longer.
@@ -195,16 +198,17 @@
 
 // Eject ejects the outliers among the targets of one service and returns the ejections.
 func (d *Detector[K]) Eject(now time.Time, targets []K) []Ejection[K] {
-	return d.eject(now, targets, true)
+	return d.eject(now, targets, false)
 }
 
-// EjectFailing ejects only those outliers whose flows fail. A service that is short of slots
-// needs those of its slow targets too.
+// EjectFailing ejects only those outliers that fail a large part of their flows. A service
+// that is short of slots needs those of its slow targets too, and full targets reject some
+// requests.
 func (d *Detector[K]) EjectFailing(now time.Time, targets []K) []Ejection[K] {
-	return d.eject(now, targets, false)
+	return d.eject(now, targets, true)
 }
 
-func (d *Detector[K]) eject(now time.Time, targets []K, slow bool) []Ejection[K] {
+func (d *Detector[K]) eject(now time.Time, targets []K, short bool) []Ejection[K] {
 	var all Outcome
 	ejected := 0
 	for _, t := range targets {
@@ -226,7 +230,11 @@
 			continue
 		}
 		failing := r.allHosts.isFailing(others)
-		if !failing && !(slow && r.allHosts.isSlow(others)) {
+		slow := r.allHosts.isSlow(others)
+		if short {
+			failing, slow = failing && r.allHosts.Failed > shortFailedShare*r.allHosts.Ended, false
+		}
+		if !failing && !slow {
 			continue
 		}
 		e := Ejection[K]{Target: t, Failing: failing, Outcome: r.allHosts}
--- a/outlier/outlier_test.go
+++ b/outlier/outlier_test.go
@@ -137,3 +137,36 @@
 	d.Report(start.Add(2*ReportInterval), func(name string) bool { return name == "b" })
 	is.Equal(len(d.records), 1) // the other was forgotten
 }
+
+// TestShortServiceKeepsSlowAndFullTargets guards against ejections that take slots away from a
+// service that is short of them: of targets that are slow, or that reject a part of their
+// requests because they are full.
+func TestShortServiceKeepsSlowAndFullTargets(t *testing.T) {
+	usual := Outcome{Ended: 100, TotalDuration: 100 * 20 * time.Millisecond}
+	for _, c := range []struct {
+		name               string
+		outcome            Outcome
+		ejected, whenShort bool
+	}{
+		{"usual", usual, false, false},
+		{"slow", Outcome{Ended: 100, TotalDuration: 100 * 200 * time.Millisecond}, true, false},
+		{"full", Outcome{Ended: 100, Failed: 10, TotalDuration: usual.TotalDuration}, true, false},
+		{"failing", Outcome{Ended: 100, Failed: 40, TotalDuration: usual.TotalDuration}, true, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			for _, short := range []bool{false, true} {
+				all := map[string]Outcome{names[0]: c.outcome}
+				for _, name := range names[1:] {
+					all[name] = usual
+				}
+				d := detectorWith(all)
+				if short {
+					is.Equal(len(d.EjectFailing(start, names)) > 0, c.whenShort)
+				} else {
+					is.Equal(len(d.Eject(start, names)) > 0, c.ejected)
+				}
+			}
+		})
+	}
+}
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -2,7 +2,10 @@
 // their answers: a Window at one target of the host's share, Borrowing at all others.
 package pace
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Limits of a whole target.
 const (
@@ -12,6 +15,9 @@
 	// rampFlowsPerSlot is the limit at which a ramp ends. Below FlowsPerSlot, requests that
 	// wait for each other are still answered in time.
 	rampFlowsPerSlot = 1.5
+	// cautiousAnswers is the number of answers per slot after a rejection in which a whole
+	// target gets one flow per slot.
+	cautiousAnswers = 4
 	// MinShare is the smallest share, in slots, that allows flows.
 	MinShare = 0.05
 )
@@ -53,7 +59,10 @@
 	// round instead of doubling.
 	linear bool
 	hold   hold
-	factor timeFactor
+	// cautious is the number of answers after a rejection until a whole target gets
+	// FlowsPerSlot again.
+	cautious int
+	factor   timeFactor
 	// restarted is the time of the last Restart. Before alone, flows of this host may have
 	// waited for each other.
 	restarted, alone time.Time
@@ -70,6 +79,9 @@
 	case w.state == Ramping:
 		return min(w.ramp, rampLimit(share))
 	}
+	if w.cautious > 0 {
+		return max(1, share)
+	}
 	return wholeLimit(share)
 }
 
@@ -100,6 +112,7 @@
 		w.factor.add(now, float64(took)/float64(usual))
 	}
 	if w.state == Whole {
+		w.cautious = max(0, w.cautious-1)
 		return
 	}
 	switch {
@@ -138,16 +151,15 @@
 	}
 }
 
-// Rejected records that a request was rejected, cut short or never answered. A whole target
-// that rejects is back in its ramp, with a flow for each slot of the share.
+// Rejected records that a request was rejected, cut short or never answered. It halves the
+// limit of a ramping target, and puts a whole one, whose queue others fill, to a flow for
+// each slot until some more requests have been answered.
 func (w *Window) Rejected(now time.Time) {
 	if w.state == Ramping {
 		w.decrease(now)
 		return
 	}
-	if w.share >= MinShare && w.hold.begin(now) {
-		w.state, w.linear, w.ramp, w.alone = Ramping, true, max(1, w.share), now
-	}
+	w.cautious = int(math.Ceil(cautiousAnswers * w.share))
 }
 
 // Restart records that the target is newly started or recovered: begin with one flow.
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -164,7 +164,7 @@
 			}
 		}
 		eject := p.outliers.Eject
-		if s, ok := p.services[name]; ok && s.shortage.active {
+		if s, ok := p.services[name]; ok && s.isShort() {
 			eject = p.outliers.EjectFailing
 		}
 		for _, e := range eject(now, usable) {
--- a/placement/service.go
+++ b/placement/service.go
@@ -256,6 +256,23 @@
 	return n
 }
 
+// isShort reports whether openings wait at this host, or may wait at others as nearly all
+// slots of a data centre are reported to be taken.
+func (s *serviceState) isShort() bool {
+	if s.shortage.active {
+		return true
+	}
+	for _, u := range s.utilization {
+		if u > shortUtilization {
+			return true
+		}
+	}
+	return false
+}
+
+// shortUtilization is the load per slot from which targets may be full.
+const shortUtilization = 0.9
+
 // borrowed returns the number of flows that are open beyond this host's share.
 func (s *serviceState) borrowed() int { return s.borrowedNear.open + s.borrowedFar.open }
 
