Choose targets of waiting openings from the current view

Cause: after a change of the view only a new opening updated the lists of targets. Until then waiting openings were sent to targets of the view before, also to those that drain or have ended. Change: dispatch updates the lists if the view has changed. Result: TestWaitingOpeningIsNotSentToAFormerTarget, which failed, passes; TestDroppedRouteResetsWaitingOpenings no longer needs to divide the slots itself.

--- a/placement/admit.go
+++ b/placement/admit.go
@@ -116,6 +116,9 @@
 // dispatch opens the flows of waiting openings while there is room for them, and refuses
 // those that have waited for too long.
 func (p *Placer) dispatch(now time.Time, s *serviceState) {
+	if s.listsOf != p.view {
+		p.divide(now, s)
+	}
 	if s.routesChanged {
 		s.routesChanged = false
 		p.refuseAll(now, NoRoute, s.waiting.Remove(func(f *Flow) bool { return p.view.Routes[f.key.Destination] == nil }))
--- a/placement/admit_test.go
+++ b/placement/admit_test.go
@@ -147,7 +147,6 @@
 		v := limited(warmTarget(1, "near"))
 		c.change(v)
 		p.SetView(v)
-		p.divide(start, p.services[service])
 		p.Tick(start.Add(10 * time.Millisecond))
 		is.Equal(reasons(p.Admissions()), map[admission.Reason]int{c.reason: 1}) // c.name
 	}
