Dispatch after each event that frees room, and only then

On the other hand each packet of a service compared all targets of the share while any opening waited. Change: ending a flow's load, recording its outcome and clearing a suspicion mark the service, and packets and announcements dispatch marked services. Result: TestSlotOfASilentFlowIsUsedAtOnce and TestSlotOfAFlowThatAnotherHostHasIsUsedAtOnce, which failed, pass.

--- a/placement/admit.go
+++ b/placement/admit.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -58,7 +59,7 @@
 // Waiting returns the number of openings that wait for a slot.
 func (p *Placer) Waiting() int {
 	n := 0
-	for _, s := range p.services {
+	for _, s := range p.short {
 		n += s.waiting.Len()
 	}
 	return n
@@ -116,6 +117,7 @@
 // dispatch opens the flows of waiting openings while there is room for them, and refuses
 // those that have waited for too long.
 func (p *Placer) dispatch(now time.Time, s *serviceState) {
+	s.freed = false
 	if s.listsOf != p.view {
 		p.divide(now, s)
 	}
@@ -155,14 +157,24 @@
 	}
 }
 
-// dispatchAll dispatches the waiting openings of all services.
+// dispatchFreed dispatches the waiting openings for which there may be room.
+func (p *Placer) dispatchFreed(now time.Time) {
+	for _, s := range p.short {
+		if s.freed && s.waiting.Len() > 0 {
+			p.dispatch(now, s)
+		}
+	}
+}
+
+// dispatchAll dispatches the waiting openings of all services, and ends shortages.
 func (p *Placer) dispatchAll(now time.Time) {
-	for _, s := range p.services {
+	for _, s := range p.short {
 		if s.waiting.Len() > 0 {
 			p.dispatch(now, s)
 		}
 		p.checkShortage(now, s)
 	}
+	p.short = slices.DeleteFunc(p.short, func(s *serviceState) bool { return !s.shortage.active })
 }
 
 // refuse forgets an opening that waited. No target has got it.
@@ -221,6 +233,7 @@
 	s.shortage.lastWait = now
 	if !s.shortage.active {
 		s.shortage.active, s.shortage.since = true, now
+		p.short = append(p.short, s)
 		p.counters.Shortages++
 		p.recordShortage(now, s)
 	}
@@ -228,9 +241,6 @@
 
 // checkShortage ends a shortage when no opening has waited for a while.
 func (p *Placer) checkShortage(now time.Time, s *serviceState) {
-	if !s.shortage.active {
-		return
-	}
 	if s.waiting.Len() > 0 {
 		s.shortage.lastWait = now
 	}
--- a/placement/ambiguous.go
+++ b/placement/ambiguous.go
@@ -60,6 +60,7 @@
 	switch {
 	case a.Chosen != 0 && !f.answered:
 		p.resolve(now, f, a.Chosen)
+		p.dispatchFreed(now)
 	case a.Chosen == 0 && f.answered:
 		// The routers sent the flow here: only this host knows which target has it.
 		p.queueAmbiguous(AmbiguousFlow{Key: f.key, Tried: f.tried, Chosen: f.target.Cookie})
--- a/placement/dispatch_test.go
+++ b/placement/dispatch_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -40,3 +41,45 @@
 	serve(p, now, flowsAt(p, 2)[0])
 	is.Equal(len(p.Admissions()), 1)
 }
+
+// TestSlotOfASilentFlowIsUsedAtOnce guards against a slot that stays free until the next tick.
+func TestSlotOfASilentFlowIsUsedAtOnce(t *testing.T) {
+	is := is.New(t)
+	p := placer(limited(warmTarget(1, "near")))
+	n := fill(t, p, start)
+	for i := range n {
+		p.RoutePacket(start, key(1000+i), Segment{Cookie: 1, Acknowledged: 1})
+	}
+	now := start
+	for now.Sub(start) <= idleTimeout {
+		now = now.Add(10 * time.Millisecond)
+		p.Tick(now)
+	}
+	p.Admissions()
+	_, err := p.Open(now, key(1), service, nil, false)
+	is.NoErr(err)
+	// The same with an opening that waits when the flows fall silent.
+	p = placer(limited(warmTarget(1, "near")))
+	fill(t, p, start)
+	for i := range n {
+		p.RoutePacket(start, key(1000+i), Segment{Cookie: 1, Acknowledged: 1})
+	}
+	now = start.Add(idleTimeout - 5*time.Millisecond)
+	p.Tick(now)
+	p.Admissions()
+	_, err = p.Open(now, key(2), service, nil, false)
+	is.True(errors.Is(err, ErrWaiting))
+	p.sweptAt = start
+	p.Tick(now.Add(10 * time.Millisecond))
+	is.Equal(len(p.Admissions()), 1)
+}
+
+// TestSlotOfAFlowThatAnotherHostHasIsUsedAtOnce guards against a slot that stays free although
+// another host has announced that its flow went to another target.
+func TestSlotOfAFlowThatAnotherHostHasIsUsedAtOnce(t *testing.T) {
+	is := is.New(t)
+	p := placer(limited(warmTarget(1, "near")))
+	fill(t, p, start)
+	p.MergeAmbiguousFlow(start, AmbiguousFlow{Key: key(1000), Tried: []uint32{1, 9}, Chosen: 9})
+	is.Equal(len(p.Admissions()), 1)
+}
--- a/placement/flow.go
+++ b/placement/flow.go
@@ -129,6 +129,12 @@
 // such packet decides which of them has the flow: a late answer of another target must not
 // move it.
 func (p *Placer) RoutePacket(now time.Time, key cornelbay.FlowKey, s Segment) uint32 {
+	cookie := p.routePacket(now, key, s)
+	p.dispatchFreed(now)
+	return cookie
+}
+
+func (p *Placer) routePacket(now time.Time, key cornelbay.FlowKey, s Segment) uint32 {
 	p.lastProgress = now
 	f, ok := p.flows[key]
 	if !ok {
@@ -157,9 +163,6 @@
 	if s.Finishing {
 		p.close(now, f)
 	}
-	if waits, ok := p.services[f.service]; ok && waits.waiting.Len() > 0 {
-		p.dispatch(now, waits)
-	}
 	return f.target.Cookie
 }
 
@@ -276,11 +279,11 @@
 			retries = append(retries, p.retry(now, f))
 		}
 	}
-	p.dispatchAll(now)
 	if now.Sub(p.sweptAt) >= sweepInterval {
 		p.sweptAt = now
 		p.sweep(now)
 	}
+	p.dispatchAll(now)
 	p.lastTick, p.tickInterval = now, p.TickInterval()
 	return retries
 }
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -70,6 +70,7 @@
 // recordPace tells the limits of a service of the end of a request.
 func (p *Placer) recordPace(s *serviceState, f *Flow, took time.Duration, served bool) {
 	now, usual := f.lastSeen, p.usualRouteTime(f)
+	s.freed = true // the limit may grow
 	l := p.targetState(f.target.Cookie, now).limits
 	switch {
 	case served && f.borrowed:
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -74,6 +74,8 @@
 	outliers        outlier.Detector[uint32]
 	// services are the limited services.
 	services map[cornelbay.ServiceName]*serviceState
+	// short are the services in a shortage, the only ones that openings may wait for.
+	short []*serviceState
 	// hostsGeneration counts the changes of the registered hosts. hostsOf are the hosts of each
 	// data centre, of the generation hostsOfGeneration.
 	hostsGeneration, hostsOfGeneration uint64
@@ -259,9 +261,14 @@
 // adjustOpen changes the number of open flows at a flow's target by n.
 func (p *Placer) adjustOpen(now time.Time, f *Flow, n int) {
 	p.targetState(f.target.Cookie, now).adjustOpen(now, n)
-	if s, ok := p.services[f.service]; ok && f.borrowed {
+	s, ok := p.services[f.service]
+	if !ok {
+		return
+	}
+	if f.borrowed {
 		s.borrowed += n
 	}
+	s.freed = s.freed || n < 0
 }
 
 func (p *Placer) targetState(cookie uint32, now time.Time) *targetState {
--- a/placement/service.go
+++ b/placement/service.go
@@ -47,6 +47,8 @@
 	// waiting are the openings that wait for a slot.
 	waiting  admission.Queue[*Flow]
 	shortage shortage
+	// freed is true if there may be room for waiting openings since the last dispatch.
+	freed bool
 	// routesChanged is true if the routes of waiting openings may be gone.
 	routesChanged bool
 }
--- a/placement/suspicion.go
+++ b/placement/suspicion.go
@@ -150,7 +150,13 @@
 	if !ok {
 		return
 	}
-	p.dataCentreSuspicion(m).recordAnswer(now)
+	dc := p.dataCentreSuspicion(m)
+	if was || dc.unanswered >= dataCentreThreshold {
+		for _, s := range p.short {
+			s.freed = true
+		}
+	}
+	dc.recordAnswer(now)
 	if was {
 		if t.limits != nil {
 			t.limits.window.Restart(now)
