Borrow slots of targets of which a host has too small a share

Cause: a target of which less than 0.05 slots belong to a host was in its share, where its limit is 0, and so not among the targets to borrow from. With 76 hosts and a service of one target, or two, hosts refused all flows of the service after a wait. Change: such a target counts as beyond the share. Its slots still count for the lower bound of borrowing. Result: TestServiceWithFewSlotsIsServed, which failed, passes for each host of 76 with 1 and 2 targets, and of 400 with 3.

--- a/placement/dispatch_test.go
+++ b/placement/dispatch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -83,3 +84,19 @@
 	p.MergeAmbiguousFlow(start, AmbiguousFlow{Key: key(1000), Tried: []uint32{1, 9}, Chosen: 9})
 	is.Equal(len(p.Admissions()), 1)
 }
+
+// TestServiceWithFewSlotsIsServed guards against openings that no host may send anywhere, as
+// the share of each host is below the smallest that allows flows.
+func TestServiceWithFewSlotsIsServed(t *testing.T) {
+	for _, c := range []struct{ hosts, targets int }{{76, 1}, {76, 2}, {400, 3}} {
+		v := fleet(c.hosts, c.targets, 1)
+		for _, h := range v.Hosts {
+			p := &Placer{Self: h.Name, DataCentre: h.DataCentre}
+			p.SetView(v)
+			_, err := p.Open(start, key(1), service, nil, false)
+			if err != nil {
+				t.Fatal(fmt.Errorf("%d hosts, %d targets, %s: %w", c.hosts, c.targets, h.Name, err))
+			}
+		}
+	}
+}
--- a/placement/service.go
+++ b/placement/service.go
@@ -178,9 +178,9 @@
 	s.slots, s.own, s.near, s.far = 0, s.own[:0], s.near[:0], s.far[:0]
 	for _, m := range p.warm {
 		n := s.division.shares[m.Cookie]
+		s.slots += n
 		switch {
-		case n > 0:
-			s.slots += n
+		case n >= pace.MinShare: // a smaller share allows no flows, but they can be borrowed
 			s.own = append(s.own, ownTarget{m, n})
 			p.targetState(m.Cookie, now).enterShare(now, m, s.listedAt)
 		case m.DataCentre == p.DataCentre:
