Send no reset to a flow that another host may have opened

Cause: an opening waits for up to 150 ms, and callers retransmit after 200 ms. A host that stood still while openings waited, or while they were in its socket, reset them when it went on, although a retransmission had reached another host. A waiting opening was also refused, or sent to one more target without its packet, after its retransmission had arrived or another host had announced it. Change: a refusal carries the time until which a reset may be sent, 180 ms after the opening may have been sent; after it the opening is dropped, as it is logged and counted (droppedLate), and its caller retransmits. A late tick shows a stall; openings read until 100 ms after it may be as old as the tick before. An opening that was retransmitted, or that another host announces, leaves the queue. Resets are sent before retries and log lines.

--- a/balancer/admission.go
+++ b/balancer/admission.go
@@ -1,6 +1,8 @@
 package balancer
 
 import (
+	"time"
+
 	"github.com/apex/log"
 
 	"github.com/cornelbay/cornelbay/placement"
@@ -10,33 +12,52 @@
 // applyAdmissions sends openings that have waited to their targets, and resets those that
 // are refused: no target has got them.
 func (b *Balancer) applyAdmissions(admissions []placement.Admission) {
+	if len(admissions) == 0 {
+		return // most packets, which need no buffer
+	}
 	var buf [platform.TargetNumberBytes + platform.MaxPacketBytes]byte
 	for _, a := range admissions {
-		packet := buf[platform.TargetNumberBytes:]
-		n := copy(packet, a.Opening)
+		n := copy(buf[platform.TargetNumberBytes:], a.Opening)
 		if a.Target != nil {
-			b.metrics.count("admitted")
-			platform.SetCookie(packet, a.Target.Cookie)
-			b.send(buf[:platform.TargetNumberBytes+n], a.Target)
-			if sampled(a.Key) {
-				b.flowLog(a.Key).WithFields(log.Fields{
-					"target": a.Target.Name, "dataCentre": a.Target.DataCentre, "waitedMs": a.Waited.Milliseconds(),
-				}).Info("opened")
-			}
-			continue
+			b.admit(buf[:platform.TargetNumberBytes+n], a)
+		} else {
+			b.refuse(buf[platform.TargetNumberBytes:platform.TargetNumberBytes+n], a)
 		}
-		b.metrics.countShed(a)
-		var p platform.Packet
-		if err := platform.Parse(packet[:n], &p); err != nil {
-			log.WithError(err).Error("waiting opening is malformed")
-			continue
-		}
-		b.sendReset(&p)
+	}
+}
+
+// admit sends an opening that has waited to its target.
+func (b *Balancer) admit(datagram []byte, a placement.Admission) {
+	b.metrics.count("admitted")
+	platform.SetCookie(datagram[platform.TargetNumberBytes:], a.Target.Cookie)
+	b.send(datagram, a.Target)
+	if sampled(a.Key) {
 		b.flowLog(a.Key).WithFields(log.Fields{
-			"reason": a.Reason, "priority": a.Priority, "waitedMs": a.Waited.Milliseconds(),
-			"expectedMs": a.ExpectedWait.Milliseconds(),
-		}).Info("reset")
+			"target": a.Target.Name, "dataCentre": a.Target.DataCentre, "waitedMs": a.Waited.Milliseconds(),
+		}).Info("opened")
+	}
+}
+
+// refuse resets a flow whose opening has waited. It drops the opening if another host may
+// have opened the flow: this host may have stood still since the decision.
+func (b *Balancer) refuse(packet []byte, a placement.Admission) {
+	b.metrics.countShed(a)
+	line := b.flowLog(a.Key).WithFields(log.Fields{
+		"reason": a.Reason, "priority": a.Priority, "waitedMs": a.Waited.Milliseconds(),
+		"expectedMs": a.ExpectedWait.Milliseconds(),
+	})
+	var p platform.Packet
+	if err := platform.Parse(packet, &p); err != nil {
+		line.WithError(err).Error("waiting opening is malformed")
+		return
+	}
+	if time.Now().After(a.ResetUntil) {
+		b.metrics.count("droppedLate")
+		line.Info("opening dropped")
+		return
 	}
+	b.sendReset(&p)
+	line.Info("reset")
 }
 
 // logShortage logs the begin or end of a time in which openings of a service wait.
--- a/balancer/retry.go
+++ b/balancer/retry.go
@@ -41,6 +41,7 @@
 		due = now.Add(b.placer.TickInterval())
 		b.trafficMu.Unlock()
 		t.Reset(time.Until(due))
+		b.applyAdmissions(admissions) // first: resets must not be late
 		b.queueAmbiguous(ambiguous, netip.AddrPort{})
 		for _, change := range changes {
 			logTargetState(change)
@@ -51,7 +52,6 @@
 		for _, r := range retries {
 			b.retry(datagram, r)
 		}
-		b.applyAdmissions(admissions)
 		if now.Sub(pruned) > pruneInterval {
 			pruned = now
 			b.prune()
--- a/placement/admit.go
+++ b/placement/admit.go
@@ -16,9 +16,15 @@
 	// wait. A refusal within that time leaves the caller's next attempt most of the
 	// objective.
 	waitShare = 0.25
-	// maxWait is less than the time after which callers retransmit an opening. Until then no
-	// other host has the opening, so that a reset cannot reach an open flow.
+	// maxWait leaves time for a reset before resetTime.
 	maxWait = 150 * time.Millisecond
+	// resetTime is less than the time after which callers retransmit an opening, 200 ms. Until
+	// then no other host has the opening, so that a reset cannot reach an open flow.
+	resetTime = 180 * time.Millisecond
+	// lateTick is the delay of a tick beyond which openings may have waited to be read, from
+	// the tick before until backlogTime after it.
+	lateTick    = resetTime - maxWait
+	backlogTime = 100 * time.Millisecond
 	// maxWaiting limits the openings of a service that wait at a host. Each keeps a packet.
 	maxWaiting = 4096
 	// shortageEnd is the time without a waiting opening after which a shortage is over.
@@ -41,6 +47,9 @@
 	// waited, if that decided.
 	Reason       admission.Reason
 	ExpectedWait time.Duration
+	// ResetUntil is until when the caller of a refused flow may get a reset. Later it may have
+	// retransmitted the opening, and another host may have opened the flow.
+	ResetUntil time.Time
 }
 
 // Reasons for refusing waiting openings, beside those of package admission.
@@ -95,7 +104,7 @@
 
 // hold makes an opening wait, and refuses those that then cannot be served in time.
 func (p *Placer) hold(now time.Time, s *serviceState, f *Flow) {
-	f.waiting, f.idle = true, true
+	f.waiting, f.idle, f.sentSince = true, true, p.sentSince(now)
 	objective := s.objective
 	if r, ok := p.view.Routes[f.key.Destination]; ok {
 		f.priority = r.Priority
@@ -152,6 +161,9 @@
 		a := Admission{Key: f.key, Opening: f.opening, Target: m, Priority: f.priority, Waited: now.Sub(f.opened)}
 		f.opened, f.lastSeen = now, now
 		p.start(now, f, m)
+		if now.Sub(f.sentSince) > resetTime {
+			p.queueAmbiguous(AmbiguousFlow{Key: f.key, Tried: f.tried})
+		}
 		p.admissions = append(p.admissions, a)
 		p.counters.Admitted++
 	}
@@ -189,10 +201,31 @@
 	p.counters.Shed++
 	p.admissions = append(p.admissions, Admission{
 		Key: f.key, Opening: f.opening, Priority: f.priority, Waited: now.Sub(f.opened),
-		Reason: r.Reason, ExpectedWait: r.Wait,
+		Reason: r.Reason, ExpectedWait: r.Wait, ResetUntil: f.sentSince.Add(resetTime),
 	})
 }
 
+// forget removes a waiting opening that another host may have opened: it is not to be refused.
+func (p *Placer) forget(f *Flow) {
+	f.waiting = false
+	delete(p.flows, f.key)
+	if s, ok := p.services[f.service]; ok {
+		s.waiting.Remove(func(o *Flow) bool { return o == f })
+	}
+}
+
+// sentSince returns the earliest time at which an opening that has just been read may have
+// been sent: it may have waited while this host was stalled.
+func (p *Placer) sentSince(now time.Time) time.Time {
+	switch {
+	case !p.lastTick.IsZero() && now.Sub(p.lastTick) > p.tickInterval+lateTick:
+		return p.lastTick
+	case now.Before(p.backlogUntil):
+		return p.backlogSince
+	}
+	return now
+}
+
 func (p *Placer) refuseAll(now time.Time, reason admission.Reason, requests []admission.Request[*Flow]) {
 	for _, r := range requests {
 		r.Reason = reason
--- a/placement/ambiguous.go
+++ b/placement/ambiguous.go
@@ -43,6 +43,9 @@
 	if p.view == nil || len(a.Tried) == 0 {
 		return
 	}
+	if f, ok := p.flows[a.Key]; ok && f.waiting {
+		p.forget(f)
+	}
 	f, ok := p.flows[a.Key]
 	if !ok || f.closed {
 		m, known := p.view.Cookies[a.Tried[len(a.Tried)-1]]
--- a/placement/flow.go
+++ b/placement/flow.go
@@ -77,6 +77,8 @@
 	// waiting is true while the opening waits for a slot, priority that of its route.
 	waiting  bool
 	priority int
+	// sentSince is the earliest time at which the caller may have sent an opening that waits.
+	sentSince time.Time
 	// borrowed is true if the flow is open beyond this host's share of the slots.
 	borrowed bool
 	// contended is true if the request may have waited at the target: other flows were open
@@ -265,6 +267,9 @@
 		p.stalledAt = now
 		p.queueStateChange(StateChange{State: Stalled, Duration: gap})
 	}
+	if !p.lastTick.IsZero() && gap > p.tickInterval+lateTick {
+		p.backlogSince, p.backlogUntil = p.lastTick, now.Add(backlogTime)
+	}
 	var retries []Retry
 	for _, f := range p.pending {
 		if stalled || f.retransmits < retransmitsDue(now.Sub(f.opened)) || p.bypassed(f) {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -98,6 +98,8 @@
 	// and sweptAt when a call last looked at all flows.
 	lastTick, sweptAt time.Time
 	tickInterval      time.Duration
+	// Openings that are read before backlogUntil may have been sent since backlogSince.
+	backlogSince, backlogUntil time.Time
 	// lastProgress is when the last packet after an opening arrived, of any flow.
 	lastProgress time.Time
 	// foreignPacketAt is when a packet last arrived of a flow that this host had not
@@ -194,6 +196,9 @@
 // known flow goes to that flow's target; that of an unknown flow may belong to a flow that
 // another host opened. The error ErrWaiting means that the opening waits for a slot.
 func (p *Placer) Open(now time.Time, key cornelbay.FlowKey, service cornelbay.ServiceName, opening []byte, retransmitted bool) (*registry.Endpoint, error) {
+	if f, ok := p.flows[key]; ok && f.waiting && retransmitted {
+		p.forget(f) // an opening of which another host may have the next retransmission
+	}
 	if f, ok := p.flows[key]; ok && !f.closed {
 		f.lastSeen = now
 		f.retransmits++
--- /dev/null
+++ b/placement/reset_test.go
@@ -0,0 +1,113 @@
+package placement
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// callerRetransmits is when a caller retransmits its opening.
+const callerRetransmits = 200 * time.Millisecond
+
+// TestNoResetAfterTheCallerMayHaveRetransmitted guards against a reset of a flow that another
+// host has opened, as the caller has retransmitted the opening while this host stood still.
+func TestNoResetAfterTheCallerMayHaveRetransmitted(t *testing.T) {
+	is := is.New(t)
+	ms := func(n int) time.Time { return start.Add(time.Duration(n) * time.Millisecond) }
+	for _, c := range []struct {
+		name string
+		// ticks are the times of ticks, in milliseconds, before and after the opening is read.
+		before []int
+		read   int
+		after  []int
+		// sent is when the caller may have sent the opening.
+		sent    int
+		refused bool
+	}{
+		{"no stall", []int{0, 10}, 15, []int{20, 120}, 15, true},
+		{"stall while it waits", []int{0, 10}, 15, []int{20, 400}, 15, false},
+		{"read before the tick after a stall", []int{0, 10}, 300, []int{310, 410}, 15, false},
+		{"read after the tick after a stall", []int{0, 10, 300}, 305, []int{310, 410}, 15, false},
+		{"read long after a stall", []int{0, 10, 300, 310, 500, 510, 600, 700, 800, 900}, 905, []int{910, 1010}, 905, true},
+	} {
+		p := placer(limited(warmTarget(1, "near")))
+		p.Tick(ms(0))
+		for i := range 4 { // all that the limit allows
+			open(t, p, ms(0), 10+i)
+			p.RoutePacket(ms(0), key(10+i), Segment{Cookie: 1, Acknowledged: 1})
+		}
+		keep := func(at int) { // the flows stay open
+			for i := range 4 {
+				p.RoutePacket(ms(at), key(10+i), Segment{Cookie: 1, Acknowledged: 1})
+			}
+		}
+		for _, at := range c.before {
+			keep(at)
+			p.Tick(ms(at))
+		}
+		_, err := p.Open(ms(c.read), key(1), service, []byte("opening"), false)
+		is.True(errors.Is(err, ErrWaiting)) // c.name
+		for _, at := range c.after {
+			keep(at)
+			p.Tick(ms(at))
+			for _, a := range p.Admissions() {
+				if a.Key != key(1) {
+					continue
+				}
+				is.True(a.Target == nil)
+				resets := !ms(at).After(a.ResetUntil)
+				is.Equal(resets, c.refused) // c.name
+				is.True(!resets || a.ResetUntil.Before(ms(c.sent).Add(callerRetransmits)))
+			}
+		}
+		is.Equal(p.Waiting(), 0) // c.name
+	}
+}
+
+// TestRetransmissionOfAWaitingOpeningIsPlaced guards against a reset of an opening that the
+// caller has sent twice, of which another host may have the second.
+func TestRetransmissionOfAWaitingOpeningIsPlaced(t *testing.T) {
+	is := is.New(t)
+	p := placer(limited(warmTarget(1, "near")))
+	n := fill(t, p, start)
+	m, err := p.Open(start.Add(time.Millisecond), key(1000+n), service, []byte("opening"), true)
+	is.NoErr(err)
+	is.Equal(m.Cookie, uint32(1))
+	is.Equal(p.Waiting(), 0)
+	p.Tick(start.Add(time.Second))
+	is.Equal(len(p.Admissions()), 0)
+}
+
+// TestOpeningThatAnotherHostHasIsNotRefused guards against a reset of a flow that another host
+// has announced, and against sending its opening to one more target.
+func TestOpeningThatAnotherHostHasIsNotRefused(t *testing.T) {
+	is := is.New(t)
+	for _, chosen := range []uint32{0, 2} {
+		p := placer(limited(warmTarget(1, "near"), warmTarget(2, "near")))
+		n := fill(t, p, start)
+		is.Equal(p.Waiting(), 1)
+		p.MergeAmbiguousFlow(start, AmbiguousFlow{Key: key(1000 + n), Tried: []uint32{2}, Chosen: chosen})
+		is.Equal(p.Waiting(), 0)
+		serve(p, start.Add(10*time.Millisecond), 0)
+		p.Tick(start.Add(time.Second))
+		is.Equal(len(p.Admissions()), 0)
+		is.Equal(p.RoutePacket(start.Add(time.Second), key(1000+n), Segment{Cookie: 2, Acknowledged: 1}), uint32(2))
+	}
+}
+
+// TestLateOpeningIsAnnounced guards against two hosts that each send packets of a flow to the
+// target that they know of.
+func TestLateOpeningIsAnnounced(t *testing.T) {
+	is := is.New(t)
+	for _, stall := range []time.Duration{10 * time.Millisecond, 300 * time.Millisecond} {
+		p := placer(limited(warmTarget(1, "near")))
+		p.Tick(start)
+		now := start.Add(stall)
+		fill(t, p, now)
+		serve(p, now.Add(time.Millisecond), 0)
+		is.Equal(len(p.Admissions()), 1)
+		is.Equal(len(p.AmbiguousFlows()) == 1, stall > callerRetransmits)
+	}
+}
