End the limits of a service with its last objective

Cause: a service whose routes lost their objectives stayed limited, until another change of the view, if openings waited or borrowed flows were open at the time. If it became limited again, flows that were counted before ended after, and the count of borrowed flows was negative from then on. Change: new openings are no longer limited at once, and those that wait are sent at the next tick. A flow remembers the state that counts it. The state, the usual times and the windows of a service end with its limits.

--- a/placement/admit.go
+++ b/placement/admit.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"errors"
 	"slices"
 	"time"
 
@@ -89,19 +90,32 @@
 		p.dispatch(now, s)
 	}
 	if s.waiting.Len() == 0 {
-		m, borrowed, full := p.chooseLimited(now, s)
-		if m != nil {
+		m, borrowed, err := p.chooseAny(now, s)
+		if !errors.Is(err, ErrWaiting) {
 			f.borrowed = borrowed
-			return m, nil
-		}
-		if !full {
-			return p.choose(now, s.name, nil)
+			return m, err
 		}
 	}
 	p.hold(now, s, f)
 	return nil, ErrWaiting
 }
 
+// chooseAny returns the target for the next flow of a service: within the limits, or without
+// them if no target is limited. The error is ErrWaiting if all limits are reached.
+func (p *Placer) chooseAny(now time.Time, s *serviceState) (m *registry.Endpoint, borrowed bool, err error) {
+	if !s.ended {
+		m, borrowed, full := p.chooseLimited(now, s)
+		if m != nil {
+			return m, borrowed, nil
+		}
+		if full {
+			return nil, false, ErrWaiting
+		}
+	}
+	m, err = p.choose(now, s.name, nil)
+	return m, false, err
+}
+
 // hold makes an opening wait, and refuses those that then cannot be served in time.
 func (p *Placer) hold(now time.Time, s *serviceState, f *Flow) {
 	f.waiting, f.idle, f.sentSince = true, true, p.sentSince(now)
@@ -138,15 +152,12 @@
 		p.refuse(now, r)
 	}
 	for s.waiting.Len() > 0 {
-		m, borrowed, full := p.chooseLimited(now, s)
-		if m == nil && !full {
-			var err error
-			if m, err = p.choose(now, s.name, nil); err != nil {
-				p.refuseAll(now, NoTarget, s.waiting.Remove(func(*Flow) bool { return true }))
-				return
-			}
+		m, borrowed, err := p.chooseAny(now, s)
+		if errors.Is(err, ErrWaiting) {
+			return
 		}
-		if m == nil {
+		if err != nil {
+			p.refuseAll(now, NoTarget, s.waiting.Remove(func(*Flow) bool { return true }))
 			return
 		}
 		r, ok := s.waiting.Next(now)
@@ -184,6 +195,9 @@
 		if s.waiting.Len() > 0 {
 			p.dispatch(now, s)
 		}
+		if s.ended && s.waiting.Len() == 0 {
+			p.unlimit(s)
+		}
 		p.checkShortage(now, s)
 	}
 	p.short = slices.DeleteFunc(p.short, func(s *serviceState) bool { return !s.shortage.active })
--- a/placement/flow.go
+++ b/placement/flow.go
@@ -79,8 +79,10 @@
 	priority int
 	// sentSince is the earliest time at which the caller may have sent an opening that waits.
 	sentSince time.Time
-	// borrowed is true if the flow is open beyond this host's share of the slots.
-	borrowed bool
+	// borrowed is true if the flow is open beyond this host's share of the slots. countedBy is
+	// the service whose count of borrowed flows includes it.
+	borrowed  bool
+	countedBy *serviceState
 	// contended is true if the request may have waited at the target: other flows were open
 	// there, as many as slots.
 	contended bool
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -215,7 +215,7 @@
 	var err error
 	// Another host may have opened the flow of a retransmitted opening, which therefore must
 	// not be refused later.
-	if s, ok := p.services[service]; ok && !retransmitted && len(p.flows) < maxFlows {
+	if s, ok := p.services[service]; ok && !s.ended && !retransmitted && len(p.flows) < maxFlows {
 		m, err = p.admit(now, s, f)
 	} else {
 		m, err = p.choose(now, service, nil)
@@ -267,13 +267,18 @@
 func (p *Placer) adjustOpen(now time.Time, f *Flow, n int) {
 	p.targetState(f.target.Cookie, now).adjustOpen(now, n)
 	s, ok := p.services[f.service]
-	if !ok {
-		return
+	if ok && n < 0 {
+		s.freed = true
 	}
-	if f.borrowed {
-		s.borrowed += n
+	// The service may have become limited, or no longer be, while the flow was open.
+	switch {
+	case f.countedBy != nil:
+		f.countedBy.borrowed--
+		f.countedBy = nil
+	case ok && f.borrowed && n > 0:
+		s.borrowed++
+		f.countedBy = s
 	}
-	s.freed = s.freed || n < 0
 }
 
 func (p *Placer) targetState(cookie uint32, now time.Time) *targetState {
--- a/placement/service.go
+++ b/placement/service.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -47,6 +48,8 @@
 	// waiting are the openings that wait for a slot.
 	waiting  admission.Queue[*Flow]
 	shortage shortage
+	// ended is true if the service is no longer limited, but openings still wait.
+	ended bool
 	// freed is true if there may be room for waiting openings since the last dispatch.
 	freed bool
 	// routesChanged is true if the routes of waiting openings may be gone.
@@ -84,8 +87,10 @@
 	}
 	for name, s := range p.services {
 		s.routesChanged = true
-		if _, ok := objectives[name]; !ok && s.waiting.Len() == 0 && s.borrowed == 0 {
-			delete(p.services, name)
+		_, limited := objectives[name]
+		s.ended = !limited
+		if s.ended && s.waiting.Len() == 0 {
+			p.unlimit(s)
 		}
 	}
 	for name, objective := range objectives {
@@ -98,6 +103,19 @@
 	}
 }
 
+// unlimit drops the state of a service that is no longer limited and for which no opening
+// waits.
+func (p *Placer) unlimit(s *serviceState) {
+	delete(p.services, s.name)
+	delete(p.usualTimes, s.name)
+	maps.DeleteFunc(p.usualRouteTimes, func(k answerKey, _ time.Duration) bool { return k.service == s.name })
+	for _, o := range s.own {
+		if t, ok := p.targets[o.target.Cookie]; ok {
+			t.limits = nil
+		}
+	}
+}
+
 const (
 	// unusedTime is the time without a flow of a service after which its shares and loads are
 	// no longer updated with each report, but with its next flow.
