Probe suspected targets beyond the share

Cause: a host probed suspected targets of its own share only. One that it had borrowed from, and that had not answered once, it never used again unless a packet of another flow at the target came by; after a data centre had been cut off, all hosts without a share there left it out for good. Change: a suspected target among the random ones is a candidate for a probe when one is due. Result: TestSuspectedTargetIsProbedBeyondTheShare, which failed, passes.

--- /dev/null
+++ b/placement/borrow_test.go
@@ -0,0 +1,44 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/registry"
+)
+
+// TestSuspectedTargetIsProbedBeyondTheShare guards against targets that a host never borrows
+// from again after one opening was not answered, or after their data centre was cut off.
+func TestSuspectedTargetIsProbedBeyondTheShare(t *testing.T) {
+	is := is.New(t)
+	for dataCentre, silent := range map[cornelbay.DataCentreName]int{"near": 1, "far": dataCentreThreshold} {
+		v := limited(warmTarget(1, "near"), warmTarget(2, dataCentre))
+		v.Hosts = append(v.Hosts, registry.Host{Name: "other", DataCentre: dataCentre})
+		p := placer(v)
+		open(t, p, start, 1)
+		s := p.services[service]
+		is.Equal(len(s.own), 1)
+		is.Equal(s.own[0].target.DataCentre, cornelbay.DataCentreName("near"))
+		other := v.Cookies[3-s.own[0].target.Cookie]
+		for range silent {
+			p.suspect(start, other, start)
+		}
+		borrowed := func(now time.Time) int {
+			before := s.borrowed
+			fill(t, p, now)
+			return s.borrowed - before
+		}
+		is.Equal(borrowed(start), 0) // no probe is due
+		now := start.Add(maxProbeInterval)
+		for n := range 100 { // the flows of fill end
+			if f, ok := p.flows[key(1000+n)]; ok && !f.closed && !f.waiting {
+				serve(p, now, n)
+			}
+		}
+		p.Tick(now)
+		is.Equal(borrowed(now), 1) // one probe
+	}
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -360,8 +360,9 @@
 	return nil, ErrNoTarget
 }
 
+// keepBest replaces best by a better candidate; one without a target counts as none.
 func keepBest(best *candidate, c candidate) {
-	if best.target == nil || compareCandidates(c, *best) < 0 {
+	if c.target != nil && (best.target == nil || compareCandidates(c, *best) < 0) {
 		*best = c
 	}
 }
--- a/placement/service.go
+++ b/placement/service.go
@@ -383,23 +383,22 @@
 		return own.target, false, false
 	}
 	mayBorrow := float64(s.borrowed) < s.borrowing.Limit(s.slots)
+	var probe candidate
 	if mayBorrow {
-		for _, c := range p.sample(now, s, s.near) {
-			keepBest(&best, c)
-		}
+		keepBest(&best, p.sample(now, s, s.near, &probe))
 	} else if len(s.near)+len(s.far) > 0 {
 		full = true
 	}
 	if best.target == nil || best.cost > acceptable {
-		if ownFar.target != nil {
-			keepBest(&best, ownFar)
-		}
+		keepBest(&best, ownFar)
 		if mayBorrow {
-			for _, c := range p.sample(now, s, s.far) {
-				keepBest(&best, c)
-			}
+			keepBest(&best, p.sample(now, s, s.far, &probe))
 		}
 	}
+	if probe.target != nil && (best.target == nil || compareCandidates(probe, best) < 0) {
+		p.startProbe(now, probe.target)
+		return probe.target, true, false
+	}
 	if best.target == nil || best.cost > 2*acceptable {
 		if m := p.takeCold(now, s); m != nil {
 			return m, false, false
@@ -467,25 +466,38 @@
 
 func (p *Placer) tieBreak(m *registry.Endpoint) uint64 { return mix(p.choices<<32 | uint64(m.Cookie)) }
 
-// sample returns up to sampleSize random targets of a list that may get a flow, with the
-// expected time at a target whose other flows are not known.
-func (p *Placer) sample(now time.Time, s *serviceState, list []*registry.Endpoint) []candidate {
-	var found []candidate
-	for i := uint64(0); i < maxBorrowSamples && len(list) > 0 && len(found) < sampleSize; i++ {
+// sample returns the best of up to sampleSize random targets of a list that may get a flow,
+// by the expected time at a target whose other flows are not known. It offers suspected
+// targets that are due for a probe to probe.
+func (p *Placer) sample(now time.Time, s *serviceState, list []*registry.Endpoint, probe *candidate) candidate {
+	var best candidate
+	found := 0
+	for i := uint64(0); i < maxBorrowSamples && len(list) > 0 && found < sampleSize; i++ {
 		m := list[mix(p.choices<<8|i)%uint64(len(list))]
-		if !m.Usable(now) || p.suspected(m) || p.avoided(now, s, m) {
+		if !m.Usable(now) || p.avoided(now, s, m) {
 			continue
 		}
-		u := min(s.utilization[m.DataCentre], maxUtilization)
-		wait := u * u / (1 - u*u) // the mean wait in a queue with two servers, relative to the service time
-		c := candidate{target: m, load: p.load(now, m.Cookie) / float64(slotsOf(m)), tieBreak: p.tieBreak(m)}
-		c.cost = time.Duration(float64(p.usualTime(s.name)) * p.timeFactor(m) * (1 + wait))
-		if m.DataCentre != p.DataCentre {
-			c.cost += crossDataCentreCost
+		switch c := p.estimateBorrowed(now, s, m); {
+		case !p.suspected(m):
+			keepBest(&best, c)
+			found++
+		case p.probeDue(now, m):
+			keepBest(probe, c)
 		}
-		found = append(found, c)
 	}
-	return found
+	return best
+}
+
+// estimateBorrowed computes the expected time of a flow at a target beyond this host's share.
+func (p *Placer) estimateBorrowed(now time.Time, s *serviceState, m *registry.Endpoint) candidate {
+	u := min(s.utilization[m.DataCentre], maxUtilization)
+	wait := u * u / (1 - u*u) // the mean wait in a queue with two servers, relative to the service time
+	c := candidate{target: m, load: p.load(now, m.Cookie) / float64(slotsOf(m)), tieBreak: p.tieBreak(m)}
+	c.cost = time.Duration(float64(p.usualTime(s.name)) * p.timeFactor(m) * (1 + wait))
+	if m.DataCentre != p.DataCentre {
+		c.cost += crossDataCentreCost
+	}
+	return c
 }
 
 // timeFactor returns the time of requests at a target relative to the mean of its service,
