Learn usual times from requests that find a slot of the own share

Cause: the usual time of a service, to which late answers and time factors are relative, was learned from requests that waited for those of other hosts: at a target shared with other hosts, at targets beyond the share (retried and retransmitted openings, cold targets), and from later requests of a flow whose first had found a slot. It started at an assumed 25 ms with a weight of 63/64, so that at a service that takes 200 ms answers counted as late, and hosts without a share, which never learn it, stopped borrowing. Change: a request is contended if this host has as many flows at the target as slots of its share, or if the target isn't in its share, and is judged when it is sent. The first 64 requests count equally; without any, no answer is late.

--- a/placement/exchange.go
+++ b/placement/exchange.go
@@ -41,6 +41,7 @@
 	// Data after an answer is the next request. Data before one belongs to the same.
 	if answered := !e.answeredAt.IsZero(); answered || e.begun.IsZero() {
 		p.endExchange(f)
+		f.contended = f.borrowed || p.targetState(f.target.Cookie, now).contended()
 		p.beginExchange(now, f, !answered)
 	}
 }
--- a/placement/flow.go
+++ b/placement/flow.go
@@ -83,8 +83,8 @@
 	// the service whose count of borrowed flows includes it.
 	borrowed  bool
 	countedBy *serviceState
-	// contended is true if the request may have waited at the target: other flows were open
-	// there, as many as slots.
+	// contended is true if the last request may have waited at the target: other flows were
+	// open there, as many as this host has slots, or the slots are those of other hosts.
 	contended bool
 	// adopted is true for a flow that another host opened.
 	adopted bool
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -70,6 +70,9 @@
 // recordPace tells the limits of a service of the end of a request.
 func (p *Placer) recordPace(s *serviceState, f *Flow, took time.Duration, served bool) {
 	now, usual := f.lastSeen, p.usualRouteTime(f)
+	if _, ok := p.usualTimes[f.service]; !ok {
+		usual = max(usual, took) // nothing shows that the answer is late
+	}
 	s.freed = true // the limit may grow
 	l := p.targetState(f.target.Cookie, now).limits
 	switch {
@@ -89,30 +92,42 @@
 	}
 }
 
+// usualTime is the mean time of requests that did not wait at their targets. The first ones
+// count equally, so that the assumption before them does not.
+type usualTime struct {
+	mean     time.Duration
+	requests int
+}
+
+func (u usualTime) plus(took time.Duration) usualTime {
+	u.requests++
+	u.mean += time.Duration(max(durationWeight, 1/float64(u.requests)) * float64(took-u.mean))
+	return u
+}
+
 // recordUsualTime updates the usual times by a request that did not wait at its target.
 func (p *Placer) recordUsualTime(f *Flow, took time.Duration) {
 	if p.usualTimes == nil {
-		p.usualTimes = make(map[cornelbay.ServiceName]time.Duration)
-		p.usualRouteTimes = make(map[answerKey]time.Duration)
+		p.usualTimes = make(map[cornelbay.ServiceName]usualTime)
+		p.usualRouteTimes = make(map[answerKey]usualTime)
 	}
-	usual := p.usualTime(f.service)
-	p.usualTimes[f.service] = usual + time.Duration(durationWeight*float64(took-usual))
-	usual = p.usualRouteTime(f)
-	p.usualRouteTimes[answerKey{f.key.Destination, f.service}] = usual + time.Duration(durationWeight*float64(took-usual))
+	p.usualTimes[f.service] = p.usualTimes[f.service].plus(took)
+	route := answerKey{f.key.Destination, f.service}
+	p.usualRouteTimes[route] = p.usualRouteTimes[route].plus(took)
 }
 
 // usualTime returns the mean time of a request of a service that does not wait at its target.
 func (p *Placer) usualTime(service cornelbay.ServiceName) time.Duration {
-	if d, ok := p.usualTimes[service]; ok {
-		return d
+	if u, ok := p.usualTimes[service]; ok {
+		return u.mean
 	}
 	return initialDuration
 }
 
 // usualRouteTime returns the mean time of a request on a flow's route that does not wait.
 func (p *Placer) usualRouteTime(f *Flow) time.Duration {
-	if d, ok := p.usualRouteTimes[answerKey{f.key.Destination, f.service}]; ok {
-		return d
+	if u, ok := p.usualRouteTimes[answerKey{f.key.Destination, f.service}]; ok {
+		return u.mean
 	}
 	return p.usualTime(f.service)
 }
@@ -140,7 +155,7 @@
 		return
 	}
 	maps.DeleteFunc(p.meanAnswerBytes, func(k answerKey, _ float64) bool { return p.view.Routes[k.route] == nil })
-	maps.DeleteFunc(p.usualRouteTimes, func(k answerKey, _ time.Duration) bool { return p.view.Routes[k.route] == nil })
+	maps.DeleteFunc(p.usualRouteTimes, func(k answerKey, _ usualTime) bool { return p.view.Routes[k.route] == nil })
 	for name, targets := range p.view.Services {
 		var usable []uint32
 		for _, m := range targets {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -87,8 +87,8 @@
 	warmTargets  []share.Target[uint32]
 	// usualTimes are the mean times of requests that did not wait at their targets, by
 	// service and by route.
-	usualTimes      map[cornelbay.ServiceName]time.Duration
-	usualRouteTimes map[answerKey]time.Duration
+	usualTimes      map[cornelbay.ServiceName]usualTime
+	usualRouteTimes map[answerKey]usualTime
 	// stalledAt is when this host last resumed after a stall.
 	stalledAt time.Time
 	// roundTrip is the smoothed time from an opening to the caller's next packet, of flows
@@ -258,7 +258,7 @@
 	f.tried = append(f.tried, m.Cookie)
 	f.deadline = now.Add(p.answerTimeout())
 	t := p.targetState(m.Cookie, now)
-	f.contended = f.borrowed || t.open >= slotsOf(m)
+	f.contended = f.borrowed || t.contended()
 	p.adjustOpen(now, f, 1)
 	t.counters.Opened++
 }
--- a/placement/service.go
+++ b/placement/service.go
@@ -108,7 +108,7 @@
 func (p *Placer) unlimit(s *serviceState) {
 	delete(p.services, s.name)
 	delete(p.usualTimes, s.name)
-	maps.DeleteFunc(p.usualRouteTimes, func(k answerKey, _ time.Duration) bool { return k.service == s.name })
+	maps.DeleteFunc(p.usualRouteTimes, func(k answerKey, _ usualTime) bool { return k.service == s.name })
 	for _, o := range s.own {
 		if t, ok := p.targets[o.target.Cookie]; ok {
 			t.limits = nil
@@ -200,7 +200,7 @@
 		switch {
 		case n >= pace.MinShare: // a smaller share allows no flows, but they can be borrowed
 			s.own = append(s.own, ownTarget{m, n})
-			p.targetState(m.Cookie, now).enterShare(now, m, s.listedAt)
+			p.targetState(m.Cookie, now).enterShare(now, m, n, s.listedAt)
 		case m.DataCentre == p.DataCentre:
 			s.near = append(s.near, m)
 		default:
@@ -225,6 +225,8 @@
 // targetLimits limit the flows of this host at a target of its share.
 type targetLimits struct {
 	window pace.Window
+	// share are the slots of the target that belong to this host.
+	share float64
 	// startedMs is the start of the last endpoint.
 	startedMs int64
 	// leftAt is when the target left this host's share, and zero while it is part of it.
@@ -242,14 +244,21 @@
 	return t.limits
 }
 
+// contended reports whether a request that is sent now may wait at the target: this host has
+// as many flows there as slots, or the slots are those of other hosts.
+func (t *targetState) contended() bool {
+	l := t.limits
+	return l == nil || !l.leftAt.IsZero() || float64(t.open) >= max(l.share, 1)
+}
+
 // enterShare records that a target is part of this host's share. Its window restarts if the
 // target has started anew, or was cold when the share was last looked at.
-func (t *targetState) enterShare(now time.Time, m *registry.Endpoint, lastSeen time.Time) {
+func (t *targetState) enterShare(now time.Time, m *registry.Endpoint, share float64, lastSeen time.Time) {
 	l := t.own()
 	if l.startedMs != 0 && l.startedMs != m.StartedMs || !lastSeen.IsZero() && m.ColdUntil.After(lastSeen) {
 		l.window.Restart(now)
 	}
-	l.startedMs, l.leftAt = m.StartedMs, time.Time{}
+	l.share, l.startedMs, l.leftAt = share, m.StartedMs, time.Time{}
 }
 
 // speedChange is the ratio between two time factors that counts as a change of speed.
