Test that counts of flows do not drift

Cause: a test was missing that mixes all events at which flows begin, end or wait. It found that the former state of a service, kept until its shortage ends, removed the state of the same service limited again, whose openings then had no limits and whose shortage never ended. Change: only the present state of a service is removed. TestCountsDoNotDrift compares counts with the recorded flows after each of 4,000 random events.

--- a/placement/admit.go
+++ b/placement/admit.go
@@ -195,7 +195,7 @@
 		if s.waiting.Len() > 0 {
 			p.dispatch(now, s)
 		}
-		if s.ended && s.waiting.Len() == 0 {
+		if s.ended && s.waiting.Len() == 0 && p.services[s.name] == s { // it may be limited again
 			p.unlimit(s)
 		}
 		p.checkShortage(now, s)
