Show the limit of a share, and drop token buckets of targets that are gone

Cause: the metric of the share's limit subtracted flows to borrow also where no target is beyond the share (0 instead of 4 for one target of 2 slots). The token buckets of cold targets were kept for good. Change: without targets to borrow from, none can be borrowed. A report drops the buckets of unknown targets.

--- a/placement/report.go
+++ b/placement/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"maps"
 	"math"
 	"time"
 
@@ -117,6 +118,9 @@
 			delete(p.targets, cookie)
 		}
 	}
+	if p.view != nil {
+		maps.DeleteFunc(p.coldBuckets, func(cookie uint32, _ *TokenBucket) bool { return p.unknown(cookie) })
+	}
 	for host, other := range p.reports {
 		if now.Sub(other.At) > reportLifetime {
 			delete(p.reports, host)
--- a/placement/service.go
+++ b/placement/service.go
@@ -307,7 +307,7 @@
 	all := make(map[cornelbay.ServiceName]ServiceStats, len(p.services))
 	for name, s := range p.services {
 		st := ServiceStats{
-			Slots: s.slots, Limit: p.concurrency(now, s), Borrowing: s.borrowing.Limit(s.slots),
+			Slots: s.slots, Limit: p.concurrency(now, s), Borrowing: s.borrowable(),
 			Borrowed: s.borrowed, Waiting: s.waiting.Len(), TimeFactors: make(map[cornelbay.TargetName]float64, len(s.own)),
 		}
 		for _, o := range s.own {
@@ -347,12 +347,17 @@
 // limit returns the number of flows that this host may have open at a target of its share.
 func (p *Placer) limit(o ownTarget, t *targetState) int { return ceil(t.own().window.Limit(o.share)) }
 
+// borrowable returns the number of flows that this host may have open beyond its share.
+func (s *serviceState) borrowable() float64 {
+	if len(s.near)+len(s.far) == 0 {
+		return 0
+	}
+	return s.borrowing.Limit(s.slots)
+}
+
 // concurrency returns the number of flows of a service that this host may have open.
 func (p *Placer) concurrency(now time.Time, s *serviceState) float64 {
-	n := 0.0
-	if len(s.near)+len(s.far) > 0 {
-		n = s.borrowing.Limit(s.slots)
-	}
+	n := s.borrowable()
 	for _, o := range s.own {
 		if !p.suspected(o.target) {
 			n += float64(p.limit(o, p.targetState(o.target.Cookie, now)))
--- a/placement/service_test.go
+++ b/placement/service_test.go
@@ -149,3 +149,36 @@
 		is.Equal(owners, 1)
 	}
 }
+
+// TestStatsOfAHostWithAllTargets guards against a limit of the share that is shown too low, as
+// flows that nobody can lend are subtracted.
+func TestStatsOfAHostWithAllTargets(t *testing.T) {
+	is := is.New(t)
+	p := placer(limited(warmTarget(1, "near")))
+	open(t, p, start, 1)
+	st := p.ServiceStats(start)[service]
+	is.Equal(st.Limit, 4.0)
+	is.Equal(st.Borrowing, 0.0)
+}
+
+// TestStateOfTargetsThatAreGoneIsDropped guards against memory that grows with each target
+// that ends.
+func TestStateOfTargetsThatAreGoneIsDropped(t *testing.T) {
+	is := is.New(t)
+	now := start
+	p := &Placer{Self: "h", DataCentre: "near", WarmUpFactor: 1, WarmUpSlack: 100}
+	for cookie := uint32(1); cookie < 20; cookie++ {
+		now = now.Add(time.Second)
+		m := warmTarget(cookie, "near")
+		m.ColdUntil = now.Add(time.Minute)
+		p.SetView(limited(m))
+		open(t, p, now, int(cookie))
+		p.RoutePacket(now, key(int(cookie)), Segment{Cookie: cookie, Finishing: true})
+		p.SetView(limited(warmTarget(cookie, "near")))
+		p.Report(now, now)
+	}
+	p.SetView(limited())
+	p.Report(now.Add(time.Second), now)
+	is.Equal(len(p.targets), 0)
+	is.Equal(len(p.coldBuckets), 0)
+}
