Look for outliers among targets with outcomes only

Change: it starts from the targets with outcomes, and forgets outcomes that have decayed to nothing. EjectSome replaces EjectFailing. The tests of outliers and TestRecordsAreForgotten pass.

--- a/outlier/outlier.go
+++ b/outlier/outlier.go
@@ -5,6 +5,8 @@
 package outlier
 
 import (
+	"iter"
+	"maps"
 	"math"
 	"time"
 )
@@ -26,6 +28,9 @@
 	slowFactor    = 2.5
 	minSlowSample = 5
 	slowExcess    = 20 * time.Millisecond
+	// minEnded is the decayed number of flows below which the outcomes of a target are
+	// forgotten, after some 10 s without any.
+	minEnded = 0.01
 	// minOthersSample is the number of flows of the other targets below which a target is
 	// not evaluated.
 	minOthersSample = 10
@@ -132,6 +137,11 @@
 	r.allHosts = Outcome{}
 }
 
+// forgotten reports whether a record is no longer of any effect.
+func (r *targetRecord) forgotten(now time.Time) bool {
+	return r.allHosts.Ended < minEnded && now.Sub(r.ejectedUntil) > probationTime+r.ejectionTime
+}
+
 // Detector detects outliers among targets identified by K. Its zero value knows no
 // targets. It is not safe for concurrent use.
 type Detector[K comparable] struct {
@@ -189,22 +199,25 @@
 			outcomes[target] = r.local
 		}
 		r.local = Outcome{}
+		if r.forgotten(now) {
+			delete(d.records, target)
+		}
 	}
 	return outcomes
 }
 
+// Recorded returns the targets that have outcomes, or that have been ejected lately.
+func (d *Detector[K]) Recorded() iter.Seq[K] { return maps.Keys(d.records) }
+
 // Eject ejects the outliers among the targets of one service and returns the ejections.
 func (d *Detector[K]) Eject(now time.Time, targets []K) []Ejection[K] {
-	return d.eject(now, targets, true)
+	return d.EjectSome(now, targets, len(targets), true)
 }
 
-// EjectFailing ejects only those outliers whose flows fail. A service that is short of slots
+// EjectSome is Eject for targets that include all recorded ones of a service of n targets. If
+// slow is false, it ejects only those whose flows fail: a service that is short of slots
 // needs those of its slow targets too.
-func (d *Detector[K]) EjectFailing(now time.Time, targets []K) []Ejection[K] {
-	return d.eject(now, targets, false)
-}
-
-func (d *Detector[K]) eject(now time.Time, targets []K, slow bool) []Ejection[K] {
+func (d *Detector[K]) EjectSome(now time.Time, targets []K, n int, slow bool) []Ejection[K] {
 	var all Outcome
 	ejected := 0
 	for _, t := range targets {
@@ -222,7 +235,7 @@
 			continue
 		}
 		others := all.minus(r.allHosts)
-		if others.Ended < minOthersSample || float64(ejected+1) > maxEjectedShare*float64(len(targets)) {
+		if others.Ended < minOthersSample || float64(ejected+1) > maxEjectedShare*float64(n) {
 			continue
 		}
 		failing := r.allHosts.isFailing(others)
--- a/outlier/outlier_test.go
+++ b/outlier/outlier_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -137,3 +138,30 @@
 	d.Report(start.Add(2*ReportInterval), func(name string) bool { return name == "b" })
 	is.Equal(len(d.records), 1) // the other was forgotten
 }
+
+// TestRecordsAreForgotten guards against records of all targets of a fleet, which each report
+// looks at, and against ejections that are forgotten before they count.
+func TestRecordsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	var d Detector[int]
+	now := time.Unix(1_700_000_000, 0)
+	keep := func(int) bool { return true }
+	targets := []int{1, 2, 3, 4}
+	d.Report(now, keep)
+	for _, target := range targets {
+		d.AddRemote(target, Outcome{Ended: 20, TotalDuration: time.Second})
+	}
+	d.AddRemote(1, Outcome{Ended: 20, Failed: 20})
+	e := d.Eject(now, targets)
+	is.Equal(len(e), 1)
+	for d.State(now, 1) != Healthy {
+		is.Equal(len(slices.Collect(d.Recorded())), 4)
+		now = now.Add(ReportInterval)
+		d.Report(now, keep)
+	}
+	for range 30 {
+		now = now.Add(ReportInterval)
+		d.Report(now, keep)
+	}
+	is.Equal(len(slices.Collect(d.Recorded())), 0)
+}
--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -69,11 +69,14 @@
 		name          string
 		busy, newView bool
 		cold          int
+		// services is the number of services with 8,000 targets each.
+		services int
 	}{
 		{name: "idle"},
 		{name: "busy", busy: true},
 		{name: "busyNewView", busy: true, newView: true},
 		{name: "busyColdTargets", busy: true, newView: true, cold: 4000},
+		{name: "busy150000Targets", busy: true, services: 19},
 	} {
 		b.Run(c.name, func(b *testing.B) {
 			const hosts, targets, dataCentres = 18_000, 8_000, 19
@@ -81,6 +84,15 @@
 			for _, m := range v.Services[service][:c.cold] {
 				m.ColdUntil = start.Add(time.Hour * 10_000)
 			}
+			for i := 1; i < c.services; i++ {
+				name := cornelbay.ServiceName(fmt.Sprint("service", i))
+				for _, m := range v.Services[service] {
+					other := *m
+					other.Service, other.Cookie = name, m.Cookie+uint32(i*targets)
+					v.Services[name] = append(v.Services[name], &other)
+					v.Cookies[other.Cookie] = &other
+				}
+			}
 			p := fleetPlacer(v)
 			loads, outcomes := make(map[uint32]float64), make(map[uint32]outlier.Outcome)
 			for cookie := range uint32(targets) {
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cornelbay/cornelbay"
@@ -156,18 +157,23 @@
 	}
 	maps.DeleteFunc(p.meanAnswerBytes, func(k answerKey, _ float64) bool { return p.view.Routes[k.route] == nil })
 	maps.DeleteFunc(p.usualRouteTimes, func(k answerKey, _ usualTime) bool { return p.view.Routes[k.route] == nil })
-	for name, targets := range p.view.Services {
-		var usable []uint32
-		for _, m := range targets {
+	// Only targets with outcomes are looked at: a host hears of few targets of a large fleet.
+	recorded := make(map[cornelbay.ServiceName][]uint32)
+	for cookie := range p.outliers.Recorded() {
+		if m, ok := p.view.Cookies[cookie]; ok && m.Usable(now) {
+			recorded[m.Service] = append(recorded[m.Service], cookie)
+		}
+	}
+	for name, targets := range recorded {
+		slices.Sort(targets) // ejections stop at a share of the targets
+		usable := 0
+		for _, m := range p.view.Services[name] {
 			if m.Usable(now) {
-				usable = append(usable, m.Cookie)
+				usable++
 			}
 		}
-		eject := p.outliers.Eject
-		if s, ok := p.services[name]; ok && s.shortage.active {
-			eject = p.outliers.EjectFailing
-		}
-		for _, e := range eject(now, usable) {
+		s, limited := p.services[name]
+		for _, e := range p.outliers.EjectSome(now, targets, usable, !limited || !s.shortage.active) {
 			c := StateChange{Target: p.view.Cookies[e.Target], State: Slow, Outcome: e.Outcome, Duration: e.Duration}
 			if e.Failing {
 				c.State = Failing
