--- a/placement/admit.go
+++ b/placement/admit.go
@@ -130,7 +130,7 @@
 	r := admission.Request[*Flow]{
 		Value: f, Caller: f.key.Source.Addr().String(), Priority: f.priority, Arrived: now, Deadline: deadline,
 	}
-	p.shorten(now, s)
+	p.recordWait(now, s)
 	rate := p.concurrency(now, s) / p.meanDuration(s.name).Seconds()
 	for _, refused := range s.waiting.Add(now, r, rate) {
 		p.refuse(now, refused)
@@ -275,8 +275,8 @@
 	return s
 }
 
-// shorten records that an opening of a service has to wait.
-func (p *Placer) shorten(now time.Time, s *serviceState) {
+// recordWait records that an opening of a service has to wait, which begins a shortage.
+func (p *Placer) recordWait(now time.Time, s *serviceState) {
 	s.shortage.lastWait = now
 	if !s.shortage.active {
 		s.shortage.active, s.shortage.since = true, now
--- a/placement/service.go
+++ b/placement/service.go
@@ -470,8 +470,8 @@
 func (p *Placer) estimateOwn(now time.Time, s *serviceState, o ownTarget, t *targetState) candidate {
 	slots := max(o.share, 1)
 	c := candidate{target: o.target, load: float64(t.open) / slots, tieBreak: p.tieBreak(o.target)}
-	time1 := float64(p.usualTime(s.name)) * t.own().window.TimeFactor(now)
-	c.cost = time.Duration(time1 * (1 + max(float64(t.open)+1-slots, 0)/slots))
+	alone := float64(p.usualTime(s.name)) * t.own().window.TimeFactor(now)
+	c.cost = time.Duration(alone * (1 + max(float64(t.open)+1-slots, 0)/slots))
 	if o.target.DataCentre != p.DataCentre {
 		c.cost += crossDataCentreCost
 	}
