--- a/outlier/outlier_test.go
+++ b/outlier/outlier_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -162,7 +163,7 @@
 				}
 				d := detectorWith(all)
 				if short {
-					is.Equal(len(d.EjectFailing(start, names)) > 0, c.whenShort)
+					is.Equal(len(d.EjectSome(start, names, len(names), true)) > 0, c.whenShort)
 				} else {
 					is.Equal(len(d.Eject(start, names)) > 0, c.ejected)
 				}
@@ -170,3 +171,30 @@
 		})
 	}
 }
+
+// TestRecordsAreForgotten guards against records of all targets of a fleet, which each report
+// looks at, and against ejections that are forgotten before they count.
+func TestRecordsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	var d Detector[int]
+	now := time.Unix(1_700_000_000, 0)
+	keep := func(int) bool { return true }
+	targets := []int{1, 2, 3, 4}
+	d.Report(now, keep)
+	for _, target := range targets {
+		d.AddRemote(target, Outcome{Ended: 20, TotalDuration: time.Second})
+	}
+	d.AddRemote(1, Outcome{Ended: 20, Failed: 20})
+	e := d.Eject(now, targets)
+	is.Equal(len(e), 1)
+	for d.State(now, 1) != Healthy {
+		is.Equal(len(slices.Collect(d.Recorded())), 4)
+		now = now.Add(ReportInterval)
+		d.Report(now, keep)
+	}
+	for range 30 {
+		now = now.Add(ReportInterval)
+		d.Report(now, keep)
+	}
+	is.Equal(len(slices.Collect(d.Recorded())), 0)
+}
--- a/placement/admit.go
+++ b/placement/admit.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"errors"
+	"slices"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -15,9 +17,15 @@
 	// wait. A refusal within that time leaves the caller's next attempt most of the
 	// objective.
 	waitShare = 0.25
-	// maxWait is less than the time after which callers retransmit an opening. Until then no
-	// other host has the opening, so that a reset cannot reach an open flow.
+	// maxWait leaves time for a reset before resetTime.
 	maxWait = 150 * time.Millisecond
+	// resetTime is less than the time after which callers retransmit an opening, 200 ms. Until
+	// then no other host has the opening, so that a reset cannot reach an open flow.
+	resetTime = 180 * time.Millisecond
+	// lateTick is the delay of a tick beyond which openings may have waited to be read, from
+	// the tick before until backlogTime after it.
+	lateTick    = resetTime - maxWait
+	backlogTime = 100 * time.Millisecond
 	// maxWaiting limits the openings of a service that wait at a host. Each keeps a packet.
 	maxWaiting = 4096
 	// shortageEnd is the time without a waiting opening after which a shortage is over.
@@ -40,6 +48,9 @@
 	// waited, if that decided.
 	Reason       admission.Reason
 	ExpectedWait time.Duration
+	// ResetUntil is until when the caller of a refused flow may get a reset. Later it may have
+	// retransmitted the opening, and another host may have opened the flow.
+	ResetUntil time.Time
 }
 
 // Reasons for refusing waiting openings, beside those of package admission.
@@ -58,7 +69,7 @@
 // Waiting returns the number of openings that wait for a slot.
 func (p *Placer) Waiting() int {
 	n := 0
-	for _, s := range p.services {
+	for _, s := range p.short {
 		n += s.waiting.Len()
 	}
 	return n
@@ -68,29 +79,46 @@
 // opening waits: the error is ErrWaiting, and Admissions returns the decision, which may be
 // due at once.
 func (p *Placer) admit(now time.Time, s *serviceState, f *Flow) (*registry.Endpoint, error) {
-	if p.sharesStale {
-		p.divide(now)
+	switch {
+	case !s.inUse(now):
+		p.update(now, s)
+	case s.listsOf != p.view:
+		p.divide(now, s)
 	}
+	s.usedAt = now
 	if s.waiting.Len() > 0 {
 		p.dispatch(now, s)
 	}
 	if s.waiting.Len() == 0 {
-		m, from, full := p.chooseLimited(now, s)
-		if m != nil {
+		m, from, err := p.chooseAny(now, s)
+		if !errors.Is(err, ErrWaiting) {
 			f.borrowed = from
-			return m, nil
-		}
-		if !full {
-			return p.choose(now, s.name, nil)
+			return m, err
 		}
 	}
 	p.hold(now, s, f)
 	return nil, ErrWaiting
 }
 
+// chooseAny returns the target for the next flow of a service: within the limits, or without
+// them if no target is limited. The error is ErrWaiting if all limits are reached.
+func (p *Placer) chooseAny(now time.Time, s *serviceState) (m *registry.Endpoint, from *borrowed, err error) {
+	if !s.ended {
+		m, from, full := p.chooseLimited(now, s)
+		if m != nil {
+			return m, from, nil
+		}
+		if full {
+			return nil, nil, ErrWaiting
+		}
+	}
+	m, err = p.choose(now, s.name, nil)
+	return m, nil, err
+}
+
 // hold makes an opening wait, and refuses those that then cannot be served in time.
 func (p *Placer) hold(now time.Time, s *serviceState, f *Flow) {
-	f.waiting, f.idle = true, true
+	f.waiting, f.idle, f.sentSince = true, true, p.sentSince(now)
 	objective := s.objective
 	if r, ok := p.view.Routes[f.key.Destination]; ok {
 		f.priority = r.Priority
@@ -102,7 +130,7 @@
 	r := admission.Request[*Flow]{
 		Value: f, Caller: f.key.Source.Addr().String(), Priority: f.priority, Arrived: now, Deadline: deadline,
 	}
-	p.shorten(now, s)
+	p.recordWait(now, s)
 	rate := p.concurrency(now, s) / p.meanDuration(s.name).Seconds()
 	for _, refused := range s.waiting.Add(now, r, rate) {
 		p.refuse(now, refused)
@@ -112,6 +140,10 @@
 // dispatch opens the flows of waiting openings while there is room for them, and refuses
 // those that have waited for too long.
 func (p *Placer) dispatch(now time.Time, s *serviceState) {
+	s.freed = false
+	if s.listsOf != p.view {
+		p.divide(now, s)
+	}
 	if s.routesChanged {
 		s.routesChanged = false
 		p.refuseAll(now, NoRoute, s.waiting.Remove(func(f *Flow) bool { return p.view.Routes[f.key.Destination] == nil }))
@@ -120,15 +152,12 @@
 		p.refuse(now, r)
 	}
 	for s.waiting.Len() > 0 {
-		m, from, full := p.chooseLimited(now, s)
-		if m == nil && !full {
-			var err error
-			if m, err = p.choose(now, s.name, nil); err != nil {
-				p.refuseAll(now, NoTarget, s.waiting.Remove(func(*Flow) bool { return true }))
-				return
-			}
+		m, from, err := p.chooseAny(now, s)
+		if errors.Is(err, ErrWaiting) {
+			return
 		}
-		if m == nil {
+		if err != nil {
+			p.refuseAll(now, NoTarget, s.waiting.Remove(func(*Flow) bool { return true }))
 			return
 		}
 		r, ok := s.waiting.Next(now)
@@ -143,19 +172,35 @@
 		a := Admission{Key: f.key, Opening: f.opening, Target: m, Priority: f.priority, Waited: now.Sub(f.opened)}
 		f.opened, f.lastSeen = now, now
 		p.start(now, f, m)
+		if now.Sub(f.sentSince) > resetTime {
+			p.queueAmbiguous(AmbiguousFlow{Key: f.key, Tried: f.tried})
+		}
 		p.admissions = append(p.admissions, a)
 		p.counters.Admitted++
 	}
 }
 
-// dispatchAll dispatches the waiting openings of all services.
+// dispatchFreed dispatches the waiting openings for which there may be room.
+func (p *Placer) dispatchFreed(now time.Time) {
+	for _, s := range p.short {
+		if s.freed && s.waiting.Len() > 0 {
+			p.dispatch(now, s)
+		}
+	}
+}
+
+// dispatchAll dispatches the waiting openings of all services, and ends shortages.
 func (p *Placer) dispatchAll(now time.Time) {
-	for _, s := range p.services {
+	for _, s := range p.short {
 		if s.waiting.Len() > 0 {
 			p.dispatch(now, s)
 		}
+		if s.ended && s.waiting.Len() == 0 && p.services[s.name] == s { // it may be limited again
+			p.unlimit(s)
+		}
 		p.checkShortage(now, s)
 	}
+	p.short = slices.DeleteFunc(p.short, func(s *serviceState) bool { return !s.shortage.active })
 }
 
 // refuse forgets an opening that waited. No target has got it.
@@ -170,10 +215,31 @@
 	p.counters.Shed++
 	p.admissions = append(p.admissions, Admission{
 		Key: f.key, Opening: f.opening, Priority: f.priority, Waited: now.Sub(f.opened),
-		Reason: r.Reason, ExpectedWait: r.Wait,
+		Reason: r.Reason, ExpectedWait: r.Wait, ResetUntil: f.sentSince.Add(resetTime),
 	})
 }
 
+// forget removes a waiting opening that another host may have opened: it is not to be refused.
+func (p *Placer) forget(f *Flow) {
+	f.waiting = false
+	delete(p.flows, f.key)
+	if s, ok := p.services[f.service]; ok {
+		s.waiting.Remove(func(o *Flow) bool { return o == f })
+	}
+}
+
+// sentSince returns the earliest time at which an opening that has just been read may have
+// been sent: it may have waited while this host was stalled.
+func (p *Placer) sentSince(now time.Time) time.Time {
+	switch {
+	case !p.lastTick.IsZero() && now.Sub(p.lastTick) > p.tickInterval+lateTick:
+		return p.lastTick
+	case now.Before(p.backlogUntil):
+		return p.backlogSince
+	}
+	return now
+}
+
 func (p *Placer) refuseAll(now time.Time, reason admission.Reason, requests []admission.Request[*Flow]) {
 	for _, r := range requests {
 		r.Reason = reason
@@ -209,11 +275,12 @@
 	return s
 }
 
-// shorten records that an opening of a service has to wait.
-func (p *Placer) shorten(now time.Time, s *serviceState) {
+// recordWait records that an opening of a service has to wait, which begins a shortage.
+func (p *Placer) recordWait(now time.Time, s *serviceState) {
 	s.shortage.lastWait = now
 	if !s.shortage.active {
 		s.shortage.active, s.shortage.since = true, now
+		p.short = append(p.short, s)
 		p.counters.Shortages++
 		p.recordShortage(now, s)
 	}
@@ -221,9 +288,6 @@
 
 // checkShortage ends a shortage when no opening has waited for a while.
 func (p *Placer) checkShortage(now time.Time, s *serviceState) {
-	if !s.shortage.active {
-		return
-	}
 	if s.waiting.Len() > 0 {
 		s.shortage.lastWait = now
 	}
--- a/placement/admit_test.go
+++ b/placement/admit_test.go
@@ -45,6 +45,7 @@
 func short(p *Placer) {
 	s := p.services[service]
 	s.shortage.active, s.shortage.lastWait = true, start
+	p.short = append(p.short, s)
 }
 
 // fill opens flows until one has to wait, and returns their number.
@@ -154,7 +155,6 @@
 		v := limited(warmTarget(1, "near"))
 		c.change(v)
 		p.SetView(v)
-		p.divide(start)
 		p.Tick(start.Add(10 * time.Millisecond))
 		is.Equal(reasons(p.Admissions()), map[admission.Reason]int{c.reason: 1}) // c.name
 	}
@@ -260,7 +260,7 @@
 	is := is.New(t)
 	p := placer(limited(warmTarget(1, "near"), warmTarget(2, "near")))
 	short(p)
-	p.divide(start)
+	p.divide(start, p.services[service])
 	p.suspect(start, p.view.Cookies[1], start)
 	p.clearSuspicion(start.Add(time.Second), 1)
 	got := make(map[uint32]int)
@@ -314,7 +314,7 @@
 		registry.Host{Name: "remote", DataCentre: "far"})
 	p := placer(v)
 	short(p)
-	p.divide(start)
+	p.divide(start, p.services[service])
 	s := p.services[service]
 	for range 20 {
 		s.borrowedNear.limit.Rejected(start) // others fill the near targets
@@ -336,7 +336,7 @@
 	v.Hosts = append(v.Hosts, registry.Host{Name: "other", DataCentre: "near"})
 	p := placer(v)
 	short(p)
-	p.divide(start)
+	p.divide(start, p.services[service])
 	for range 20 {
 		p.services[service].borrowedNear.limit.Rejected(start)
 	}
@@ -350,7 +350,7 @@
 	v := limited(warmTarget(1, "near"), warmTarget(2, "near"))
 	v.Hosts = append(v.Hosts, registry.Host{Name: "other", DataCentre: "near"})
 	p := placer(v)
-	p.divide(start)
+	p.divide(start, p.services[service])
 	own := p.services[service].own[0].target.Cookie
 	p.MergeReport("other", Report{At: start, Loads: map[uint32]float64{own: 1}})
 	is.Equal(open(t, p, start, 1), 3-own)
@@ -363,11 +363,11 @@
 	p := placer(limited(warmTarget(1, "near")))
 	f := &Flow{key: key(1), service: service}
 	for range minUsualSample {
-		p.recordUsualTime(f, 20*time.Millisecond)
+		p.recordUsualTime(p.services[service], f, 20*time.Millisecond)
 	}
 	short(p)
 	for range 100 {
-		p.recordUsualTime(f, 80*time.Millisecond)
+		p.recordUsualTime(p.services[service], f, 80*time.Millisecond)
 	}
 	is.Equal(p.usualRouteTime(f), 20*time.Millisecond)
 	is.Equal(p.usualTime(service), 20*time.Millisecond)
--- a/placement/ambiguous.go
+++ b/placement/ambiguous.go
@@ -43,6 +43,9 @@
 	if p.view == nil || len(a.Tried) == 0 {
 		return
 	}
+	if f, ok := p.flows[a.Key]; ok && f.waiting {
+		p.forget(f)
+	}
 	f, ok := p.flows[a.Key]
 	if !ok || f.closed {
 		m, known := p.view.Cookies[a.Tried[len(a.Tried)-1]]
@@ -60,6 +63,7 @@
 	switch {
 	case a.Chosen != 0 && !f.answered:
 		p.resolve(now, f, a.Chosen)
+		p.dispatchFreed(now)
 	case a.Chosen == 0 && f.answered:
 		// The routers sent the flow here: only this host knows which target has it.
 		p.queueAmbiguous(AmbiguousFlow{Key: f.key, Tried: f.tried, Chosen: f.target.Cookie})
--- a/placement/flow.go
+++ b/placement/flow.go
@@ -77,10 +77,12 @@
 	// waiting is true while the opening waits for a slot, priority that of its route.
 	waiting  bool
 	priority int
+	// sentSince is the earliest time at which the caller may have sent an opening that waits.
+	sentSince time.Time
 	// borrowed is set if the flow is open beyond this host's share of the slots.
 	borrowed *borrowed
-	// contended is true if the request may have waited at the target: other flows were open
-	// there, as many as slots.
+	// contended is true if the last request may have waited at the target: other flows were
+	// open there, as many as this host has slots, or the slots are those of other hosts.
 	contended bool
 	// adopted is true for a flow that another host opened.
 	adopted bool
@@ -129,6 +131,12 @@
 // such packet decides which of them has the flow: a late answer of another target must not
 // move it.
 func (p *Placer) RoutePacket(now time.Time, key cornelbay.FlowKey, s Segment) uint32 {
+	cookie := p.routePacket(now, key, s)
+	p.dispatchFreed(now)
+	return cookie
+}
+
+func (p *Placer) routePacket(now time.Time, key cornelbay.FlowKey, s Segment) uint32 {
 	p.lastProgress = now
 	f, ok := p.flows[key]
 	if !ok {
@@ -157,9 +165,6 @@
 	if s.Finishing {
 		p.close(now, f)
 	}
-	if waits, ok := p.services[f.service]; ok && waits.waiting.Len() > 0 {
-		p.dispatch(now, waits)
-	}
 	return f.target.Cookie
 }
 
@@ -262,6 +267,9 @@
 		p.stalledAt = now
 		p.queueStateChange(StateChange{State: Stalled, Duration: gap})
 	}
+	if !p.lastTick.IsZero() && gap > p.tickInterval+lateTick {
+		p.backlogSince, p.backlogUntil = p.lastTick, now.Add(backlogTime)
+	}
 	var retries []Retry
 	for _, f := range p.pending {
 		if stalled || f.retransmits < retransmitsDue(now.Sub(f.opened)) || p.bypassed(f) {
@@ -276,11 +284,11 @@
 			retries = append(retries, p.retry(now, f))
 		}
 	}
-	p.dispatchAll(now)
 	if now.Sub(p.sweptAt) >= sweepInterval {
 		p.sweptAt = now
 		p.sweep(now)
 	}
+	p.dispatchAll(now)
 	p.lastTick, p.tickInterval = now, p.TickInterval()
 	return retries
 }
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cornelbay/cornelbay"
@@ -46,13 +47,13 @@
 	if !e.answeredAt.IsZero() {
 		o.TotalDuration = e.answeredAt.Sub(e.begun)
 	}
-	if _, ok := p.services[f.service]; ok {
+	if s, ok := p.services[f.service]; ok {
 		if failed && !e.answeredAt.IsZero() && p.overloaded(f, o.TotalDuration) {
 			p.counters.Rejected++
-			p.recordPace(f, 0, false)
+			p.recordPace(s, f, 0, false)
 			return
 		}
-		p.recordPace(f, o.TotalDuration, !failed)
+		p.recordPace(s, f, o.TotalDuration, !failed)
 	}
 	if failed {
 		o.Failed = 1
@@ -68,21 +69,27 @@
 }
 
 // recordPace tells the limits of a service of the end of a request.
-func (p *Placer) recordPace(f *Flow, took time.Duration, served bool) {
+func (p *Placer) recordPace(s *serviceState, f *Flow, took time.Duration, served bool) {
 	now, usual := f.lastSeen, p.usualRouteTime(f)
-	w := &p.targetState(f.target.Cookie, now).window
+	if _, ok := p.usualTimes[f.service]; !ok {
+		usual = max(usual, took) // nothing shows that the answer is late
+	}
+	s.freed = true // the limit may grow
+	l := p.targetState(f.target.Cookie, now).limits
 	switch {
 	case served && f.borrowed != nil:
 		f.borrowed.limit.Answered(now, took, usual)
 	case served:
-		w.Answered(now, took, usual, f.contended || p.services[f.service].shortage.active)
+		if l != nil {
+			l.window.Answered(now, took, usual, f.contended || s.shortage.active)
+		}
 		if !f.contended {
-			p.recordUsualTime(f, took)
+			p.recordUsualTime(s, f, took)
 		}
 	case f.borrowed != nil:
 		f.borrowed.limit.Rejected(now)
-	default:
-		w.Rejected(now)
+	case l != nil:
+		l.window.Rejected(now)
 	}
 }
 
@@ -91,9 +98,9 @@
 const minUsualSample = 16
 
 // recordUsualTime updates the usual times by a request that did not wait at its target.
-func (p *Placer) recordUsualTime(f *Flow, took time.Duration) {
+func (p *Placer) recordUsualTime(s *serviceState, f *Flow, took time.Duration) {
 	key := answerKey{f.key.Destination, f.service}
-	if p.services[f.service].shortage.active && p.usualRouteTimes[key].samples >= minUsualSample {
+	if s.shortage.active && p.usualRouteTimes[key].samples >= minUsualSample {
 		return
 	}
 	if p.usualTimes == nil {
@@ -106,7 +113,7 @@
 
 // usualTime returns the mean time of a request of a service that does not wait at its target.
 func (p *Placer) usualTime(service cornelbay.ServiceName) time.Duration {
-	if m := p.usualTimes[service]; m.samples > 0 {
+	if m, ok := p.usualTimes[service]; ok {
 		return time.Duration(m.value)
 	}
 	return initialDuration
@@ -114,7 +121,7 @@
 
 // usualRouteTime returns the mean time of a request on a flow's route that does not wait.
 func (p *Placer) usualRouteTime(f *Flow) time.Duration {
-	if m := p.usualRouteTimes[answerKey{f.key.Destination, f.service}]; m.samples > 0 {
+	if m, ok := p.usualRouteTimes[answerKey{f.key.Destination, f.service}]; ok {
 		return time.Duration(m.value)
 	}
 	return p.usualTime(f.service)
@@ -156,24 +163,31 @@
 	}
 	maps.DeleteFunc(p.answerSizes, func(k answerKey, _ runningMean) bool { return p.view.Routes[k.route] == nil })
 	maps.DeleteFunc(p.usualRouteTimes, func(k answerKey, _ runningMean) bool { return p.view.Routes[k.route] == nil })
-	for name, targets := range p.view.Services {
-		var usable []uint32
-		for _, m := range targets {
+	// Only targets with outcomes are looked at: a host hears of few targets of a large fleet.
+	recorded := make(map[cornelbay.ServiceName][]uint32)
+	for cookie := range p.outliers.Recorded() {
+		if m, ok := p.view.Cookies[cookie]; ok && m.Usable(now) {
+			recorded[m.Service] = append(recorded[m.Service], cookie)
+		}
+	}
+	for name, targets := range recorded {
+		slices.Sort(targets) // ejections stop at a share of the targets
+		usable := 0
+		for _, m := range p.view.Services[name] {
 			if m.Usable(now) {
-				usable = append(usable, m.Cookie)
+				usable++
 			}
 		}
-		eject := p.outliers.Eject
-		if s, ok := p.services[name]; ok && s.isShort() {
-			eject = p.outliers.EjectFailing
-		}
-		for _, e := range eject(now, usable) {
+		s, limited := p.services[name]
+		for _, e := range p.outliers.EjectSome(now, targets, usable, limited && s.isShort()) {
 			c := StateChange{Target: p.view.Cookies[e.Target], State: Slow, Outcome: e.Outcome, Duration: e.Duration}
 			if e.Failing {
 				c.State = Failing
 			}
 			p.counters.Ejected++
-			p.targetState(e.Target, now).window.Restart(now)
+			if l := p.targetState(e.Target, now).limits; l != nil {
+				l.window.Restart(now)
+			}
 			p.queueStateChange(c)
 		}
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -20,8 +20,8 @@
 
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/outlier"
-	"github.com/cornelbay/cornelbay/pace"
 	"github.com/cornelbay/cornelbay/registry"
+	"github.com/cornelbay/cornelbay/share"
 )
 
 // Errors for flows that are refused. Each guarantees that no target has run the flow: this
@@ -72,11 +72,19 @@
 	// answerSizes are the mean sizes of the answers of each route and service.
 	answerSizes map[answerKey]runningMean
 	outliers    outlier.Detector[uint32]
-	// services are the limited services, serviceOutcomes the outcomes of their flows at all
-	// targets. sharesStale is true if the shares of the slots have to be divided again.
-	services        map[cornelbay.ServiceName]*serviceState
-	serviceOutcomes map[cornelbay.ServiceName]outlier.Outcome
-	sharesStale     bool
+	// services are the limited services.
+	services map[cornelbay.ServiceName]*serviceState
+	// short are the services in a shortage, the only ones that openings may wait for.
+	short []*serviceState
+	// hostsGeneration counts the changes of the registered hosts. hostsOf are the hosts of each
+	// data centre, of the generation hostsOfGeneration.
+	hostsGeneration, hostsOfGeneration uint64
+	hostsOf                            map[cornelbay.DataCentreName][]cornelbay.HostName
+	// nextDivision is the time before which no slots are divided anew. warm and warmTargets are
+	// used during a division only.
+	nextDivision time.Time
+	warm         []*registry.Endpoint
+	warmTargets  []share.Target[uint32]
 	// usualTimes are the mean times of requests that did not wait at their targets, by
 	// service and by route.
 	usualTimes      map[cornelbay.ServiceName]runningMean
@@ -90,6 +98,8 @@
 	// and sweptAt when a call last looked at all flows.
 	lastTick, sweptAt time.Time
 	tickInterval      time.Duration
+	// Openings that are read before backlogUntil may have been sent since backlogSince.
+	backlogSince, backlogUntil time.Time
 	// lastProgress is when the last packet after an opening arrived, of any flow.
 	lastProgress time.Time
 	// foreignPacketAt is when a packet last arrived of a flow that this host had not
@@ -135,14 +145,8 @@
 	integratedTo time.Time
 	suspicion
 	counters TargetCounters
-	// window limits the flows of this host at a target of its share.
-	window pace.Window
-	// cold and startedMs are those of the last endpoint; see follow.
-	cold      bool
-	startedMs int64
-	// reportedState and reportedFactor are those of the window in the last StateChange.
-	reportedState  pace.State
-	reportedFactor float64
+	// limits is nil for a target that is not, and was not lately, in this host's share.
+	limits *targetLimits
 }
 
 func (t *targetState) adjustOpen(now time.Time, n int) {
@@ -157,10 +161,19 @@
 
 // SetView replaces the placer's view of the targets.
 func (p *Placer) SetView(v *registry.View) {
-	p.view, p.sharesStale = v, true
+	if p.view == nil || !sameHosts(p.view.Hosts, v.Hosts) {
+		p.hostsGeneration++
+	}
+	p.view = v
 	p.limitServices()
 }
 
+// sameHosts reports whether the hosts of two views are the same. Views share them if they have
+// not changed.
+func sameHosts(a, b []registry.Host) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0] || slices.Equal(a, b))
+}
+
 // Counters returns the outcomes of all openings so far.
 func (p *Placer) Counters() Counters { return p.counters }
 
@@ -183,6 +196,9 @@
 // known flow goes to that flow's target; that of an unknown flow may belong to a flow that
 // another host opened. The error ErrWaiting means that the opening waits for a slot.
 func (p *Placer) Open(now time.Time, key cornelbay.FlowKey, service cornelbay.ServiceName, opening []byte, retransmitted bool) (*registry.Endpoint, error) {
+	if f, ok := p.flows[key]; ok && f.waiting && retransmitted {
+		p.forget(f) // an opening of which another host may have the next retransmission
+	}
 	if f, ok := p.flows[key]; ok && !f.closed {
 		f.lastSeen = now
 		f.retransmits++
@@ -199,7 +215,7 @@
 	var err error
 	// Another host may have opened the flow of a retransmitted opening, which therefore must
 	// not be refused later.
-	if s, ok := p.services[service]; ok && !retransmitted && len(p.flows) < maxFlows {
+	if s, ok := p.services[service]; ok && !s.ended && !retransmitted && len(p.flows) < maxFlows {
 		m, err = p.admit(now, s, f)
 	} else {
 		m, err = p.choose(now, service, nil)
@@ -242,7 +258,7 @@
 	f.tried = append(f.tried, m.Cookie)
 	f.deadline = now.Add(p.answerTimeout())
 	t := p.targetState(m.Cookie, now)
-	f.contended = f.borrowed != nil || t.open >= slotsOf(m)
+	f.contended = f.borrowed != nil || t.contended()
 	p.adjustOpen(now, f, 1)
 	t.counters.Opened++
 }
@@ -250,6 +266,9 @@
 // adjustOpen changes the number of open flows at a flow's target by n.
 func (p *Placer) adjustOpen(now time.Time, f *Flow, n int) {
 	p.targetState(f.target.Cookie, now).adjustOpen(now, n)
+	if s, ok := p.services[f.service]; ok && n < 0 {
+		s.freed = true
+	}
 	if f.borrowed != nil {
 		f.borrowed.open += n
 	}
@@ -334,8 +353,9 @@
 	return nil, ErrNoTarget
 }
 
+// keepBest replaces best by a better candidate; one without a target counts as none.
 func keepBest(best *candidate, c candidate) {
-	if best.target == nil || compareCandidates(c, *best) < 0 {
+	if c.target != nil && (best.target == nil || compareCandidates(c, *best) < 0) {
 		*best = c
 	}
 }
--- a/placement/service.go
+++ b/placement/service.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cornelbay/cornelbay"
@@ -18,17 +20,29 @@
 	// objective is the longest latency objective of the service's routes. It is used for
 	// routes without one.
 	objective time.Duration
+	// usedAt is when this host last opened a flow of the service or let an opening wait.
+	usedAt time.Time
+	// division are the shares of all slots that the lists of targets are derived from.
+	division division
+	// listsOf is the view that the lists come from, and listedAt when they were last updated.
+	listsOf  *registry.View
+	listedAt time.Time
 	// slots is the number of slots in this host's share, own the targets that they are at.
 	slots float64
 	own   []ownTarget
 	// near are the other warm targets in the own data centre, far those in the others.
 	near, far []*registry.Endpoint
-	// cold are the cold targets that this host owns; see owner.
-	cold []*registry.Endpoint
+	// cold are the cold targets that this host owns; see owner. owned caches, by cookie,
+	// whether it owns a target, for the registered hosts of the generation ownedOf.
+	cold    []*registry.Endpoint
+	owned   map[uint32]bool
+	ownedOf uint64
 	// utilization is the mean load per slot that is reported for each data centre.
 	utilization map[cornelbay.DataCentreName]float64
 	// farUtilization is the lowest of the other data centres.
 	farUtilization float64
+	// outcomes are those of the flows of all hosts at all targets.
+	outcomes outlier.Outcome
 	// borrowedNear and borrowedFar are the flows that are open at targets beyond this host's
 	// share, in the own data centre and in the others. One may be full while the others
 	// have room.
@@ -36,10 +50,23 @@
 	// waiting are the openings that wait for a slot.
 	waiting  admission.Queue[*Flow]
 	shortage shortage
+	// ended is true if the service is no longer limited, but openings still wait.
+	ended bool
+	// freed is true if there may be room for waiting openings since the last dispatch.
+	freed bool
 	// routesChanged is true if the routes of waiting openings may be gone.
 	routesChanged bool
 }
 
+// division is a division of the slots of a service's warm targets among the hosts.
+type division struct {
+	// shares are the slots that belong to this host, by the target's cookie.
+	shares map[uint32]float64
+	// targets are the divided slots, and hosts the generation of the registered hosts.
+	targets []share.Target[uint32]
+	hosts   uint64
+}
+
 // borrowed are flows that are open beyond this host's share of the slots.
 type borrowed struct {
 	open  int
@@ -82,8 +109,10 @@
 	}
 	for name, s := range p.services {
 		s.routesChanged = true
-		if _, ok := objectives[name]; !ok && s.waiting.Len() == 0 && s.borrowed() == 0 {
-			delete(p.services, name)
+		_, limited := objectives[name]
+		s.ended = !limited
+		if s.ended && s.waiting.Len() == 0 {
+			p.unlimit(s)
 		}
 	}
 	for name, objective := range objectives {
@@ -96,45 +125,104 @@
 	}
 }
 
-// divide recomputes this host's shares of the slots of all limited services, which change
-// with the registered hosts and with the targets that may get flows.
-func (p *Placer) divide(now time.Time) {
-	p.sharesStale = false
+// unlimit drops the state of a service that is no longer limited and for which no opening
+// waits.
+func (p *Placer) unlimit(s *serviceState) {
+	delete(p.services, s.name)
+	delete(p.usualTimes, s.name)
+	maps.DeleteFunc(p.usualRouteTimes, func(k answerKey, _ runningMean) bool { return k.service == s.name })
+	for _, o := range s.own {
+		if t, ok := p.targets[o.target.Cookie]; ok {
+			t.limits = nil
+		}
+	}
+}
+
+const (
+	// unusedTime is the time without a flow of a service after which its shares and loads are
+	// no longer updated with each report, but with its next flow.
+	unusedTime = 10 * time.Second
+	// divisionPause is the pause after a division of slots, for each host and target of the
+	// division, which takes up to 0.5 µs for each: divisions use at most 1% of a core.
+	divisionPause = 50 * time.Microsecond
+	// limitsRetention is how long the limits of a target are kept after it has left this
+	// host's share, since it may be back soon.
+	limitsRetention = time.Minute
+)
+
+// inUse reports whether this host has had flows of a service lately.
+func (s *serviceState) inUse(now time.Time) bool {
+	return !s.usedAt.IsZero() && now.Sub(s.usedAt) < unusedTime || s.waiting.Len() > 0 || s.shortage.active
+}
+
+// update updates what changes with time: the lists of a service's targets, and the reported
+// loads and outcomes.
+func (p *Placer) update(now time.Time, s *serviceState) {
 	if p.view == nil {
 		return
 	}
-	self := registry.Host{Name: p.Self, DataCentre: p.DataCentre}
-	for _, s := range p.services {
-		var warm []share.Target[uint32]
-		s.cold = s.cold[:0]
-		for _, m := range p.view.Services[s.name] {
-			if !m.Usable(now) {
-				continue
-			}
-			t := p.targetState(m.Cookie, now)
-			t.follow(now, m)
-			if now.Before(m.ColdUntil) {
-				if p.owner(m) == p.Self {
-					s.cold = append(s.cold, m)
-				}
-				continue
+	p.divide(now, s)
+	p.measureUtilization(now, s)
+	p.sumOutcomes(s)
+}
+
+// divide updates the lists of a service's targets, which change with the view and with time.
+// The slots are divided anew if the registered hosts or the warm targets have changed, but not
+// before the pause after the last division is over.
+func (p *Placer) divide(now time.Time, s *serviceState) {
+	if p.view == nil {
+		return
+	}
+	p.warm, p.warmTargets = p.warm[:0], p.warmTargets[:0]
+	s.cold = s.cold[:0]
+	cold := 0
+	for _, m := range p.view.Services[s.name] {
+		if !m.Usable(now) {
+			continue
+		}
+		if now.Before(m.ColdUntil) {
+			cold++
+			if p.ownsCold(s, m) {
+				s.cold = append(s.cold, m)
 			}
-			warm = append(warm, share.Target[uint32]{Key: m.Cookie, DataCentre: m.DataCentre, Slots: float64(slotsOf(m))})
+			continue
+		}
+		p.warm = append(p.warm, m)
+		p.warmTargets = append(p.warmTargets, share.Target[uint32]{Key: m.Cookie, DataCentre: m.DataCentre, Slots: float64(slotsOf(m))})
+	}
+	if len(s.owned) > 2*cold {
+		clear(s.owned)
+	}
+	changed := s.division.hosts != p.hostsGeneration || !slices.Equal(s.division.targets, p.warmTargets)
+	if changed && (s.division.shares == nil || !now.Before(p.nextDivision)) {
+		p.nextDivision = now.Add(time.Duration(len(p.view.Hosts)+len(p.warm)) * divisionPause)
+		s.division = division{
+			shares:  share.Divide(registry.Host{Name: p.Self, DataCentre: p.DataCentre}, p.view.Hosts, p.warmTargets),
+			targets: slices.Clone(p.warmTargets), hosts: p.hostsGeneration,
 		}
-		s.assign(p, share.Divide(self, p.view.Hosts, warm), warm)
+	} else if !changed && s.listsOf == p.view {
+		s.listedAt = now
+		return
 	}
+	p.list(now, s)
+	s.listsOf, s.listedAt = p.view, now
 }
 
-// assign sorts the warm targets by whose slots they have.
-func (s *serviceState) assign(p *Placer, shares map[uint32]float64, warm []share.Target[uint32]) {
+// list sorts the warm targets by whose slots they have.
+func (p *Placer) list(now time.Time, s *serviceState) {
+	for _, o := range s.own {
+		if t, ok := p.targets[o.target.Cookie]; ok && t.limits != nil {
+			t.limits.leftAt = now
+		}
+	}
 	s.slots, s.own, s.near, s.far = 0, s.own[:0], s.near[:0], s.far[:0]
-	for _, t := range warm {
-		m := p.view.Cookies[t.Key]
-		n := shares[t.Key]
+	for _, m := range p.warm {
+		n := s.division.shares[m.Cookie]
+		s.slots += n
 		switch {
-		case n > 0:
-			s.slots += n
+		case n >= pace.MinShare: // a smaller share allows no flows, but they can be borrowed
 			s.own = append(s.own, ownTarget{m, n})
+			p.targetState(m.Cookie, now).enterShare(now, m, n, s.listedAt)
 		case m.DataCentre == p.DataCentre:
 			s.near = append(s.near, m)
 		default:
@@ -143,39 +231,81 @@
 	}
 }
 
-// follow restarts the window of a target that has started anew, or is no longer cold.
-func (t *targetState) follow(now time.Time, m *registry.Endpoint) {
-	cold := now.Before(m.ColdUntil)
-	if t.startedMs != 0 && t.startedMs != m.StartedMs || t.cold && !cold {
-		t.window.Restart(now)
+// ownsCold reports whether this host owns a cold target.
+func (p *Placer) ownsCold(s *serviceState, m *registry.Endpoint) bool {
+	if s.owned == nil || s.ownedOf != p.hostsGeneration {
+		s.owned, s.ownedOf = make(map[uint32]bool), p.hostsGeneration
+	}
+	owns, ok := s.owned[m.Cookie]
+	if !ok {
+		owns = p.owner(m) == p.Self
+		s.owned[m.Cookie] = owns
+	}
+	return owns
+}
+
+// targetLimits limit the flows of this host at a target of its share.
+type targetLimits struct {
+	window pace.Window
+	// share are the slots of the target that belong to this host.
+	share float64
+	// startedMs is the start of the last endpoint.
+	startedMs int64
+	// leftAt is when the target left this host's share, and zero while it is part of it.
+	leftAt time.Time
+	// reportedState and reportedFactor are those of the window in the last StateChange.
+	reportedState  pace.State
+	reportedFactor float64
+}
+
+// own returns the limits of a target of this host's share.
+func (t *targetState) own() *targetLimits {
+	if t.limits == nil {
+		t.limits = &targetLimits{}
+	}
+	return t.limits
+}
+
+// contended reports whether a request that is sent now may wait at the target: this host has
+// as many flows there as slots, or the slots are those of other hosts.
+func (t *targetState) contended() bool {
+	l := t.limits
+	return l == nil || !l.leftAt.IsZero() || float64(t.open) >= max(l.share, 1)
+}
+
+// enterShare records that a target is part of this host's share. Its window restarts if the
+// target has started anew, or was cold when the share was last looked at.
+func (t *targetState) enterShare(now time.Time, m *registry.Endpoint, share float64, lastSeen time.Time) {
+	l := t.own()
+	if l.startedMs != 0 && l.startedMs != m.StartedMs || !lastSeen.IsZero() && m.ColdUntil.After(lastSeen) {
+		l.window.Restart(now)
 	}
-	t.cold, t.startedMs = cold, m.StartedMs
+	l.share, l.startedMs, l.leftAt = share, m.StartedMs, time.Time{}
 }
 
 // speedChange is the ratio between two time factors that counts as a change of speed.
 const speedChange = 2
 
-// reportWindows queues the state changes of the windows of this host's share.
-func (p *Placer) reportWindows(now time.Time) {
-	for _, s := range p.services {
-		for _, o := range s.own {
-			t := p.targetState(o.target.Cookie, now)
-			f := t.window.TimeFactor(now)
-			if state := t.window.State(); state != t.reportedState {
-				t.reportedState = state
-				change := StateChange{Target: o.target, State: RampEnded, TimeFactor: f}
-				if state == pace.Ramping {
-					change.State = RampBegun
-				}
-				p.queueStateChange(change)
-			}
-			if t.reportedFactor == 0 {
-				t.reportedFactor = 1
-			}
-			if r := f / t.reportedFactor; r > speedChange || r < 1/speedChange {
-				t.reportedFactor = f
-				p.queueStateChange(StateChange{Target: o.target, State: SpeedChanged, TimeFactor: f})
+// reportWindows queues the state changes of the windows of a service's targets in this host's
+// share.
+func (p *Placer) reportWindows(now time.Time, s *serviceState) {
+	for _, o := range s.own {
+		l := p.targetState(o.target.Cookie, now).own()
+		f := l.window.TimeFactor(now)
+		if state := l.window.State(); state != l.reportedState {
+			l.reportedState = state
+			change := StateChange{Target: o.target, State: RampEnded, TimeFactor: f}
+			if state == pace.Ramping {
+				change.State = RampBegun
 			}
+			p.queueStateChange(change)
+		}
+		if l.reportedFactor == 0 {
+			l.reportedFactor = 1
+		}
+		if r := f / l.reportedFactor; r > speedChange || r < 1/speedChange {
+			l.reportedFactor = f
+			p.queueStateChange(StateChange{Target: o.target, State: SpeedChanged, TimeFactor: f})
 		}
 	}
 }
@@ -199,13 +329,13 @@
 	all := make(map[cornelbay.ServiceName]ServiceStats, len(p.services))
 	for name, s := range p.services {
 		st := ServiceStats{
-			Slots: s.slots, Limit: p.concurrency(now, s), Borrowing: s.borrowingLimit(),
+			Slots: s.slots, Limit: p.concurrency(now, s), Borrowing: s.borrowable(),
 			Borrowed: s.borrowed(), Waiting: s.waiting.Len(), TimeFactors: make(map[cornelbay.TargetName]float64, len(s.own)),
 		}
 		for _, o := range s.own {
-			t := p.targetState(o.target.Cookie, now)
-			st.TimeFactors[o.target.Name] = t.window.TimeFactor(now)
-			if t.window.State() == pace.Ramping {
+			w := &p.targetState(o.target.Cookie, now).own().window
+			st.TimeFactors[o.target.Name] = w.TimeFactor(now)
+			if w.State() == pace.Ramping {
 				st.Ramping++
 			}
 		}
@@ -222,40 +352,42 @@
 }
 
 // measureUtilization updates the reported load per slot of each data centre.
-func (p *Placer) measureUtilization(now time.Time) {
-	for _, s := range p.services {
-		loads, slots := make(map[cornelbay.DataCentreName]float64), make(map[cornelbay.DataCentreName]float64)
-		for _, m := range p.view.Services[s.name] {
-			if m.Usable(now) && !now.Before(m.ColdUntil) {
-				loads[m.DataCentre] += p.load(now, m.Cookie)
-				slots[m.DataCentre] += float64(slotsOf(m))
-			}
+func (p *Placer) measureUtilization(now time.Time, s *serviceState) {
+	loads, slots := make(map[cornelbay.DataCentreName]float64), make(map[cornelbay.DataCentreName]float64)
+	for _, m := range p.view.Services[s.name] {
+		if m.Usable(now) && !now.Before(m.ColdUntil) {
+			loads[m.DataCentre] += p.load(now, m.Cookie)
+			slots[m.DataCentre] += float64(slotsOf(m))
 		}
-		s.farUtilization = 1
-		for dc := range loads {
-			loads[dc] /= slots[dc]
-			if dc != p.DataCentre {
-				s.farUtilization = min(s.farUtilization, loads[dc])
-			}
+	}
+	s.farUtilization = 1
+	for dc := range loads {
+		loads[dc] /= slots[dc]
+		if dc != p.DataCentre {
+			s.farUtilization = min(s.farUtilization, loads[dc])
 		}
-		s.utilization = loads
 	}
+	s.utilization = loads
 }
 
 // limit returns the number of flows that this host may have open at a target of its share.
-func (p *Placer) limit(o ownTarget, t *targetState) int { return ceil(t.window.Limit(o.share)) }
+func (p *Placer) limit(o ownTarget, t *targetState) int { return ceil(t.own().window.Limit(o.share)) }
 
-// concurrency returns the number of flows of a service that this host may have open.
-func (p *Placer) concurrency(now time.Time, s *serviceState) float64 {
-	n := s.borrowingLimit()
-	for _, o := range s.own {
-		if !p.suspected(o.target) {
-			n += float64(p.limit(o, p.targetState(o.target.Cookie, now)))
-		}
+// borrowable returns the number of flows that this host may have open beyond its share.
+func (s *serviceState) borrowable() float64 {
+	n := 0.0
+	if len(s.near) > 0 {
+		n += s.borrowedNear.limit.Limit(s.slots)
+	}
+	if len(s.far) > 0 {
+		n += s.borrowedFar.limit.Limit(s.slots)
 	}
 	return n
 }
 
+// borrowed returns the number of flows that are open beyond this host's share.
+func (s *serviceState) borrowed() int { return s.borrowedNear.open + s.borrowedFar.open }
+
 // isShort reports whether openings wait at this host, or may wait at others as nearly all
 // slots of a data centre are reported to be taken.
 func (s *serviceState) isShort() bool {
@@ -273,17 +405,13 @@
 // shortUtilization is the load per slot from which targets may be full.
 const shortUtilization = 0.9
 
-// borrowed returns the number of flows that are open beyond this host's share.
-func (s *serviceState) borrowed() int { return s.borrowedNear.open + s.borrowedFar.open }
-
-// borrowingLimit returns the number of flows that may be open beyond this host's share.
-func (s *serviceState) borrowingLimit() float64 {
-	n := 0.0
-	if len(s.near) > 0 {
-		n += s.borrowedNear.limit.Limit(s.slots)
-	}
-	if len(s.far) > 0 {
-		n += s.borrowedFar.limit.Limit(s.slots)
+// concurrency returns the number of flows of a service that this host may have open.
+func (p *Placer) concurrency(now time.Time, s *serviceState) float64 {
+	n := s.borrowable()
+	for _, o := range s.own {
+		if !p.suspected(o.target) {
+			n += float64(p.limit(o, p.targetState(o.target.Cookie, now)))
+		}
 	}
 	return n
 }
@@ -308,8 +436,7 @@
 // have as many flows as this host may open.
 func (p *Placer) chooseLimited(now time.Time, s *serviceState) (m *registry.Endpoint, from *borrowed, full bool) {
 	if len(p.view.Hosts) <= leastLoadedLimit && !s.shortage.active && p.hasFreeSlot(now, s) {
-		m, err := p.choose(now, s.name, nil)
-		if err == nil {
+		if m, err := p.choose(now, s.name, nil); err == nil {
 			return m, nil, false
 		}
 	}
@@ -323,6 +450,8 @@
 	if best.target != nil && best.cost <= acceptable {
 		return best.target, nil, false
 	}
+	var probe candidate
+	var probeFrom *borrowed
 	borrow := func(b *borrowed, list []*registry.Endpoint, utilization float64) {
 		if len(list) == 0 {
 			return
@@ -331,10 +460,12 @@
 			full = true
 			return
 		}
-		for _, c := range p.sample(now, s, list) {
-			if best.target == nil || compareCandidates(c, best) < 0 {
-				best, from = c, b
-			}
+		due := probe
+		if c := p.sample(now, s, list, &due); c.target != nil && (best.target == nil || compareCandidates(c, best) < 0) {
+			best, from = c, b
+		}
+		if due != probe {
+			probe, probeFrom = due, b
 		}
 	}
 	borrow(&s.borrowedNear, s.near, s.utilization[p.DataCentre])
@@ -344,6 +475,10 @@
 		}
 		borrow(&s.borrowedFar, s.far, s.farUtilization)
 	}
+	if probe.target != nil && (best.target == nil || compareCandidates(probe, best) < 0) {
+		p.startProbe(now, probe.target)
+		return probe.target, probeFrom, false
+	}
 	if best.target == nil || best.cost > 2*acceptable {
 		if m := p.takeCold(now, s); m != nil {
 			return m, nil, false
@@ -415,8 +550,8 @@
 func (p *Placer) estimateOwn(now time.Time, s *serviceState, o ownTarget, t *targetState) candidate {
 	slots := max(o.share, 1)
 	c := candidate{target: o.target, load: float64(t.open) / slots, tieBreak: p.tieBreak(o.target)}
-	time1 := float64(p.usualTime(s.name)) * t.window.TimeFactor(now)
-	c.cost = time.Duration(time1 * (1 + max(float64(t.open)+1-slots, 0)/slots))
+	alone := float64(p.usualTime(s.name)) * t.own().window.TimeFactor(now)
+	c.cost = time.Duration(alone * (1 + max(float64(t.open)+1-slots, 0)/slots))
 	if o.target.DataCentre != p.DataCentre {
 		c.cost += crossDataCentreCost
 	}
@@ -425,31 +560,47 @@
 
 func (p *Placer) tieBreak(m *registry.Endpoint) uint64 { return mix(p.choices<<32 | uint64(m.Cookie)) }
 
-// sample returns up to sampleSize random targets of a list that may get a flow, with the
-// expected time at a target whose other flows are not known.
-func (p *Placer) sample(now time.Time, s *serviceState, list []*registry.Endpoint) []candidate {
-	var found []candidate
-	for i := uint64(0); i < maxBorrowSamples && len(list) > 0 && len(found) < sampleSize; i++ {
+// sample returns the best of up to sampleSize random targets of a list that may get a flow,
+// by the expected time at a target whose other flows are not known. It offers suspected
+// targets that are due for a probe to probe.
+func (p *Placer) sample(now time.Time, s *serviceState, list []*registry.Endpoint, probe *candidate) candidate {
+	var best candidate
+	found := 0
+	for i := uint64(0); i < maxBorrowSamples && len(list) > 0 && found < sampleSize; i++ {
 		m := list[mix(p.choices<<8|i)%uint64(len(list))]
-		if !m.Usable(now) || p.suspected(m) || p.avoided(now, s, m) {
+		if !m.Usable(now) || p.avoided(now, s, m) {
 			continue
 		}
-		u := min(s.utilization[m.DataCentre], maxUtilization)
-		wait := u * u / (1 - u*u) // the mean wait in a queue with two servers, relative to the service time
-		c := candidate{target: m, load: p.load(now, m.Cookie) / float64(slotsOf(m)), tieBreak: p.tieBreak(m)}
-		c.cost = time.Duration(float64(p.usualTime(s.name)) * p.timeFactor(m) * (1 + wait))
-		if m.DataCentre != p.DataCentre {
-			c.cost += crossDataCentreCost
+		switch c := p.estimateBorrowed(now, s, m); {
+		case !p.suspected(m):
+			keepBest(&best, c)
+			found++
+		case p.probeDue(now, m):
+			keepBest(probe, c)
 		}
-		found = append(found, c)
 	}
-	return found
+	return best
+}
+
+// estimateBorrowed computes the expected time of a flow at a target beyond this host's share.
+func (p *Placer) estimateBorrowed(now time.Time, s *serviceState, m *registry.Endpoint) candidate {
+	u := min(s.utilization[m.DataCentre], maxUtilization)
+	wait := u * u / (1 - u*u) // the mean wait in a queue with two servers, relative to the service time
+	c := candidate{target: m, load: p.load(now, m.Cookie) / float64(slotsOf(m)), tieBreak: p.tieBreak(m)}
+	c.cost = time.Duration(float64(p.usualTime(s.name)) * p.timeFactor(m) * (1 + wait))
+	if m.DataCentre != p.DataCentre {
+		c.cost += crossDataCentreCost
+	}
+	return c
 }
 
 // timeFactor returns the time of requests at a target relative to the mean of its service,
 // as all hosts report it.
 func (p *Placer) timeFactor(m *registry.Endpoint) float64 {
-	all := p.serviceOutcomes[m.Service]
+	var all outlier.Outcome
+	if s, ok := p.services[m.Service]; ok {
+		all = s.outcomes
+	}
 	of := p.outliers.Outcome(m.Cookie)
 	if of.Ended < minFactorSample || all.Mean() <= 0 {
 		return 1
@@ -461,15 +612,11 @@
 // speed.
 const minFactorSample = 5
 
-// sumOutcomes updates the outcomes of the flows of each limited service.
-func (p *Placer) sumOutcomes() {
-	p.serviceOutcomes = make(map[cornelbay.ServiceName]outlier.Outcome, len(p.services))
-	for name := range p.services {
-		var all outlier.Outcome
-		for _, m := range p.view.Services[name] {
-			all = all.Plus(p.outliers.Outcome(m.Cookie))
-		}
-		p.serviceOutcomes[name] = all
+// sumOutcomes updates the outcomes of the flows of a service at all targets.
+func (p *Placer) sumOutcomes(s *serviceState) {
+	s.outcomes = outlier.Outcome{}
+	for _, m := range p.view.Services[s.name] {
+		s.outcomes = s.outcomes.Plus(p.outliers.Outcome(m.Cookie))
 	}
 }
 
--- a/placement/suspicion.go
+++ b/placement/suspicion.go
@@ -150,9 +150,17 @@
 	if !ok {
 		return
 	}
-	p.dataCentreSuspicion(m).recordAnswer(now)
+	dc := p.dataCentreSuspicion(m)
+	if was || dc.unanswered >= dataCentreThreshold {
+		for _, s := range p.short {
+			s.freed = true
+		}
+	}
+	dc.recordAnswer(now)
 	if was {
-		t.window.Restart(now)
+		if t.limits != nil {
+			t.limits.window.Restart(now)
+		}
 		p.queueStateChange(StateChange{Target: m, State: Recovered})
 	}
 }
