--- a/placement/borrow_test.go
+++ b/placement/borrow_test.go
@@ -40,6 +40,7 @@
 			}
 		}
 		p.Tick(now)
+		short(p)
 		is.Equal(borrowed(now), 1) // one probe
 	}
 }
