--- a/placement/suspicion.go
+++ b/placement/suspicion.go
@@ -55,9 +55,9 @@
 	// Slow targets have flows that last longer than those of others.
 	Slow State = "slow"
 	// RampBegun targets are fresh or have recovered, and get more flows with each answer.
-	RampBegun State = "ramp begun"
+	RampBegun State = "slow start begun"
 	// RampEnded targets get as many flows as others again.
-	RampEnded State = "ramp ended"
+	RampEnded State = "slow start ended"
 	// SpeedChanged targets have become slower or faster by half, relative to the others.
 	SpeedChanged State = "speed changed"
 	// Stalled is the state of this host after it has not run for Duration. Openings made
