Spread the pulls of hosts that start together

All hosts that start together pulled from the seeds, and later from whichever seed stood in for their relay: with one seed and 100 hosts on loopback it answered 99 pulls of whole tables over 99 connections, and as many more when heartbeats announced later revisions.

A starting host now asks the seeds by a datagram from whom to pull. A seed takes 12 hosts itself within 3 s and names to each later one two hosts that have asked before, 12 for each, so that pulls form a tree. A host that knows the registered ones and is not in a small fleet asks the first hosts of its group instead. A host that is asked waits up to 150 ms for its own tables. A stand-in is asked from whom to pull, too. Pulls for nothing but registered hosts are made once a second in the tree, and the announcement of a starting host triggers none there. New metrics count connections, pulls and bytes between hosts.

With every host referred to the seed the test fails.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -102,6 +102,14 @@
 	packed packedReply
 	// bootstrapped is true once a seed has answered or this host no longer waits for one.
 	bootstrapped bool
+	// referrals spreads the pulls of hosts that ask this one for sources, and sources are
+	// those that this host was last told of and has not used yet.
+	referrals gossip.Referrals
+	sources   []netip.AddrPort
+	// sourcesNamed signals that sources has been set.
+	sourcesNamed chan struct{}
+	// hostsPulledAt is when this host last asked for a pull of nothing but registered hosts.
+	hostsPulledAt time.Time
 	// inMesh is true if the last heartbeat went to all hosts of a small fleet.
 	inMesh bool
 
@@ -114,6 +122,9 @@
 	opened chan struct{}
 	// readWanted wakes, by kind, the goroutine that keeps a table up to date.
 	readWanted map[string]chan struct{}
+	// synced is closed once the tables are complete.
+	synced     chan struct{}
+	syncedOnce sync.Once
 	ready      atomic.Bool
 	stopping   atomic.Bool
 	// refusedAt is when the store last failed a call of syncTable, in nanoseconds since
@@ -149,6 +160,8 @@
 		readWanted:   make(map[string]chan struct{}),
 		newest:       make(map[string]registry.Revision),
 		ambiguous:    make(chan queuedAmbiguousFlow, maxQueuedAmbiguous),
+		synced:       make(chan struct{}),
+		sourcesNamed: make(chan struct{}, 1),
 		started:      time.Now(),
 	}
 	for _, k := range objectKinds {
@@ -271,6 +284,9 @@
 	b.view = v
 	b.placer.SetView(v)
 	b.trafficMu.Unlock()
+	if b.tables.Synced() {
+		b.syncedOnce.Do(func() { close(b.synced) })
+	}
 	b.checkReady(now)
 	select {
 	case b.changed <- struct{}{}:
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -331,7 +331,7 @@
 	second.stateMu.Lock()
 	second.codec.Incarnation = 1 // as if it had started with an early clock
 	second.stateMu.Unlock()
-	second.pullFrom(first.self, gossip.Revisions{})
+	second.pullFrom(first.self, gossip.Revisions{}, 0)
 	w.eventually("the second is heard again", func() bool { return lastIncarnation(first, "h2") > before })
 }
 
--- a/balancer/bootstrap.go
+++ b/balancer/bootstrap.go
@@ -1,9 +1,7 @@
 package balancer
 
 import (
-	"context"
 	"math/rand/v2"
-	"net/netip"
 	"sync"
 	"time"
 
@@ -20,17 +18,16 @@
 	// seedPatience is how long a starting host that has the store's copies waits for a seed
 	// before it gets ready.
 	seedPatience = 35 * time.Millisecond
-	// nextSeedDelay is the time after which a starting host asks another seed if one has
-	// not answered.
-	nextSeedDelay = 15 * time.Millisecond
 )
 
 // bootstrap fills the tables of a starting host. It lists the store's copies, which may be
 // some seconds old but cost little, and then pulls the difference to the tables of a seed,
-// so that a seed sends whole tables only while the store can't be reached. It returns when
-// the host has got what it needs to open flows.
+// so that a seed sends whole tables only while the store can't be reached. In a large fleet
+// it pulls from its group or from a host that a seed has named. It returns when the host
+// has got what it needs to open flows.
 func (b *Balancer) bootstrap() {
 	for backoff := minBackoff; b.ctx.Err() == nil; backoff = min(2*backoff, maxBackoff) {
+		b.askSources(b.seedAddresses())
 		var lists sync.WaitGroup
 		for _, k := range objectKinds {
 			lists.Go(func() { b.listCopy(k) })
@@ -45,20 +42,39 @@
 		case <-time.After(copyTime):
 		}
 		impatient := time.AfterFunc(seedPatience, b.finishBootstrap)
-		b.pullAnySeed()
+		b.pullUntilSynced(listed)
 		impatient.Stop()
 		b.finishBootstrap()
 		<-listed
-		b.stateMu.Lock()
-		synced := b.tables.Synced()
-		b.stateMu.Unlock()
-		if synced {
+		if b.isSynced() {
 			return
 		}
 		b.sleep(backoff/2 + rand.N(backoff))
 	}
 }
 
+// pullUntilSynced pulls until a source has answered, and as long as the tables are not
+// complete and the store's copies have not arrived.
+func (b *Balancer) pullUntilSynced(listed <-chan struct{}) {
+	for attempt := 0; b.ctx.Err() == nil; attempt++ {
+		b.pullAny(b.startSources(attempt), gossip.Revisions{})
+		select {
+		case <-b.synced:
+			return
+		case <-listed:
+			return
+		case <-time.After(pullRetryDelay):
+		}
+	}
+}
+
+// isSynced reports whether the tables are complete.
+func (b *Balancer) isSynced() bool {
+	b.stateMu.Lock()
+	defer b.stateMu.Unlock()
+	return b.tables.Synced()
+}
+
 // finishBootstrap lets the host get ready as soon as its tables are complete.
 func (b *Balancer) finishBootstrap() {
 	b.stateMu.Lock()
@@ -92,43 +108,3 @@
 		return k.table(t).Revision() == 0 && k.replace(now, t, revision, objects)
 	})
 }
-
-// seedAddresses returns the addresses of the seeds in the settings.
-func (b *Balancer) seedAddresses() []netip.AddrPort {
-	s := b.settings.Load()
-	seeds := make([]netip.AddrPort, 0, len(s.Seeds))
-	for _, seed := range s.Seeds {
-		seeds = append(seeds, netip.AddrPortFrom(seed, s.PeerPort))
-	}
-	return seeds
-}
-
-// pullAnySeed pulls the tables of the seeds in random order until one has answered.
-func (b *Balancer) pullAnySeed() {
-	seeds := b.seedAddresses()
-	rand.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
-	ctx, cancel := context.WithCancel(b.ctx)
-	defer cancel()
-	var pulls sync.WaitGroup
-	asked := 0
-	for _, at := range seeds {
-		if at == b.self.Address {
-			continue
-		}
-		delay := time.Duration(asked) * nextSeedDelay
-		asked++
-		pulls.Go(func() {
-			t := time.NewTimer(delay)
-			defer t.Stop()
-			select {
-			case <-ctx.Done():
-				return
-			case <-t.C:
-			}
-			if b.pullFrom(registry.Host{Address: at}, gossip.Revisions{}) {
-				cancel()
-			}
-		})
-	}
-	pulls.Wait()
-}
--- a/balancer/heartbeat.go
+++ b/balancer/heartbeat.go
@@ -67,6 +67,14 @@
 // replies if the sender has older tables, and requests a pull if it has newer ones.
 // The caller holds stateMu.
 func (b *Balancer) handleHeartbeat(now time.Time, incarnation cornelbay.Incarnation, hb gossip.Heartbeat) {
+	if hb.AsksSources {
+		b.answerSources(now, hb.Host)
+		return
+	}
+	if len(hb.Sources) > 0 {
+		b.nameSources(hb.Sources)
+		return
+	}
 	if isNew := b.members.Observe(now, incarnation, hb); isNew || hb.Joining {
 		log.WithFields(log.Fields{"host": hb.Host.Name, "incarnation": incarnation}).Info("host heard")
 		b.trafficMu.Lock()
@@ -88,16 +96,38 @@
 		b.newest[k.name] = max(b.newest[k.name], k.revision(hb.Revisions))
 	}
 	if hb.Revisions.Behind(own) && b.members.AllowReply(now, hb.Host.Name) {
-		b.sendToPeers(b.sealHeartbeat(now, gossip.Heartbeat{Host: b.self}), []netip.AddrPort{hb.Host.Address})
+		reply := gossip.Heartbeat{Host: b.self, Relay: !b.inMesh}
+		b.sendToPeers(b.sealHeartbeat(now, reply), []netip.AddrPort{hb.Host.Address})
 	}
-	if own.Behind(hb.Revisions) {
+	standIn := hb.Relay && !b.members.InTree(now, hb.Host)
+	if own.Behind(hb.Revisions) && b.shouldPull(now, own, hb, standIn) {
 		select {
-		case b.pullRequests <- pullRequest{hb.Host, hb.Revisions}:
+		case b.pullRequests <- pullRequest{hb.Host, hb.Revisions, standIn}:
 		default: // the queue is full; the next heartbeat requests the pull again
 		}
 	}
 }
 
+// shouldPull reports whether to pull what a heartbeat announces. In a small fleet that is
+// always so. The caller holds stateMu.
+func (b *Balancer) shouldPull(now time.Time, own gossip.Revisions, hb gossip.Heartbeat, standIn bool) bool {
+	switch {
+	case b.inMesh && !hb.Relay:
+		return true
+	case hb.Joining:
+		return false // it goes to a whole data centre, and its sender pulls itself
+	case standIn && !b.tables.Synced() && now.Sub(b.started) < bootstrapHeadStart:
+		return false
+	}
+	if own.Hosts = hb.Revisions.Hosts; !own.Behind(hb.Revisions) {
+		if now.Sub(b.hostsPulledAt) < hostsChangeDebounce {
+			return false
+		}
+		b.hostsPulledAt = now
+	}
+	return true
+}
+
 // handleReport applies the loads and outcomes in a heartbeat. The caller holds stateMu.
 func (b *Balancer) handleReport(now time.Time, hb gossip.Heartbeat) {
 	r := reportFromHeartbeat(now, hb)
--- /dev/null
+++ b/balancer/joint_test.go
@@ -0,0 +1,143 @@
+package balancer
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/cornelbay/cornelbay/fakeplatform"
+	"github.com/cornelbay/cornelbay/gossip"
+	"github.com/cornelbay/cornelbay/platform"
+	"github.com/cornelbay/cornelbay/registry"
+)
+
+// counter returns the value of a metric with a label, or of a gauge without one.
+func (w *testEnv) counter(b *Balancer, name, label string) float64 {
+	w.t.Helper()
+	families, err := b.metrics.registry.Gather()
+	w.is.NoErr(err)
+	for _, f := range families {
+		for _, m := range f.GetMetric() {
+			switch l := m.GetLabel(); {
+			case f.GetName() != name:
+			case m.GetGauge() != nil:
+				return m.GetGauge().GetValue()
+			case len(l) == 1 && l[0].GetValue() == label:
+				return m.GetCounter().GetValue()
+			}
+		}
+	}
+	return 0
+}
+
+// putTargets announces targets that nobody runs.
+func (w *testEnv) putTargets(n int) {
+	for i := range n {
+		w.store.Put(platform.TargetKind, fmt.Sprintf("i-%x", 1<<16+i), map[string]any{
+			"service": "s1", "address": fmt.Sprintf("10.1.%d.%d:19000", i/250, i%250), "zone": "a", "version": "v1",
+			"slots": 2, "state": "ready", "warmup_left_ms": 0, "seq_no": 1, "born": 1,
+		})
+	}
+}
+
+// allReady waits until all hosts are ready.
+func (w *testEnv) allReady() {
+	w.t.Helper()
+	w.eventually("all hosts are ready", func() bool {
+		for _, b := range w.hosts {
+			if !b.ready.Load() {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// TestJointStartSpreadsPulls lets many hosts start together while only one has the tables.
+// It fails if that one, the only seed, sends its tables to most of the others, or if it has
+// connections to most of them.
+func TestJointStartSpreadsPulls(t *testing.T) {
+	const fleet, targetsPerHost = 80, 5
+	w := newTestEnv(t, 130)
+	w.putTargets(fleet * targetsPerHost)
+	w.host(1, "a")
+	w.store.Set(fakeplatform.Faults{Mode: fakeplatform.Unavailable})
+	for n := 2; n <= fleet; n++ {
+		w.startHost(n, []string{"a", "b", "c"}[n%3])
+	}
+	w.allReady()
+	for _, b := range w.hosts {
+		w.is.True(w.counter(b, "cornelbay_pulls_answered_total", pullWhole) < fleet/2)
+		w.is.True(w.counter(b, "cornelbay_peer_connections", "") < fleet/2)
+	}
+}
+
+// TestSmallFleetPullsFromTheSeed guards against a detour in a fleet of up to 13 hosts.
+func TestSmallFleetPullsFromTheSeed(t *testing.T) {
+	const fleet = 13
+	w := newTestEnv(t, 131)
+	w.target(1, "s1", "a")
+	w.host(1, "a")
+	w.store.Set(fakeplatform.Faults{Mode: fakeplatform.Unavailable})
+	for n := 2; n <= fleet; n++ {
+		w.startHost(n, "a")
+	}
+	w.allReady()
+	for n := 2; n <= fleet; n++ {
+		w.is.Equal(w.counter(w.hosts[n], "cornelbay_pulls_answered_total", pullWhole), 0.0)
+	}
+}
+
+// TestNextSourceIsAskedInPlaceOfASilentOne covers sources whose link is cut, which refuse
+// connections, or which are alive without tables.
+func TestNextSourceIsAskedInPlaceOfASilentOne(t *testing.T) {
+	w := newTestEnv(t, 132)
+	w.target(1, "s1", "a")
+	seed := w.host(1, "a")
+	silent, err := net.Listen("tcp4", netip.AddrPortFrom(w.address(5, 1), peerPort).String())
+	w.is.NoErr(err)
+	t.Cleanup(func() { _ = silent.Close() })
+	for i, c := range []struct {
+		title string
+		first netip.AddrPort
+	}{
+		{"accepts connections and is silent", netip.MustParseAddrPort(silent.Addr().String())},
+		{"refuses connections", netip.AddrPortFrom(w.address(5, 2), peerPort)},
+	} {
+		t.Run(c.title, func(t *testing.T) {
+			b := w.host(2+i, "a")
+			b.stateMu.Lock()
+			b.tables = registry.Tables{}
+			b.stateMu.Unlock()
+			begin := time.Now()
+			b.pullAny([]source{{c.first, nextSourceDelay}, {seed.self.Address, nextSourceDelay}}, gossip.Revisions{})
+			w.is.True(b.isSynced())
+			w.is.True(time.Since(begin) < pullTimeout)
+		})
+	}
+}
+
+// TestHostPullsFromNamedSources checks the order of sources: those named, then the seeds,
+// which are also asked if no host names any, as hosts of earlier versions don't.
+func TestHostPullsFromNamedSources(t *testing.T) {
+	w := newTestEnv(t, 133)
+	b := w.startHost(2, "a")
+	w.is.NoErr(b.close())
+	seed := netip.AddrPortFrom(w.address(1, 1), peerPort)
+	named := []netip.AddrPort{netip.AddrPortFrom(w.address(1, 7), peerPort), netip.AddrPortFrom(w.address(1, 8), peerPort)}
+	for _, c := range []struct {
+		named   []netip.AddrPort
+		attempt int
+		want    []source
+	}{
+		{nil, 0, []source{{seed, nextSeedDelay}}},
+		{[]netip.AddrPort{seed}, 0, []source{{seed, nextSeedDelay}}},
+		{named, 0, []source{{named[0], nextSourceDelay}, {named[1], nextSourceDelay}, {seed, nextSourceDelay}}},
+		{named, 1, []source{{named[1], nextSourceDelay}, {named[0], nextSourceDelay}, {seed, nextSourceDelay}}},
+	} {
+		b.sources = c.named
+		w.is.Equal(b.startSources(c.attempt), c.want)
+	}
+}
--- a/balancer/metrics.go
+++ b/balancer/metrics.go
@@ -19,8 +19,22 @@
 	callSeconds          *prometheus.HistogramVec
 	openingSeconds       prometheus.Histogram
 	disseminationSeconds prometheus.Histogram
+	peerBytes            *prometheus.CounterVec
+	pulls                *prometheus.CounterVec
 }
 
+// Labels of the bytes sent to other hosts.
+const (
+	bytesDatagrams = "datagrams"
+	bytesPacked    = "packed"
+)
+
+// Labels of the pulls answered. A pull of all routes or targets is whole.
+const (
+	pullWhole = "whole"
+	pullDelta = "delta"
+)
+
 func (m *metrics) init(b *Balancer) {
 	m.registry = prometheus.NewRegistry()
 	m.packets = prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -43,7 +57,13 @@
 		Help:    "Time from when the first host learned of a change until this host did.",
 		Buckets: prometheus.ExponentialBuckets(0.002, 2, 13),
 	})
-	m.registry.MustRegister(m.packets, m.storeCalls, m.callSeconds, m.openingSeconds, m.disseminationSeconds)
+	m.peerBytes = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cornelbay_peer_sent_bytes_total", Help: "Bytes sent to other hosts in datagrams and in compressed replies to pulls.",
+	}, []string{"in"})
+	m.pulls = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cornelbay_pulls_answered_total", Help: "Pulls of other hosts that were answered, by whether they asked for whole tables.",
+	}, []string{"asked"})
+	m.registry.MustRegister(m.packets, m.storeCalls, m.callSeconds, m.openingSeconds, m.disseminationSeconds, m.peerBytes, m.pulls)
 	for _, g := range []struct {
 		name, help string
 		value      func(c *Balancer, now time.Time) float64
@@ -63,6 +83,9 @@
 		{"cornelbay_targets_revision", "Revision of the targets in the present era of the store.", func(b *Balancer, _ time.Time) float64 {
 			return float64(b.tables.Targets.Revision().Change())
 		}},
+		{"cornelbay_peer_connections", "Connections of other hosts that are open.", func(b *Balancer, _ time.Time) float64 {
+			return float64(b.rpcServer.Connections())
+		}},
 		{"cornelbay_hosts_heard", "Other hosts that are heard.", func(b *Balancer, now time.Time) float64 {
 			return float64(len(b.members.Alive(now)))
 		}},
@@ -80,6 +103,16 @@
 // between hosts, such as pulseFailed and pullFailed.
 func (m *metrics) count(verdict string) { m.packets.WithLabelValues(verdict).Inc() }
 
+// countPull counts a pull and the size of its compressed reply.
+func (m *metrics) countPull(p gossip.Pull, r gossip.PullReply) {
+	asked := pullDelta
+	if p.Since.Routing == 0 || p.Since.Targets == 0 {
+		asked = pullWhole
+	}
+	m.pulls.WithLabelValues(asked).Inc()
+	m.peerBytes.WithLabelValues(bytesPacked).Add(float64(len(r.Packed)))
+}
+
 // countRejected counts a datagram from another host that could not be opened.
 func (m *metrics) countRejected(err error) {
 	switch {
--- a/balancer/pull.go
+++ b/balancer/pull.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -63,6 +64,9 @@
 type pullRequest struct {
 	host      registry.Host
 	revisions gossip.Revisions
+	// standIn is true for a relay that isn't next to this host in the tree. Many hosts may
+	// hear it, so it is asked first from whom to pull.
+	standIn bool
 }
 
 // pull fetches newer tables from other hosts, as their heartbeats announce them.
@@ -76,12 +80,15 @@
 			if req.host.DataCentre != b.self.DataCentre {
 				delay = remotePullDelay
 			}
+			if req.standIn {
+				b.askSources([]netip.AddrPort{req.host.Address})
+			}
 			b.sleep(delay)
 			b.stateMu.Lock()
 			behind := gossip.RevisionsOf(&b.tables).Behind(req.revisions)
 			b.stateMu.Unlock()
 			if behind {
-				b.pullFrom(req.host, req.revisions)
+				b.pullRequested(req)
 			}
 		}
 	}
@@ -116,17 +123,30 @@
 	}).Warn("store came back from an older copy")
 }
 
+// pullRequested pulls from the host of a request, or from those that it has named instead.
+func (b *Balancer) pullRequested(req pullRequest) {
+	if !req.standIn {
+		b.pullFrom(req.host, req.revisions, 0)
+		return
+	}
+	sources := b.namedSources()
+	if !slices.ContainsFunc(sources, func(s source) bool { return s.at == req.host.Address }) {
+		sources = append(sources, source{req.host.Address, nextSourceDelay})
+	}
+	b.pullAny(sources, req.revisions)
+}
+
 // pullFrom pulls the tables of one host, which has announced revisions, or the zero value
-// if it has announced none. It also advances this host's incarnation past the last one
-// that the other host has seen.
-// It reports whether the other host has answered.
-func (b *Balancer) pullFrom(h registry.Host, revisions gossip.Revisions) bool {
+// if it has announced none. The other host may wait that long until its tables are
+// complete. It also advances this host's incarnation past the last one that the other host
+// has seen. It reports whether the other host has answered.
+func (b *Balancer) pullFrom(h registry.Host, revisions gossip.Revisions, wait time.Duration) bool {
 	b.stateMu.Lock()
 	since := gossip.DeltaBasesOf(&b.tables, revisions)
 	b.stateMu.Unlock()
 	ctx, cancel := context.WithTimeout(b.ctx, pullTimeout)
 	defer cancel()
-	answer, err := b.rpcClient.Call(ctx, cornelbay.Host{Name: h.Name, RPC: h.Address}, gossip.Pull{Since: since, Unpacks: true})
+	answer, err := b.rpcClient.Call(ctx, cornelbay.Host{Name: h.Name, RPC: h.Address}, gossip.Pull{Since: since, Unpacks: true, WaitMs: uint32(wait.Milliseconds())})
 	if err != nil {
 		b.metrics.count("pullFailed")
 		if b.ctx.Err() == nil {
@@ -170,6 +190,7 @@
 	if !ok {
 		return nil, errUnknownCall
 	}
+	b.waitSynced(time.Duration(p.WaitMs) * time.Millisecond)
 	b.stateMu.Lock()
 	defer b.stateMu.Unlock()
 	now := time.Now()
@@ -178,9 +199,29 @@
 		return nil, err
 	}
 	r.Ages, r.Incarnation = gossip.AgesOf(now, &b.tables), b.members.Incarnation(from)
+	b.metrics.countPull(p, r)
 	return r, nil
 }
 
+// waitSynced waits until the tables are complete, but no longer than a caller asks for.
+func (b *Balancer) waitSynced(wait time.Duration) {
+	select {
+	case <-b.synced:
+		return
+	default:
+	}
+	if wait <= 0 {
+		return
+	}
+	t := time.NewTimer(min(wait, maxSyncedWait))
+	defer t.Stop()
+	select {
+	case <-b.synced:
+	case <-t.C:
+	case <-b.ctx.Done():
+	}
+}
+
 // pullReply returns the reply to a pull, packed if its sender understands that. The caller
 // holds stateMu.
 func (b *Balancer) pullReply(now time.Time, p gossip.Pull) (gossip.PullReply, error) {
--- a/balancer/report.go
+++ b/balancer/report.go
@@ -201,7 +201,9 @@
 	for _, at := range to {
 		if _, err := b.peerConn.WriteToUDPAddrPort(datagram, at); err != nil {
 			b.metrics.count("pulseFailed")
+			continue
 		}
+		b.metrics.peerBytes.WithLabelValues(bytesDatagrams).Add(float64(len(datagram)))
 	}
 }
 
--- a/gossip/messages.go
+++ b/gossip/messages.go
@@ -145,6 +145,11 @@
 	// Joining is true in the single heartbeat that a starting host sends to all hosts of
 	// its data centre, which tell it of ambiguous flows.
 	Joining bool `cbor:"12,keyasint,omitempty"`
+	// AsksSources is true if the host wants to pull whole tables or what it lacks, and asks
+	// from whom.
+	AsksSources bool `cbor:"13,keyasint,omitempty"`
+	// Sources are the addresses of hosts to pull from, in the reply to AsksSources.
+	Sources []netip.AddrPort `cbor:"14,keyasint,omitempty"`
 }
 
 // Outcome summarizes the flows that ended at a target.
@@ -205,6 +210,9 @@
 	Since Revisions `cbor:"1,keyasint"`
 	// Unpacks is true if the sender understands PullReply.Packed.
 	Unpacks bool `cbor:"2,keyasint,omitempty"`
+	// WaitMs is how long the other host may wait, in milliseconds, until its own tables are
+	// complete.
+	WaitMs uint32 `cbor:"3,keyasint,omitempty"`
 }
 
 // Method returns the method's name.
--- a/peer/server.go
+++ b/peer/server.go
@@ -62,6 +62,13 @@
 	return nil
 }
 
+// Connections returns the number of open connections.
+func (s *Server) Connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
 // addConn records an open connection. It returns false if the server is closed.
 func (s *Server) addConn(c net.Conn) bool {
 	s.mu.Lock()
