Send no loads after each change in the tree

Each change of a table made every host send its full report to all neighbours at once, beside the push. Targets change as often as the fleet is large, up to 16 times a second after debouncing, and a relay has up to a hundred neighbours.

In the tree a host now keeps to its interval of 250 ms for reports. After a change it sends only the revisions, and nothing if it has just pushed the change. Small fleets are not affected.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -98,6 +98,8 @@
 	outcomesUp, outcomesDown placement.Sum
 	// newest holds, by kind of objects, the latest revision that another host has announced.
 	newest map[string]registry.Revision
+	// pushed are the revisions of this host's tables at its last push.
+	pushed gossip.Revisions
 	// packed is the last packed reply to a pull.
 	packed packedReply
 	// bootstrapped is true once a seed has answered or this host no longer waits for one.
--- a/balancer/joint_test.go
+++ b/balancer/joint_test.go
@@ -4,11 +4,14 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/fakeplatform"
 	"github.com/cornelbay/cornelbay/gossip"
+	"github.com/cornelbay/cornelbay/peer"
 	"github.com/cornelbay/cornelbay/platform"
 	"github.com/cornelbay/cornelbay/registry"
 )
@@ -141,3 +144,61 @@
 		w.is.Equal(b.startSources(c.attempt), c.want)
 	}
 }
+
+// TestChangesDoNotMultiplyReports guards against reports to all neighbours after every
+// change: in a large fleet targets change many times a second, and a relay has up to a
+// hundred neighbours.
+func TestChangesDoNotMultiplyReports(t *testing.T) {
+	const others, changes, pause = 18, 20, 100 * time.Millisecond
+	w := newTestEnv(t, 134)
+	w.target(1, "s1", "a")
+	sink, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(w.address(5, 1), peerPort)))
+	w.is.NoErr(err)
+	t.Cleanup(func() { _ = sink.Close() })
+	for n := range others { // all are below the host in the order of names
+		h := registry.Host{
+			Name: cornelbay.HostName(fmt.Sprintf("z%02d", n)), DataCentre: "a", Address: sink.LocalAddr().(*net.UDPAddr).AddrPort(),
+		}
+		w.store.Put(platform.HostKind, string(h.Name), h)
+	}
+	b := w.host(1, "a")
+	var reports, pushes, announcements atomic.Int64 // the codec takes one datagram to all others for one
+	go func() {
+		c := peer.Codec{Self: "sink", Keys: [][]byte{key}}
+		buf := make([]byte, peer.MaxDatagramBytes)
+		for {
+			n, _, err := sink.ReadFromUDPAddrPort(buf)
+			if err != nil {
+				return
+			}
+			switch _, m, _ := c.Open(buf[:n]); m := m.(type) {
+			case gossip.Push:
+				pushes.Add(1)
+			case gossip.Heartbeat:
+				if m.IntervalMs > 0 {
+					reports.Add(1)
+				} else {
+					announcements.Add(1)
+				}
+			}
+		}
+	}()
+	w.eventually("the host reads the store and relays", func() bool {
+		b.stateMu.Lock()
+		defer b.stateMu.Unlock()
+		return len(b.members.Neighbours(time.Now()).Below) == others && b.isReader(time.Now())
+	})
+	w.eventually("reports arrive", func() bool { return reports.Load() > 0 })
+	reports.Store(0)
+	pushes.Store(0)
+	begin := time.Now()
+	for n := range changes {
+		w.store.PutRoutes(2+n, route(service1, "s1"))
+		time.Sleep(pause)
+	}
+	w.eventually("the last change is in force", func() bool { return b.version() == changes+1 })
+	intervals := int64(time.Since(begin)/gossip.RelayInterval) + 2
+	t.Logf("%d reports, %d pushes, %d announcements in %d intervals", reports.Load(), pushes.Load(), announcements.Load(), intervals)
+	w.is.True(reports.Load() <= intervals)
+	w.is.True(pushes.Load() >= changes/4) // changes in quick succession are read together
+}
--- a/balancer/pull.go
+++ b/balancer/pull.go
@@ -49,6 +49,7 @@
 	b.sendPush(p, slices.DeleteFunc(n.All(), func(h registry.Host) bool { return h.Name == from }))
 }
 
+// sendPush sends a push, if it fits into a datagram. The caller holds stateMu.
 func (b *Balancer) sendPush(p gossip.Push, to []registry.Host) {
 	datagram, err := b.codec.Seal(p)
 	if err != nil {
@@ -58,6 +59,7 @@
 		return
 	}
 	b.sendToPeers(datagram, addresses(to))
+	b.pushed = gossip.RevisionsOf(&b.tables)
 }
 
 // pullRequest names a host whose heartbeat showed newer revisions than this host's.
--- a/balancer/report.go
+++ b/balancer/report.go
@@ -24,29 +24,58 @@
 )
 
 // sendHeartbeats sends heartbeats at each interval, and soon after a change of the tables.
+// In the tree only the revisions are sent after a change, since changes are as frequent as
+// the fleet is large, and a relay has many neighbours.
 // The metrics and log messages call heartbeats pulses.
 func (b *Balancer) sendHeartbeats() {
-	interval := gossip.MinInterval
+	due := time.Now().Add(gossip.MinInterval)
 	lastSent := time.Now()
 	for b.ctx.Err() == nil {
-		t := time.NewTimer(interval)
+		t := time.NewTimer(time.Until(due))
+		changed := false
 		select {
 		case <-b.ctx.Done():
 		case <-t.C:
 		case <-b.changed:
+			changed = true
 		}
 		t.Stop()
 		now := time.Now()
+		if changed && now.Before(due) && b.announceChange(now) {
+			b.wakeReaders()
+			continue
+		}
 		b.logSilentHosts(lastSent, now)
 		b.trafficMu.Lock()
 		r := b.placer.Report(now, lastSent)
 		b.trafficMu.Unlock()
 		lastSent = now
-		interval = b.sendReport(now, r)
+		due = now.Add(b.sendReport(now, r))
 		b.wakeReaders()
 	}
 }
 
+// announceChange tells the neighbours in the tree of changed tables, without loads, unless
+// they have just got a push. It reports false if this host isn't in a tree.
+func (b *Balancer) announceChange(now time.Time) bool {
+	b.stateMu.Lock()
+	defer b.stateMu.Unlock()
+	if b.inMesh {
+		return false
+	}
+	if b.pushed == gossip.RevisionsOf(&b.tables) {
+		return true
+	}
+	n := b.members.Neighbours(now)
+	if n.Mesh != nil {
+		return false
+	}
+	b.sendToPeers(b.sealHeartbeat(now, gossip.Heartbeat{Host: b.self, Relay: true}), addresses(n.Below))
+	n.Below = nil
+	b.sendToPeers(b.sealHeartbeat(now, gossip.Heartbeat{Host: b.self}), addresses(n.All()))
+	return true
+}
+
 // sendReport sends this host's state and report to its neighbours and returns the interval
 // until the next time.
 func (b *Balancer) sendReport(now time.Time, r placement.Report) time.Duration {
