Close idle connections between hosts

A host kept a connection to every host that it had ever pulled from, and the other end kept it for two minutes: after a joint start a seed had one from nearly every host, and more to those whose tables had been newer.

A client now closes connections that have received nothing for 10 s. A call that comes later opens a new one, and one in progress is never cut, since it fails after 1.5 s without an answer. TestIdleConnectionsAreClosed checks both ends.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -33,6 +33,9 @@
 	// scheduled.
 	readBufferBytes = 2 << 20
 	pruneInterval   = time.Second
+	// connectionIdleTime is how long a connection to another host stays open without a
+	// call. It is longer than pullTimeout.
+	connectionIdleTime = 10 * time.Second
 )
 
 // Reload applies changed settings. They take effect immediately except for the host's
@@ -359,6 +362,8 @@
 	return first
 }
 
+// prune drops old tombstones and idle connections.
 func (b *Balancer) prune() {
+	b.rpcClient.CloseIdle(connectionIdleTime)
 	b.updateTables(func(now time.Time, t *registry.Tables) bool { return t.Prune(now) })
 }
--- a/peer/client.go
+++ b/peer/client.go
@@ -204,3 +204,15 @@
 	}
 	return nil
 }
+
+// CloseIdle closes the connections that have received nothing for a time.
+func (c *Client) CloseIdle(idle time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for at, cn := range c.conns {
+		if cn.sinceReceived() > idle {
+			_ = cn.Close() // its calls return ErrNoAnswer
+			delete(c.conns, at)
+		}
+	}
+}
--- a/peer/rpc_test.go
+++ b/peer/rpc_test.go
@@ -218,3 +218,24 @@
 	}
 	is.Equal(RoleOf(nil), Role(""))
 }
+
+// TestIdleConnectionsAreClosed guards against connections that stay open to all hosts that
+// were ever called. A call after that opens a new one.
+func TestIdleConnectionsAreClosed(t *testing.T) {
+	is := is.New(t)
+	s, b := serve(t, nil)
+	c := &Client{Self: "a"}
+	defer c.Close()
+	_, err := c.Call(t.Context(), b, echoArgs{"hello"})
+	is.NoErr(err)
+	c.CloseIdle(time.Minute)
+	is.Equal(s.Connections(), 1)
+	time.Sleep(2 * time.Millisecond)
+	c.CloseIdle(time.Millisecond)
+	for i := 0; s.Connections() > 0 && i < 3000; i++ {
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.Equal(s.Connections(), 0)
+	_, err = c.Call(t.Context(), b, echoArgs{"again"})
+	is.NoErr(err)
+}
