Pull along the groups when registered hosts start together

With three seeds and a registered fleet, the relay of each group and the seeds still got connections from most hosts of a data centre: hosts without tables pulled from the relay that they heard while they also pulled as starting hosts.

The hosts of a group now pull from each other in a tree, four from each, and the first ones of the groups likewise. Further attempts alternate with the hosts that a seed has named. A host that a seed names to others gets four from each seed instead of twelve.

TestRegisteredHostsStartTogether (100 hosts, 500 targets): 12, 16 and 14 connections at the busiest host; the code before these changes had 78 and 89 and fails.

--- a/balancer/sources.go
+++ b/balancer/sources.go
@@ -106,7 +106,8 @@
 
 // startSources returns the hosts that a starting host pulls from: those of its group if the
 // registered hosts are known and many, else those that a seed has named, and then the seeds
-// in random order. Every second attempt begins with another one of those named.
+// in random order. Further attempts alternate between the group and those named, and then
+// change their order, as the first ones may lack tables for long.
 func (b *Balancer) startSources(attempt int) []source {
 	b.stateMu.Lock()
 	group, synced := b.members.PullSources(), b.tables.Synced()
@@ -122,13 +123,13 @@
 	for _, h := range group {
 		sources = append(sources, source{h.Address, nextSourceDelay})
 	}
-	if len(group) == 0 {
+	if len(group) == 0 || attempt%2 > 0 && len(named) > 0 {
 		sources = named
 	}
 	delay := nextSeedDelay
 	if len(sources) > 1 { // the fleet is large
 		delay = nextSourceDelay
-		if attempt%2 > 0 {
+		if attempt/2%2 > 0 {
 			sources[0], sources[1] = sources[1], sources[0]
 		}
 	}
--- a/gossip/referral.go
+++ b/gossip/referral.go
@@ -11,17 +11,17 @@
 	// pullFanOut is the number of hosts that are sent to one host for its tables within a
 	// referralPeriod. A fleet of up to fullMeshLimit other hosts is never sent elsewhere.
 	pullFanOut = fullMeshLimit
+	// referredFanOut is the number of hosts that are sent to each host that has asked
+	// before. It is smaller, since each seed may send some to the same host.
+	referredFanOut = 4
 	// referralPeriod is how long a host remembers whom it has referred. Hosts that start
 	// together ask within it.
 	referralPeriod = 3 * time.Second
-	// maxGroupSources is the number of hosts of its group that a starting host asks before
-	// the seeds.
-	maxGroupSources = 2
 )
 
 // Referrals spreads the pulls of hosts that ask the same host at about the same time. The
-// first pullFanOut hosts pull from the host itself, and each later one from one that has
-// asked before it, so that the pulls form a tree. The zero value has referred no host. It
+// first pullFanOut hosts pull from the host itself, and the later ones from those that have
+// asked before, referredFanOut from each, so that the pulls form a tree. The zero value has referred no host. It
 // is not safe for concurrent use.
 type Referrals struct {
 	began time.Time
@@ -44,27 +44,30 @@
 	if i < pullFanOut {
 		return []netip.AddrPort{self}
 	}
-	parent := (i - pullFanOut) / pullFanOut
+	parent := (i - pullFanOut) / referredFanOut
 	return []netip.AddrPort{r.order[parent], r.order[parent+1]}
 }
 
 // PullSources returns the hosts from which a starting host pulls before it asks the
-// seeds: the first ones of its group, or for the first of a group those of the first
-// group. It returns nothing in a small fleet, for the first host of a data centre, and
-// while the registered hosts are not known.
+// seeds, in the order in which to try them. The hosts of a group form a tree below its
+// first one, and the first ones of the groups another. It returns nothing in a small fleet,
+// for the first host of a data centre, and while the registered hosts are not known.
 func (m *Members) PullSources() []registry.Host {
 	if m.isMesh() {
 		return nil
 	}
 	order, position := m.index()
 	first := position / groupSize * groupSize
-	before := order[first:position]
+	if position == 0 {
+		return nil
+	}
+	parent := first + (position-first-1)/referredFanOut
 	if position == first {
-		before = order[:min(first, groupSize)]
+		parent = (position/groupSize - 1) / referredFanOut * groupSize
 	}
-	var sources []registry.Host
-	for _, o := range before[:min(len(before), maxGroupSources)] {
-		sources = append(sources, o.host)
+	sources := []registry.Host{order[parent].host}
+	if parent+1 < position {
+		sources = append(sources, order[parent+1].host)
 	}
 	return sources
 }
