Keep the start of small fleets as it was

Seeds answer at once again, only hosts of a large fleet ask repeatedly, with a growing pause, and a host waits for names only within 15 ms after it has asked.

--- a/balancer/bootstrap.go
+++ b/balancer/bootstrap.go
@@ -27,6 +27,7 @@
 // has got what it needs to open flows.
 func (b *Balancer) bootstrap() {
 	for backoff := minBackoff; b.ctx.Err() == nil; backoff = min(2*backoff, maxBackoff) {
+		asked := time.Now()
 		b.askSources(b.seedAddresses())
 		var lists sync.WaitGroup
 		for _, k := range objectKinds {
@@ -42,7 +43,7 @@
 		case <-time.After(copyTime):
 		}
 		impatient := time.AfterFunc(seedPatience, b.finishBootstrap)
-		b.pullUntilSynced(listed)
+		b.pullUntilSynced(listed, asked)
 		impatient.Stop()
 		b.finishBootstrap()
 		<-listed
@@ -53,17 +54,24 @@
 	}
 }
 
-// pullUntilSynced pulls until a source has answered, and as long as the tables are not
-// complete and the store's copies have not arrived.
-func (b *Balancer) pullUntilSynced(listed <-chan struct{}) {
+// pullUntilSynced pulls until a source has answered, in a large fleet as long as the tables
+// are not complete and the store's copies have not arrived. The seeds were asked for names
+// at the time asked.
+func (b *Balancer) pullUntilSynced(listed <-chan struct{}, asked time.Time) {
+	delay := minPullRetryDelay
 	for attempt := 0; b.ctx.Err() == nil; attempt++ {
-		b.pullAny(b.startSources(attempt), gossip.Revisions{})
+		sources, large := b.startSources(asked, attempt)
+		b.pullAny(sources, gossip.Revisions{})
+		if !large {
+			return
+		}
 		select {
 		case <-b.synced:
 			return
 		case <-listed:
 			return
-		case <-time.After(pullRetryDelay):
+		case <-time.After(delay):
+			delay = min(2*delay, maxPullRetryDelay)
 		}
 	}
 }
--- a/balancer/joint_test.go
+++ b/balancer/joint_test.go
@@ -146,7 +146,7 @@
 			b.tables = registry.Tables{}
 			b.stateMu.Unlock()
 			begin := time.Now()
-			b.pullAny([]source{{c.first, nextSourceDelay}, {seed.self.Address, nextSourceDelay}}, gossip.Revisions{})
+			b.pullAny([]source{{at: c.first, patience: nextSourceDelay}, {at: seed.self.Address}}, gossip.Revisions{})
 			w.is.True(b.isSynced())
 			w.is.True(time.Since(begin) < pullTimeout)
 		})
@@ -166,13 +166,15 @@
 		attempt int
 		want    []source
 	}{
-		{nil, 0, []source{{seed, nextSeedDelay}}},
-		{[]netip.AddrPort{seed}, 0, []source{{seed, nextSeedDelay}}},
-		{named, 0, []source{{named[0], nextSourceDelay}, {named[1], nextSourceDelay}, {seed, nextSourceDelay}}},
-		{named, 2, []source{{named[1], nextSourceDelay}, {named[0], nextSourceDelay}, {seed, nextSourceDelay}}},
+		{nil, 0, []source{{seed, nextSeedDelay, 0}}},
+		{[]netip.AddrPort{seed}, 0, []source{{seed, nextSeedDelay, 0}}},
+		{named, 0, []source{{named[0], nextSourceDelay, maxSourceWait}, {named[1], nextSourceDelay, maxSourceWait}, {seed, nextSourceDelay, 0}}},
+		{named, 2, []source{{named[1], nextSourceDelay, maxSourceWait}, {named[0], nextSourceDelay, maxSourceWait}, {seed, nextSourceDelay, 0}}},
 	} {
 		b.sources = c.named
-		w.is.Equal(b.startSources(c.attempt), c.want)
+		sources, large := b.startSources(time.Time{}, c.attempt)
+		w.is.Equal(sources, c.want)
+		w.is.Equal(large, len(c.named) > 1)
 	}
 }
 
--- a/balancer/pull.go
+++ b/balancer/pull.go
@@ -133,7 +133,7 @@
 	}
 	sources := b.namedSources()
 	if !slices.ContainsFunc(sources, func(s source) bool { return s.at == req.host.Address }) {
-		sources = append(sources, source{req.host.Address, nextSourceDelay})
+		sources = append(sources, source{req.host.Address, nextSourceDelay, 0})
 	}
 	b.pullAny(sources, req.revisions)
 }
--- a/balancer/sources.go
+++ b/balancer/sources.go
@@ -16,9 +16,9 @@
 	nextSeedDelay = 15 * time.Millisecond
 	// nextSourceDelay is the same for other hosts, which may have to wait for their own
 	// tables when all hosts start together.
-	nextSourceDelay = 200 * time.Millisecond
-	// sourcesWait is how long a starting host without tables waits for a seed to name a
-	// source, which takes a round trip.
+	nextSourceDelay = 300 * time.Millisecond
+	// sourcesWait is how long after it has asked a starting host that doesn't know the
+	// registered hosts waits for a seed to name a source, which takes a round trip.
 	sourcesWait = 15 * time.Millisecond
 	// bootstrapHeadStart is how long after its start a host without tables leaves it to
 	// bootstrap to pull them.
@@ -26,9 +26,11 @@
 	// maxSourceWait is how long a host that is asked may wait for its own tables if the one
 	// that asks lacks them. Its answer after that shows that it is alive, so that no other
 	// source is asked in its place.
-	maxSourceWait = 150 * time.Millisecond
-	// pullRetryDelay is the pause before a host asks its source again that had no tables.
-	pullRetryDelay = 50 * time.Millisecond
+	maxSourceWait = 200 * time.Millisecond
+	// minPullRetryDelay and maxPullRetryDelay bound the pause before a host asks again if its
+	// source had no tables. It doubles, as many hosts wait while the store is slow.
+	minPullRetryDelay = 50 * time.Millisecond
+	maxPullRetryDelay = 200 * time.Millisecond
 	// maxSyncedWait limits how long a pull waits until the tables of this host are complete.
 	maxSyncedWait = time.Second
 )
@@ -38,6 +40,9 @@
 	at netip.AddrPort
 	// patience is the time until the next source is asked, too.
 	patience time.Duration
+	// wait is how long the host may wait for its own tables if this one lacks them. Seeds
+	// answer at once: in a small fleet there is nobody else to wait for.
+	wait time.Duration
 }
 
 // askSources asks hosts from whom to pull.
@@ -86,9 +91,9 @@
 		switch {
 		case at == b.self.Address:
 		case len(b.sources) == 1: // the host that was asked has named itself
-			sources = append(sources, source{at, nextSeedDelay})
+			sources = append(sources, source{at, nextSeedDelay, 0})
 		default:
-			sources = append(sources, source{at, nextSourceDelay})
+			sources = append(sources, source{at, nextSourceDelay, maxSourceWait})
 		}
 	}
 	return sources
@@ -106,42 +111,43 @@
 
 // startSources returns the hosts that a starting host pulls from: those of its group if the
 // registered hosts are known and many, else those that a seed has named, and then the seeds
-// in random order. Further attempts alternate between the group and those named, and then
+// in random order. It reports whether the fleet is large. The seeds were asked for names at
+// the time asked. Further attempts alternate between the group and those named, and then
 // change their order, as the first ones may lack tables for long.
-func (b *Balancer) startSources(attempt int) []source {
+func (b *Balancer) startSources(asked time.Time, attempt int) (sources []source, large bool) {
 	b.stateMu.Lock()
-	group, synced := b.members.PullSources(), b.tables.Synced()
+	group, hostsKnown := b.members.PullSources(), b.tables.Hosts.Revision() > 0
 	b.stateMu.Unlock()
-	if !synced && len(group) == 0 {
+	if wait := time.Until(asked.Add(sourcesWait)); !hostsKnown && wait > 0 {
 		select {
+		case <-b.synced:
 		case <-b.sourcesNamed:
-		case <-time.After(sourcesWait):
+		case <-time.After(wait):
 		}
 	}
 	named := b.namedSources()
-	var sources []source
 	for _, h := range group {
-		sources = append(sources, source{h.Address, nextSourceDelay})
+		sources = append(sources, source{h.Address, nextSourceDelay, maxSourceWait})
 	}
 	if len(group) == 0 || attempt%2 > 0 && len(named) > 0 {
 		sources = named
 	}
 	delay := nextSeedDelay
-	if len(sources) > 1 { // the fleet is large
+	if large = len(group) > 0 || len(named) > 1; large {
 		delay = nextSourceDelay
-		if attempt/2%2 > 0 {
-			sources[0], sources[1] = sources[1], sources[0]
-		}
+	}
+	if len(sources) > 1 && attempt/2%2 > 0 {
+		sources[0], sources[1] = sources[1], sources[0]
 	}
 	seeds := b.seedAddresses()
 	rand.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
 	for _, at := range seeds {
 		isSource := slices.ContainsFunc(sources, func(s source) bool { return s.at == at })
 		if at != b.self.Address && !isSource {
-			sources = append(sources, source{at, delay})
+			sources = append(sources, source{at, delay, 0})
 		}
 	}
-	return sources
+	return sources, large
 }
 
 // pullAny pulls from the sources in turn until one has answered. The next one is asked as soon as one has failed, or after its patience.
@@ -178,11 +184,11 @@
 // goPull pulls from a source in the background and sends whether it has answered.
 func (b *Balancer) goPull(s source, revisions gossip.Revisions, answers chan<- bool) {
 	b.goRun(func() {
-		wait := time.Duration(0)
+		wait := s.wait
 		select {
 		case <-b.synced:
+			wait = 0
 		default:
-			wait = maxSourceWait
 		}
 		answers <- b.pullFrom(registry.Host{Address: s.at}, revisions, wait)
 	})
