Soak: play and check the decisions under load

The soak ran services without limits, so that no opening ever waited or was refused for load, and it did not check refusals.

Routes get objectives and priorities; the fake target has slots, a queue and rejections, and its caller sends retransmissions through the present rotation and acknowledges answers. Each round has a shortage and another step of load: a shortage, uneven targets, or targets that are cold or recover. They come from a random stream of their own, so that a seed keeps its faults. From what callers and targets see, the soak checks that refusals are true, that no request runs twice, that openings are decided in time, and that no opening is refused later than a second after a load.

--- a/cmd/cornelbay/soak.go
+++ b/cmd/cornelbay/soak.go
@@ -58,8 +58,8 @@
 		return err
 	}
 	if err := c.print(res, func(w io.Writer) {
-		fmt.Fprintf(w, "seed %d: %d steps, %d flows, %d requests, %d refused, %d stalled, %d promises broken\n",
-			res.Seed, res.Steps, res.Flows, res.Requests, res.Refused, res.Stalled, len(res.Violations))
+		fmt.Fprintf(w, "seed %d: %d steps, %d flows, %d requests, %d refused, %d rejected, %d stalled, %d promises broken\n",
+			res.Seed, res.Steps, res.Flows, res.Requests, res.Refused, res.Rejected, res.Stalled, len(res.Violations))
 		for _, v := range res.Violations {
 			fmt.Fprintln(w, v)
 		}
--- a/fakeplatform/endpoints.go
+++ b/fakeplatform/endpoints.go
@@ -24,8 +24,9 @@
 
 // The errors of a caller's flow.
 var (
-	ErrReset   = errors.New("flow was reset")
-	ErrNoReply = errors.New("flow was not answered") // also returned by Ask on an open flow
+	ErrReset    = errors.New("flow was reset")
+	ErrNoReply  = errors.New("flow was not answered") // also returned by Ask on an open flow
+	ErrRejected = errors.New("target is full")
 )
 
 // packet returns an encoded packet.
@@ -45,8 +46,33 @@
 	return b
 }
 
-// Target is a fake target: it accepts flows and replies to each data packet with its
-// own name.
+// rejection is the answer of a full target. It is shorter than a fifth of the usual
+// answers, a target's name, so that hosts take it for a rejection.
+const rejection = "!"
+
+// The answers on a flow have at most maxAnswerBytes, and the first sequence numbers of two
+// flows are at least flowSpacing apart, so that a target detects packets of other flows.
+const (
+	maxAnswerBytes = 400
+	flowSpacing    = 500
+)
+
+// TargetConfig is how a target serves requests. With the zero value it answers any number of
+// requests at once.
+type TargetConfig struct {
+	// Slots is the number of requests that are served at once; 0 means no limit. MaxQueue
+	// more wait for a slot, and any beyond that are rejected.
+	Slots, MaxQueue int
+	// WarmUp is the remaining time of the warm-up that the target announces.
+	WarmUp time.Duration
+	// OnAccept is called when the target accepts a flow, and OnRun when it begins to serve the
+	// request at a sequence number of a flow. Both may be nil.
+	OnAccept func(source netip.AddrPort)
+	OnRun    func(source netip.AddrPort, sequence uint32)
+}
+
+// Target is a fake target: it accepts flows and replies to each request with its own
+// name.
 type Target struct {
 	Name string
 	// Number is the number of the target that hosts put before each packet that they
@@ -58,12 +84,33 @@
 	Silent atomic.Bool
 	// Delay is the delay of the reply to an opening packet, in nanoseconds.
 	Delay atomic.Int64
+	// Work is the time that a request takes, in nanoseconds.
+	Work atomic.Int64
 
 	mu           sync.Mutex
-	flows        map[cornelbay.FlowKey]uint32
+	cfg          TargetConfig
+	flows        map[cornelbay.FlowKey]*targetFlow
 	nextSequence uint32
 	openings     int
 	stray        int
+	running      int
+	waiting      []targetRequest
+}
+
+// targetFlow is a flow at a target.
+type targetFlow struct {
+	// initial is the target's first sequence number, and sent the bytes of its answers.
+	initial, sent uint32
+	// next is the sequence number of the caller's next request.
+	next uint32
+	// answer is the last answer, or nil while a request is served.
+	answer []byte
+}
+
+type targetRequest struct {
+	key    cornelbay.FlowKey
+	flow   *targetFlow
+	packet platform.Packet
 }
 
 // ListenTarget starts a target.
@@ -73,13 +120,21 @@
 		return nil, err
 	}
 	t := &Target{
-		Name: name, Number: number, conn: c, flows: make(map[cornelbay.FlowKey]uint32),
-		nextSequence: uint32(number) << 20, // separate ranges for targets below 4096 with at most 1048 flows each
+		Name: name, Number: number, conn: c, flows: make(map[cornelbay.FlowKey]*targetFlow),
+		nextSequence: uint32(number) << 20, // separate ranges for targets below 4096 with at most 2097 flows each
 	}
 	go t.serve()
 	return t, nil
 }
 
+// Configure sets how the target serves requests. It is to be called before the target gets
+// flows.
+func (t *Target) Configure(cfg TargetConfig) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.cfg = cfg
+}
+
 // Address returns the address at which the target receives datagrams.
 func (t *Target) Address() netip.AddrPort {
 	return t.conn.LocalAddr().(*net.UDPAddr).AddrPort()
@@ -127,32 +182,96 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	replyKey := cornelbay.FlowKey{Source: p.Key.Destination, Destination: p.Key.Source}
 	if p.Opening {
 		t.openings++
-		if _, ok := t.flows[p.Key]; !ok {
-			t.nextSequence += 1000 // more than the 100 accepted below, so that the ranges of flows don't overlap
-			t.flows[p.Key] = t.nextSequence
+		f, ok := t.flows[p.Key]
+		if !ok {
+			t.nextSequence += flowSpacing
+			f = &targetFlow{initial: t.nextSequence, next: 1}
+			t.flows[p.Key] = f
+			if t.cfg.OnAccept != nil {
+				t.cfg.OnAccept(p.Key.Source)
+			}
 		}
-		reply := packet(replyKey, flagOpen|flagAcknowledge, t.flows[p.Key], 0, p.Cookie, nil)
+		reply := packet(replyKey(p.Key), flagOpen|flagAcknowledge, f.initial, 0, p.Cookie, nil)
 		time.AfterFunc(time.Duration(t.Delay.Load()), func() { t.send(p.Key, reply) })
 		return
 	}
-	sequence, ok := t.flows[p.Key]
-	if !ok || p.Acknowledged < sequence || p.Acknowledged > sequence+100 {
+	f, ok := t.flows[p.Key]
+	if !ok || p.Acknowledged-f.initial > maxAnswerBytes {
 		t.stray++
-		t.send(p.Key, packet(replyKey, flagReset, 0, 0, p.Cookie, nil))
+		t.send(p.Key, packet(replyKey(p.Key), flagReset, 0, 0, p.Cookie, nil))
 		return
 	}
-	if p.Finishing {
+	n := uint32(len(b) - platform.HeaderBytes)
+	switch {
+	case p.Finishing:
 		delete(t.flows, p.Key)
+	case n > 0 && p.Sequence == f.next:
+		f.next += n
+		f.answer = nil
+		t.enqueue(targetRequest{p.Key, f, p})
+	case n > 0 && f.answer != nil:
+		t.send(p.Key, f.answer) // the request was sent again
+	}
+}
+
+func replyKey(key cornelbay.FlowKey) cornelbay.FlowKey {
+	return cornelbay.FlowKey{Source: key.Destination, Destination: key.Source}
+}
+
+// enqueue serves a request, makes it wait, or rejects it after the time that a request
+// spends in the queue.
+func (t *Target) enqueue(r targetRequest) {
+	switch {
+	case t.cfg.Slots == 0 || t.running < t.cfg.Slots:
+		t.run(r)
+	case len(t.waiting) < t.cfg.MaxQueue:
+		t.waiting = append(t.waiting, r)
+	default:
+		wait := time.Duration(t.Work.Load()) * time.Duration(t.cfg.MaxQueue/t.cfg.Slots)
+		time.AfterFunc(wait, func() {
+			t.mu.Lock()
+			defer t.mu.Unlock()
+			t.answer(r, rejection)
+		})
+	}
+}
+
+func (t *Target) run(r targetRequest) {
+	t.running++
+	if t.cfg.OnRun != nil {
+		t.cfg.OnRun(r.key.Source, r.packet.Sequence)
+	}
+	work := time.Duration(t.Work.Load())
+	if work == 0 {
+		t.end(r)
 		return
 	}
-	if len(b) > platform.HeaderBytes {
-		t.send(p.Key, packet(replyKey, flagAcknowledge, sequence+1, 0, p.Cookie, []byte(t.Name)))
+	time.AfterFunc(work, func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.end(r)
+	})
+}
+
+func (t *Target) end(r targetRequest) {
+	t.running--
+	t.answer(r, t.Name)
+	if len(t.waiting) > 0 {
+		next := t.waiting[0]
+		t.waiting = t.waiting[1:]
+		t.run(next)
 	}
 }
 
+func (t *Target) answer(r targetRequest, data string) {
+	f := r.flow
+	f.answer = packet(replyKey(r.key), flagAcknowledge, f.initial+1+f.sent, 0, r.packet.Cookie, []byte(data))
+	f.sent += uint32(len(data))
+	t.send(r.key, f.answer)
+}
+
 func (t *Target) send(key cornelbay.FlowKey, b []byte) {
 	_, _ = t.conn.WriteToUDPAddrPort(b, key.Source) // the caller may have closed its socket
 }
@@ -183,17 +302,26 @@
 	key          cornelbay.FlowKey
 	cookie       uint32
 	acknowledged uint32
+	// sequence is the sequence number of the next request.
+	sequence uint32
 }
 
-// Open opens a flow to a service's address through a host. It retransmits the
-// opening packet with growing timeouts, as real callers do. Each opening packet carries
-// the number of earlier copies in the acknowledgement field. Of ctx only the deadline
-// counts; a cancellation isn't noticed.
+// Open opens a flow to a service's address through a host; see OpenVia.
 func (c *Caller) Open(ctx context.Context, host, service netip.AddrPort) (*Flow, error) {
-	f := &Flow{caller: c, key: cornelbay.FlowKey{Source: c.conn.LocalAddr().(*net.UDPAddr).AddrPort(), Destination: service}}
+	return c.OpenVia(ctx, func() (netip.AddrPort, bool) { return host, true }, service)
+}
+
+// OpenVia opens a flow to a service's address. It retransmits the opening packet with
+// growing timeouts, as real callers do, each time through the host that route returns; a
+// packet without a host is lost. Each opening packet carries the number of earlier copies in
+// the acknowledgement field. Of ctx only the deadline counts; a cancellation isn't noticed.
+func (c *Caller) OpenVia(ctx context.Context, route func() (netip.AddrPort, bool), service netip.AddrPort) (*Flow, error) {
+	f := &Flow{caller: c, key: cornelbay.FlowKey{Source: c.Address(), Destination: service}, sequence: 1}
 	for copies, wait := range []time.Duration{200 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond} {
-		if _, err := c.conn.WriteToUDPAddrPort(packet(f.key, flagOpen, 0, uint32(copies), 0, nil), host); err != nil {
-			return nil, err
+		if host, ok := route(); ok {
+			if _, err := c.conn.WriteToUDPAddrPort(packet(f.key, flagOpen, 0, uint32(copies), 0, nil), host); err != nil {
+				return nil, err
+			}
 		}
 		b, err := f.read(ctx, wait)
 		if errors.Is(err, ErrNoReply) {
@@ -211,11 +339,12 @@
 // Source returns the address and port that the flow's caller sends from.
 func (f *Flow) Source() netip.AddrPort { return f.key.Source }
 
-// Ask sends a data packet through a host and returns the name of the target that
-// replies. Of ctx only the deadline counts; a cancellation isn't noticed.
+// Ask sends a request through a host and returns the name of the target that answers. The
+// answer is acknowledged by the next packet; see Acknowledge. After ErrNoReply, the next call
+// sends the same request again. Of ctx only the deadline counts; a cancellation isn't noticed.
 func (f *Flow) Ask(ctx context.Context, host netip.AddrPort, timeout time.Duration) (string, error) {
-	b := packet(f.key, flagAcknowledge, 1, f.acknowledged, f.cookie, []byte("?"))
-	if _, err := f.caller.conn.WriteToUDPAddrPort(b, host); err != nil {
+	request := []byte("?")
+	if err := f.send(host, flagAcknowledge, request); err != nil {
 		return "", err
 	}
 	for {
@@ -223,15 +352,30 @@
 		if err != nil {
 			return "", err
 		}
-		if len(b) > platform.HeaderBytes {
-			return string(b[platform.HeaderBytes:]), nil
+		answer := string(b[platform.HeaderBytes:])
+		if answer == "" || binary.BigEndian.Uint32(b[1:]) != f.acknowledged {
+			continue // another reply to the opening, or an answer that has already come
 		}
+		f.sequence += uint32(len(request))
+		f.acknowledged += uint32(len(answer))
+		if answer == rejection {
+			return "", ErrRejected
+		}
+		return answer, nil
 	}
 }
 
+// Acknowledge acknowledges the last answer through a host, which shows it that the target has
+// a free slot.
+func (f *Flow) Acknowledge(host netip.AddrPort) error { return f.send(host, flagAcknowledge, nil) }
+
 // Finish sends the packet that ends the flow through a host.
 func (f *Flow) Finish(host netip.AddrPort) error {
-	_, err := f.caller.conn.WriteToUDPAddrPort(packet(f.key, flagAcknowledge|flagFinish, 2, f.acknowledged, f.cookie, nil), host)
+	return f.send(host, flagAcknowledge|flagFinish, nil)
+}
+
+func (f *Flow) send(host netip.AddrPort, flags byte, data []byte) error {
+	_, err := f.caller.conn.WriteToUDPAddrPort(packet(f.key, flags, f.sequence, f.acknowledged, f.cookie, data), host)
 	return err
 }
 
--- a/fakeplatform/objects.go
+++ b/fakeplatform/objects.go
@@ -36,16 +36,25 @@
 // RemoveRoutes deletes the routing configuration.
 func (s *Store) RemoveRoutes() { s.Put(platform.RoutingKind, "main", nil) }
 
-// PutTarget writes the object that a target publishes about itself; the version, slots,
-// seq_no and born in it are fixed.
+// defaultSlots are the slots that a target without a limit announces.
+const defaultSlots = 2
+
+// PutTarget writes the object that a target publishes about itself; the version, seq_no and
+// born in it are fixed.
 func (s *Store) PutTarget(t *Target, service, dataCentre string, draining bool) {
 	state := "ready"
 	if draining {
 		state = "draining"
 	}
+	t.mu.Lock()
+	slots, warmUp := t.cfg.Slots, t.cfg.WarmUp
+	t.mu.Unlock()
+	if slots == 0 {
+		slots = defaultSlots
+	}
 	s.Put(platform.TargetKind, t.Name, map[string]any{
-		"service": service, "address": t.Address().String(), "zone": dataCentre, "version": "v1", "slots": 2,
-		"state": state, "warmup_left_ms": 0, "seq_no": 1, "born": 1,
+		"service": service, "address": t.Address().String(), "zone": dataCentre, "version": "v1", "slots": slots,
+		"state": state, "warmup_left_ms": warmUp.Milliseconds(), "seq_no": 1, "born": 1,
 	})
 }
 
--- /dev/null
+++ b/soak/ledger.go
@@ -0,0 +1,123 @@
+package soak
+
+import (
+	"errors"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/cornelbay/cornelbay/fakeplatform"
+)
+
+// record is what the targets have done with a flow. world.records has one for each source,
+// that of its last flow.
+type record struct {
+	acceptedBy string
+	refused    bool
+	// runs are the sequence numbers of the requests that have run.
+	runs map[uint32]bool
+}
+
+// verify runs f on the record of a flow. If f returns true, the promise is broken.
+func (w *world) verify(source netip.AddrPort, broken string, f func(*record) bool) {
+	w.recordMu.Lock()
+	bad := f(w.records[source])
+	w.recordMu.Unlock()
+	if bad {
+		w.violate("%s\n%s", broken, w.story(source))
+	}
+}
+
+func (w *world) onAccept(source netip.AddrPort, target string) {
+	w.verify(source, target+" accepted a flow that had been refused", func(r *record) bool {
+		r.acceptedBy = target
+		return r.refused
+	})
+}
+
+func (w *world) onRun(source netip.AddrPort, sequence uint32, target string) {
+	w.verify(source, target+" ran a request that had run already", func(r *record) bool {
+		again := r.runs[sequence]
+		r.acceptedBy, r.runs[sequence] = target, true
+		return again
+	})
+}
+
+// trip is the way of a flow.
+type trip struct {
+	source  netip.AddrPort
+	service string
+	begun   time.Time
+	// via are the hosts that were sent packets.
+	via []string
+}
+
+// notOpened checks the promises on a flow that could not be opened.
+func (r *run) notOpened(t trip, err error) {
+	r.count(&r.result.Refused)
+	switch {
+	case errors.Is(err, fakeplatform.ErrReset):
+		r.verify(t.source, "flow was refused that a target had accepted", func(rec *record) bool {
+			rec.refused = true
+			return rec.acceptedBy != ""
+		})
+		if !r.excused(t, loaded, harmed) {
+			r.violate("flow was refused without a shortage or fault\n%s", r.story(t.source))
+		}
+	case len(t.via) > 0 && !r.excused(t, harmed):
+		r.violate("opening got neither a reply nor a reset, via %v\n%s", t.via, r.story(t.source))
+	}
+}
+
+// The times after the end of a load, or of a fault, in which promises need not hold yet.
+const (
+	loadRecovery  = time.Second
+	faultRecovery = 3 * time.Second // routers detect a host that ended, hosts probe silent targets
+)
+
+// The prefixes of the names of troubles: of a service that is loaded or has fewer slots, or
+// whose targets do not answer. Hosts are named by their addresses.
+const (
+	loaded = "load "
+	harmed = "fault "
+)
+
+// trouble is a time in which promises need not hold.
+type trouble struct {
+	active int
+	until  time.Time
+}
+
+// begin begins the troubles of the given names and returns what ends them.
+func (w *world) begin(names ...string) (end func()) {
+	add := func(n int) {
+		w.recordMu.Lock()
+		defer w.recordMu.Unlock()
+		for _, name := range names {
+			recovery := faultRecovery
+			if strings.HasPrefix(name, loaded) {
+				recovery = loadRecovery
+			}
+			w.troubles[name] = trouble{w.troubles[name].active + n, time.Now().Add(recovery)}
+		}
+	}
+	add(1)
+	return func() { add(-1) }
+}
+
+// excused reports whether a host that a flow went through was in trouble since the flow
+// began, or its service in a trouble of one of the kinds.
+func (w *world) excused(t trip, kinds ...string) bool {
+	w.recordMu.Lock()
+	defer w.recordMu.Unlock()
+	names := t.via
+	for _, kind := range kinds {
+		names = append(names, kind+t.service)
+	}
+	for _, name := range names {
+		if x := w.troubles[name]; x.active > 0 || x.until.After(t.begun) {
+			return true
+		}
+	}
+	return false
+}
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -33,6 +33,9 @@
 	TargetCrashes Fault = "targetCrashes" // its address goes to another service
 	Route         Fault = "route"
 	Evacuate      Fault = "evacuate"
+	Shortage      Fault = "shortage" // callers want far more flows than a service has slots
+	Uneven        Fault = "uneven"   // the targets of a service differ in speed, under load
+	Fresh         Fault = "fresh"    // targets join or recover under load
 )
 
 var faults = []Fault{
@@ -40,6 +43,10 @@
 	StoreForgets, StoreCut, TargetSilent, TargetSlow, TargetDrains, TargetCrashes, Route, Evacuate,
 }
 
+// loads are the kinds of steps that load a service. They are drawn apart from faults, so that
+// a seed keeps its faults.
+var loads = []Fault{Shortage, Uneven, Fresh}
+
 // Step is one fault at a time of a round.
 type Step struct {
 	// Number is unique in a schedule; a run can be cut down to some numbers.
@@ -67,12 +74,19 @@
 	// again on the next host shortly after.
 	seriesShare = 0.25
 	seriesGap   = 300 * time.Millisecond
+	// loadsPerRound is the number of steps of load in a round. The first is a shortage.
+	loadsPerRound = 2
+	minLoadTime   = 1500 * time.Millisecond
 )
 
+// loadStream is the random stream of the steps of load.
+const loadStream = 1 << 32
+
 // Schedule returns the steps of a seed, in the order of rounds and times. They
 // overlap and come in series.
 func Schedule(seed uint64, rounds int) []Step {
 	rng := rand.New(rand.NewPCG(seed, 0))
+	loadRNG := rand.New(rand.NewPCG(seed, loadStream))
 	var all []Step
 	for round := range rounds {
 		var steps []Step
@@ -89,6 +103,15 @@
 				steps = append(steps, s)
 			}
 		}
+		for i := range loadsPerRound {
+			s := Step{Round: round, Fault: Shortage, On: loadRNG.IntN(1 << 16)}
+			if i > 0 {
+				s.Fault = loads[loadRNG.IntN(len(loads))]
+			}
+			s.At = time.Duration(loadRNG.Int64N(int64(RoundTime)))
+			s.For = minLoadTime + time.Duration(loadRNG.Int64N(int64(maxFaultTime-minLoadTime)))
+			steps = append(steps, s)
+		}
 		slices.SortStableFunc(steps, func(a, b Step) int { return int(a.At - b.At) })
 		all = append(all, steps...)
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -32,6 +32,8 @@
 	Callers int
 	// Only are the numbers of the steps to take; none stands for all.
 	Only []int
+	// Steps replace the schedule of the seed, in one round.
+	Steps []Step
 	// Binary is the daemon's program.
 	Binary string
 	// Net is the second byte of the loopback addresses that the soak uses.
@@ -47,7 +49,9 @@
 	Flows    int    `json:"flows"`
 	Requests int    `json:"requests"`
 	Refused  int    `json:"refused"`
-	Stalled  int    `json:"stalled"`
+	// Rejected are the requests that full targets rejected.
+	Rejected int `json:"rejected"`
+	Stalled  int `json:"stalled"`
 	// Violations are the promises that were broken, each with its story.
 	Violations []string `json:"violations"`
 }
@@ -56,13 +60,13 @@
 // far beyond each bound of the promises, since the machine may be busy.
 const settleTime = 40 * time.Second
 
+// maxViolations limits the violations that are told.
+const maxViolations = 20
+
 type run struct {
 	*world
 	ctx    context.Context
 	router router
-
-	mu     sync.Mutex
-	result Result
 }
 
 // Run runs a soak and returns what it has seen. An error means that it could not
@@ -78,7 +82,7 @@
 	defer func() { err = errors.Join(err, w.close()) }()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	r := &run{world: w, ctx: ctx, result: Result{Seed: o.Seed, Violations: []string{}}}
+	r := &run{world: w, ctx: ctx}
 	r.settle(-1)
 	var callers sync.WaitGroup
 	callers.Go(func() { r.route(ctx) })
@@ -86,6 +90,9 @@
 		callers.Go(func() { r.call(rand.New(rand.NewPCG(o.Seed, uint64(i+1)))) })
 	}
 	steps, begin := Schedule(o.Seed, o.Rounds), time.Now()
+	if o.Steps != nil {
+		steps, o.Rounds = o.Steps, 1
+	}
 	for round := range o.Rounds {
 		r.round(round, steps)
 		if len(r.violations()) > 0 || ctx.Err() != nil || o.For > 0 && time.Since(begin) > o.For {
@@ -94,21 +101,23 @@
 	}
 	cancel()
 	callers.Wait()
-	r.mu.Lock()
-	defer r.mu.Unlock()
+	r.resultMu.Lock()
+	defer r.resultMu.Unlock()
 	return r.result, nil
 }
 
 func (r *run) violations() []string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+	r.resultMu.Lock()
+	defer r.resultMu.Unlock()
 	return r.result.Violations
 }
 
-func (r *run) violate(format string, args ...any) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.result.Violations = append(r.result.Violations, fmt.Sprintf(format, args...))
+func (w *world) violate(format string, args ...any) {
+	w.resultMu.Lock()
+	defer w.resultMu.Unlock()
+	if len(w.result.Violations) < maxViolations {
+		w.result.Violations = append(w.result.Violations, fmt.Sprintf(format, args...))
+	}
 }
 
 // round takes the steps of one round, heals everything, and checks the promises
@@ -151,6 +160,7 @@
 	for _, t := range r.targets {
 		t.Silent.Store(false)
 		t.Delay.Store(0)
+		t.Work.Store(int64(workTime))
 		t.doubtful = false
 	}
 }
@@ -177,11 +187,13 @@
 func (r *run) settle(round int) {
 	for _, p := range r.hosts {
 		r.eventually(fmt.Sprintf("host %d is ready", p.number), func() bool { return r.ready(p) })
-		for i, s := range services {
-			r.eventually(fmt.Sprintf("host %d serves %s", p.number, s), func() bool { return r.serves(p, r.serviceAddress(i), s) })
+		for i, to := range routes {
+			r.eventually(fmt.Sprintf("host %d serves %s", p.number, to.service), func() bool {
+				return r.serves(p, r.serviceAddress(i), to.service)
+			})
 		}
 		r.eventually(fmt.Sprintf("host %d has the added route: %v", p.number, r.added), func() bool {
-			return r.serves(p, r.serviceAddress(len(services)), services[0]) == r.added
+			return r.serves(p, r.serviceAddress(len(routes)), addedRoute.service) == r.added
 		})
 	}
 	if r.ctx.Err() != nil || len(r.violations()) > 0 {
@@ -233,9 +245,10 @@
 	var probes sync.WaitGroup
 	for _, p := range r.hosts {
 		probes.Go(func() {
-			for begin := time.Now(); time.Since(begin) < calmTime; time.Sleep(calmTime / 50) {
-				for i, s := range services {
-					r.serves(p, r.serviceAddress(i), s)
+			// The pause keeps the probes of many hosts below the slots.
+			for begin := time.Now(); time.Since(begin) < calmTime; time.Sleep(calmTime / 50 * time.Duration(1+len(r.hosts)/10)) {
+				for i, to := range routes {
+					r.serves(p, r.serviceAddress(i), to.service)
 				}
 			}
 		})
@@ -254,60 +267,74 @@
 // that the same target answers.
 func (r *run) call(rng *rand.Rand) {
 	for r.ctx.Err() == nil {
-		r.flow(rng)
+		r.flow(rng, rng.IntN(len(routes)), 1+rng.IntN(6), 200*time.Millisecond)
 		time.Sleep(time.Duration(rng.Int64N(int64(20 * time.Millisecond))))
 	}
 }
 
-func (r *run) flow(rng *rand.Rand) {
+// flow opens a flow on a route, asks on it with pauses in between, and reports whether all
+// requests were answered.
+func (r *run) flow(rng *rand.Rand, on, requests int, pause time.Duration) bool {
 	c, err := r.caller()
 	if err != nil {
 		r.violate("caller: %v", err)
-		return
+		return false
 	}
 	defer func() { _ = c.Close() }()
-	i := rng.IntN(len(services))
-	host, ok := r.routed(c.Address())
-	if !ok {
-		time.Sleep(checkInterval / 10)
-		return
+	t := trip{source: c.Address(), service: routes[on].service, begun: time.Now()}
+	route := func() (netip.AddrPort, bool) {
+		host, ok := r.routed(t.source)
+		if ok {
+			t.via = append(t.via, host.String())
+		}
+		return host, ok
 	}
-	f, err := c.Open(r.ctx, host, r.serviceAddress(i))
+	f, err := c.OpenVia(r.ctx, route, r.serviceAddress(on))
 	if err != nil {
-		r.count(&r.result.Refused)
-		return
+		r.notOpened(t, err)
+		return false
 	}
 	r.count(&r.result.Flows)
+	defer func() {
+		if host, ok := route(); ok {
+			_ = f.Finish(host) // the target forgets the flow anyway
+		}
+	}()
 	first := ""
-	for range 1 + rng.IntN(6) {
-		name, err := r.ask(f)
+	for range requests {
+		name, err := r.ask(f, route)
 		if r.ctx.Err() != nil {
-			return
-		}
-		if errors.Is(err, fakeplatform.ErrReset) {
-			if t := r.targetNamed(first); first != "" && t != nil && r.sound(t) {
-				r.violate("flow of %s was reset while its target lives\n%s", first, r.story(f))
-			}
-			return
+			return false
 		}
-		if err != nil {
+		switch {
+		case errors.Is(err, fakeplatform.ErrRejected):
+			r.count(&r.result.Rejected)
+			return false
+		case errors.Is(err, fakeplatform.ErrReset):
+			r.verify(t.source, "flow was reset while its target lives", func(rec *record) bool {
+				return r.sound(r.targetNamed(rec.acceptedBy)) || r.sound(r.targetNamed(first))
+			})
+			return false
+		case err != nil:
 			r.count(&r.result.Stalled)
-			return
+			if !r.excused(t, loaded, harmed) {
+				r.violate("request got no answer for %v, without a fault\n%s", maxTries*askTime, r.story(t.source))
+			}
+			return false
 		}
 		r.count(&r.result.Requests)
-		t := r.targetNamed(name)
-		if t == nil || t.service != services[i] {
-			r.violate("request for %s was answered by %s", services[i], name)
+		if tg := r.targetNamed(name); tg == nil || tg.service != t.service {
+			r.violate("request for %s was answered by %s", t.service, name)
 		}
 		if first != "" && name != first {
-			r.violate("flow of %s was answered by %s\n%s", first, name, r.story(f))
+			r.violate("flow of %s was answered by %s\n%s", first, name, r.story(t.source))
 		}
 		first = name
-		time.Sleep(time.Duration(rng.Int64N(int64(200 * time.Millisecond))))
-	}
-	if host, ok := r.routed(c.Address()); ok {
-		_ = f.Finish(host) // the target forgets it anyway
+		if pause > 0 {
+			time.Sleep(time.Duration(rng.Int64N(int64(pause))))
+		}
 	}
+	return true
 }
 
 // storyTime is how long before and after the flow's own lines its story tells what
@@ -315,9 +342,10 @@
 const storyTime = time.Second
 
 // story tells what the hosts have logged of a flow.
-func (r *run) story(f *fakeplatform.Flow) string {
+func (w *world) story(source netip.AddrPort) string {
+	time.Sleep(storyTime / 10) // hosts log asynchronously
 	var lines []oplog.Line
-	for _, p := range r.hosts {
+	for _, p := range w.hosts {
 		p.mu.Lock()
 		l, err := oplog.Read(bytes.NewReader(p.log.Bytes()), fmt.Sprintf("h%02d", p.number))
 		p.mu.Unlock()
@@ -326,8 +354,8 @@
 		}
 		lines = append(lines, l...)
 	}
-	b := fmt.Sprintf("flow from %s:", f.Source())
-	for _, l := range oplog.Explain(lines, f.Source().String(), storyTime) {
+	b := fmt.Sprintf("flow from %s:", source)
+	for _, l := range oplog.Explain(lines, source.String(), storyTime) {
 		b += "\n  " + l.String()
 	}
 	return b
@@ -337,7 +365,7 @@
 func (r *run) sound(t *target) bool {
 	r.world.mu.Lock()
 	defer r.world.mu.Unlock()
-	return !t.ended && !t.doubtful
+	return t != nil && !t.ended && !t.doubtful
 }
 
 const (
@@ -345,45 +373,44 @@
 	maxTries = 8
 )
 
-// ask sends a request, and again when there is no answer.
-func (r *run) ask(f *fakeplatform.Flow) (string, error) {
+// ask sends a request, and again when there is no answer, and acknowledges the answer.
+func (r *run) ask(f *fakeplatform.Flow, route func() (netip.AddrPort, bool)) (string, error) {
 	err := fakeplatform.ErrNoReply
 	for range maxTries {
-		host, ok := r.routed(f.Source())
+		host, ok := route()
 		if !ok {
 			time.Sleep(askTime)
 			continue
 		}
 		var name string
 		name, err = f.Ask(r.ctx, host, askTime)
-		if err == nil || !errors.Is(err, fakeplatform.ErrNoReply) {
-			return name, err
+		if errors.Is(err, fakeplatform.ErrNoReply) {
+			continue
 		}
+		if host, ok := route(); ok && err == nil {
+			err = f.Acknowledge(host)
+		}
+		return name, err
 	}
 	return "", err
 }
 
 func (r *run) count(n *int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+	r.resultMu.Lock()
+	defer r.resultMu.Unlock()
 	*n++
 }
 
 // take carries out one step and returns when it has ended.
 func (r *run) take(s Step) {
 	p := r.hosts[s.On%len(r.hosts)]
-	wait := func() {
-		select {
-		case <-r.ctx.Done():
-		case <-time.After(s.For):
-		}
-	}
+	defer r.begin(r.troubled(s, p)...)()
 	switch s.Fault {
 	case Kill, SetBack, Stop:
 		r.restart(p, s)
 	case Pause:
 		p.signal(syscall.SIGSTOP)
-		wait()
+		r.wait(s.For)
 		p.signal(syscall.SIGCONT)
 	case Settings:
 		if err := r.writeSettings(p, usualDrainMs-s.On%1000); err != nil {
@@ -392,15 +419,17 @@
 		p.signal(syscall.SIGHUP)
 	case StoreBusy, StoreSilent, StoreResets, StoreSlow, StoreLoses, StoreRefuses:
 		r.harmStore(s, p)
-		wait()
+		r.wait(s.For)
 		p.proxy.cut.Store(false)
 		r.store.Set(fakeplatform.Faults{})
 	case StoreForgets:
 		r.store.DropHistory()
 	case StoreCut:
 		p.proxy.silence()
+	case Shortage, Uneven, Fresh:
+		r.load(s)
 	default:
-		r.change(s, wait)
+		r.change(s)
 	}
 }
 
@@ -451,7 +480,7 @@
 }
 
 // change harms a target or changes what operators and targets write.
-func (r *run) change(s Step, wait func()) {
+func (r *run) change(s Step) {
 	w := r.world
 	w.mu.Lock()
 	t := w.targets[s.On%len(w.targets)]
@@ -466,21 +495,21 @@
 		w.mu.Unlock()
 	case s.Fault == Evacuate:
 		w.evacuate(dataCentres[s.On%len(dataCentres)])
-		wait()
+		r.wait(s.For)
 		if s.On%2 == 0 {
 			w.evacuate("")
 		}
 	case !mine:
 	case s.Fault == TargetSilent:
 		t.Silent.Store(true)
-		wait()
+		r.wait(s.For)
 		t.Silent.Store(false)
 	case s.Fault == TargetSlow:
 		t.Delay.Store(int64(150 * time.Millisecond))
-		wait()
+		r.wait(s.For)
 		t.Delay.Store(0)
 	default:
-		r.replace(t, s.Fault == TargetCrashes)
+		r.replace(t, s.Fault == TargetCrashes, 0)
 	}
 }
 
@@ -498,19 +527,21 @@
 }
 
 // replace starts another target of the service; the old one drains, or crashes
-// and its address goes to a target of the other service.
-func (r *run) replace(t *target, crash bool) {
+// and its address goes to a target of the other service. The new target announces a warm-up
+// of the given length.
+func (r *run) replace(t *target, crash bool, warmUp time.Duration) *target {
 	w := r.world
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if err := w.addTarget(t.service, t.dataCentre); err != nil {
+	added, err := w.addTarget(t.service, t.dataCentre, warmUp)
+	if err != nil {
 		r.violate("target: %v", err)
-		return
+		return nil
 	}
 	if !crash {
 		t.draining, t.doubtful = true, false
 		w.announce(t)
-		return
+		return added
 	}
 	at := t.Address()
 	t.ended = true
@@ -521,10 +552,9 @@
 	other, err := fakeplatform.ListenTarget(at, fmt.Sprintf("i-%x", number), number)
 	if err != nil {
 		r.violate("target: %v", merry.Prepend(err, "address used again"))
-		return
+		return added
 	}
 	service := services[(slices.Index(services, t.service)+1)%len(services)]
-	tg := &target{Target: other, service: service, dataCentre: t.dataCentre}
-	w.targets = append(w.targets, tg)
-	w.announce(tg)
+	w.enter(other, service, t.dataCentre, 0)
+	return added
 }
--- a/soak/world.go
+++ b/soak/world.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -75,6 +76,13 @@
 	store   fakeplatform.Store
 	storeAt netip.AddrPort
 
+	recordMu sync.Mutex
+	records  map[netip.AddrPort]*record
+	troubles map[string]trouble
+
+	resultMu sync.Mutex
+	result   Result
+
 	mu        sync.Mutex
 	hosts     []*process
 	targets   []*target
@@ -91,7 +99,10 @@
 }
 
 func newWorld(o Options) (*world, error) {
-	w := &world{o: o}
+	w := &world{
+		o: o, result: Result{Seed: o.Seed, Violations: []string{}},
+		records: make(map[netip.AddrPort]*record), troubles: make(map[string]trouble),
+	}
 	var err error
 	if w.dir, err = os.MkdirTemp("", "cornelbay-soak"); err != nil {
 		return nil, merry.Prepend(err, "soak")
@@ -107,7 +118,7 @@
 	w.storeAt = netip.MustParseAddrPort(l.Addr().String())
 	w.putRoutes()
 	for n := range o.Targets {
-		if err := w.addTarget(services[n%len(services)], dataCentres[n/len(services)%len(dataCentres)]); err != nil {
+		if _, err := w.addTarget(services[n%len(services)], dataCentres[n/len(services)%len(dataCentres)], 0); err != nil {
 			return nil, err
 		}
 	}
@@ -119,37 +130,69 @@
 	return w, nil
 }
 
-// services have one route each that is always there; the first has another that
-// comes and goes.
 var services = []string{"s1", "s2"}
 
+// route is a route to a service, with limits.
+type route struct {
+	service   string
+	objective time.Duration
+	priority  int
+}
+
+// routes are always there. addedRoute comes and goes.
+var (
+	routes     = []route{{"s1", 400 * time.Millisecond, 1}, {"s1", 400 * time.Millisecond, 0}, {"s2", 1200 * time.Millisecond, 2}}
+	addedRoute = route{"s1", 400 * time.Millisecond, 2}
+)
+
 func (w *world) serviceAddress(i int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.MustParseAddr("198.18.0.1"), uint16(8001+i))
 }
 
 func (w *world) putRoutes() {
 	w.version++
-	var routes []fakeplatform.Route
-	for i, service := range services {
-		routes = append(routes, fakeplatform.Route{Address: w.serviceAddress(i), Service: service})
-	}
+	all := routes
 	if w.added {
-		routes = append(routes, fakeplatform.Route{Address: w.serviceAddress(len(services)), Service: services[0]})
+		all = append(slices.Clone(routes), addedRoute)
 	}
-	w.store.PutRoutes(w.version, routes...)
+	var put []fakeplatform.Route
+	for i, r := range all {
+		put = append(put, fakeplatform.Route{
+			Address: w.serviceAddress(i), Service: r.service, Objective: r.objective, Priority: r.priority,
+		})
+	}
+	w.store.PutRoutes(w.version, put...)
 }
 
-func (w *world) addTarget(service, dataCentre string) error {
+// The capacity of a target.
+const (
+	slots    = 2
+	maxQueue = 8
+	workTime = 20 * time.Millisecond
+)
+
+// addTarget starts a target that announces a warm-up of the given length.
+func (w *world) addTarget(service, dataCentre string, warmUp time.Duration) (*target, error) {
 	w.next++
 	number := uint64(0x1000 + w.next)
 	t, err := fakeplatform.ListenTarget(netip.AddrPortFrom(w.address(2, w.next), targetPort), fmt.Sprintf("i-%x", number), number)
 	if err != nil {
-		return merry.Prepend(err, "target")
+		return nil, merry.Prepend(err, "target")
 	}
+	return w.enter(t, service, dataCentre, warmUp), nil
+}
+
+func (w *world) enter(t *fakeplatform.Target, service, dataCentre string, warmUp time.Duration) *target {
+	t.Configure(fakeplatform.TargetConfig{
+		Slots: slots, MaxQueue: maxQueue, WarmUp: warmUp,
+		OnAccept: func(source netip.AddrPort) { w.onAccept(source, t.Name) },
+		OnRun:    func(source netip.AddrPort, sequence uint32) { w.onRun(source, sequence, t.Name) },
+	})
+	t.Work.Store(int64(workTime))
 	tg := &target{Target: t, service: service, dataCentre: dataCentre}
 	w.targets = append(w.targets, tg)
 	w.announce(tg)
-	return nil
+	return tg
 }
 
 func (w *world) announce(t *target) { w.store.PutTarget(t.Target, t.service, t.dataCentre, t.draining) }
@@ -256,7 +299,11 @@
 	w.callers++
 	n := w.callers
 	w.mu.Unlock()
-	return fakeplatform.ListenCaller(netip.AddrPortFrom(w.address(3+n/250%200, 1+n%250), packetPort))
+	at := netip.AddrPortFrom(w.address(3+n/250%200, 1+n%250), packetPort)
+	w.recordMu.Lock()
+	w.records[at] = &record{runs: make(map[uint32]bool)}
+	w.recordMu.Unlock()
+	return fakeplatform.ListenCaller(at)
 }
 
 func (w *world) targetNamed(name string) *target {
