Withdraw hosts that can't serve their data centre's callers

Cause: a host was ready from its start to its stop, so routers kept the callers of an emptied data centre that is cut off, or of one most of whose hosts are dead, with hosts that could do nothing for them.

Change: package readiness decides from a host's openings and a census of its data centre that travels in heartbeats. The hosts of a data centre withdraw together, and only while the others are silent or say that they can serve. An opening leaves the list of unanswered ones when its caller has given up, after 1.4 s.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -21,6 +21,7 @@
 	"github.com/cornelbay/cornelbay/peer"
 	"github.com/cornelbay/cornelbay/placement"
 	"github.com/cornelbay/cornelbay/platform"
+	"github.com/cornelbay/cornelbay/readiness"
 	"github.com/cornelbay/cornelbay/registry"
 )
 
@@ -100,6 +101,9 @@
 	// outcomesDown are the outcomes to send up and down the tree.
 	relay                    loads.Relay
 	outcomesUp, outcomesDown loads.Sum
+	// tally and decider decide whether this host is ready.
+	tally   readiness.Tally
+	decider readiness.Decider
 	// newest holds, by kind of objects, the latest revision that another host has announced.
 	newest map[string]registry.Revision
 	// pushed are the revisions of this host's tables at its last push.
@@ -131,8 +135,11 @@
 	// synced is closed once the tables are complete.
 	synced     chan struct{}
 	syncedOnce sync.Once
-	ready      atomic.Bool
-	stopping   atomic.Bool
+	// ready is true once the host can open flows.
+	ready atomic.Bool
+	// rotation is why the host is ready, or is not although it can open flows.
+	rotation atomic.Pointer[readiness.Reason]
+	stopping atomic.Bool
 	// refusedAt is when the store last failed a call of syncTable, in nanoseconds since
 	// started, or 0 if the last call succeeded.
 	refusedAt atomic.Int64
@@ -174,6 +181,8 @@
 		b.readWanted[k.name] = make(chan struct{}, 1)
 	}
 	b.settings.Store(&s)
+	serving := readiness.Serving
+	b.rotation.Store(&serving)
 	b.ctx, b.cancel = context.WithCancel(context.Background())
 	b.placer = placement.Placer{
 		Self: s.Host, DataCentre: s.DataCentre, WarmUpFactor: s.WarmUpFactor, WarmUpSlack: s.WarmUpSlack,
--- a/balancer/heartbeat.go
+++ b/balancer/heartbeat.go
@@ -90,6 +90,7 @@
 		b.publishTables(now)
 	}
 	if hb.IntervalMs > 0 {
+		b.receiveCensus(now, hb)
 		b.handleReport(now, hb)
 	}
 	own := gossip.RevisionsOf(&b.tables)
--- a/balancer/metrics.go
+++ b/balancer/metrics.go
@@ -11,6 +11,7 @@
 	"github.com/cornelbay/cornelbay/peer"
 	"github.com/cornelbay/cornelbay/placement"
 	"github.com/cornelbay/cornelbay/platform"
+	"github.com/cornelbay/cornelbay/readiness"
 	"github.com/cornelbay/cornelbay/registry"
 )
 
@@ -24,6 +25,7 @@
 	disseminationSeconds prometheus.Histogram
 	peerBytes            *prometheus.CounterVec
 	pulls                *prometheus.CounterVec
+	rotation             *prometheus.CounterVec
 }
 
 // Labels of the bytes sent to other hosts.
@@ -69,8 +71,14 @@
 	m.pulls = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "cornelbay_pulls_answered_total", Help: "Pulls of other hosts that were answered, by whether they asked for whole tables.",
 	}, []string{"asked"})
+	m.rotation = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cornelbay_rotation_changes_total", Help: "Changes of whether this host is ready although it runs, by the reason from then on.",
+	}, []string{"reason"})
+	for _, r := range []readiness.Reason{readiness.Serving, readiness.NoTargets, readiness.Minority} {
+		m.rotation.WithLabelValues(string(r)) // so that the counters exist before the first change
+	}
 	m.registry.MustRegister(
-		m.packets, m.shed, m.storeCalls, m.callSeconds, m.openingSeconds, m.disseminationSeconds, m.peerBytes, m.pulls,
+		m.packets, m.shed, m.storeCalls, m.callSeconds, m.openingSeconds, m.disseminationSeconds, m.peerBytes, m.pulls, m.rotation,
 	)
 	for _, g := range []struct {
 		name, help string
@@ -94,6 +102,18 @@
 		{"cornelbay_peer_connections", "Connections of other hosts that are open.", func(b *Balancer, _ time.Time) float64 {
 			return float64(b.rpcServer.Connections())
 		}},
+		{"cornelbay_ready", "1 while routers should send packets to this host.", func(b *Balancer, _ time.Time) float64 {
+			if b.readiness() == readiness.Serving {
+				return 1
+			}
+			return 0
+		}},
+		{"cornelbay_hosts_alive", "Hosts of the data centre that are alive, or 0 if that is not known.", func(b *Balancer, now time.Time) float64 {
+			return float64(b.dataCentreCensus(now, b.ownCensus(now)).Alive)
+		}},
+		{"cornelbay_hosts_unable", "Hosts of the data centre whose openings find only targets that do not answer.", func(b *Balancer, now time.Time) float64 {
+			return float64(b.dataCentreCensus(now, b.ownCensus(now)).Unable)
+		}},
 		{"cornelbay_hosts_heard", "Other hosts that are heard.", func(b *Balancer, now time.Time) float64 {
 			return float64(len(b.members.Alive(now)))
 		}},
--- a/balancer/report.go
+++ b/balancer/report.go
@@ -88,6 +88,7 @@
 		interval := gossip.IntervalFor(len(to))
 		hb := b.heartbeat(interval)
 		hb.Loads, hb.Outcomes = loadsToWire(r.Loads), outcomesToWire(r.Outcomes)
+		hb.Census = b.census(now, false)
 		b.sendToPeers(b.sealHeartbeat(now, hb), to)
 		return interval
 	}
@@ -105,8 +106,9 @@
 	if n.Relay.Name != "" {
 		report := hb
 		report.Loads = loadsToWire(loads.Largest(up, maxLoads))
+		report.Census = b.census(now, false)
 		if n.StandIn {
-			report.Loads = loadsToWire(r.Loads)
+			report.Loads, report.Census = loadsToWire(r.Loads), nil
 		}
 		b.sendToPeers(b.sealHeartbeat(now, report), []netip.AddrPort{n.Relay.Address})
 	} else if !n.Lead {
@@ -115,6 +117,7 @@
 	if len(n.Leads) > 0 {
 		report := hb
 		report.Lead, report.Loads = true, loadsToWire(loads.Largest(up, maxLoads))
+		report.Census = b.census(now, true)
 		b.sendToPeers(b.sealHeartbeat(now, report), addresses(n.Leads))
 	}
 	if len(n.Below) > 0 {
@@ -123,6 +126,7 @@
 		digest := b.placer.Digest(total, maxLoads)
 		b.trafficMu.Unlock()
 		report.Relay, report.Loads = true, loadsToWire(digest)
+		report.Census = b.census(now, true)
 		b.sendToPeers(b.sealHeartbeat(now, report), addresses(n.Below))
 	}
 	if n.Lead {
--- a/balancer/retry.go
+++ b/balancer/retry.go
@@ -18,7 +18,7 @@
 	t := time.NewTimer(0)
 	defer t.Stop()
 	datagram := make([]byte, platform.TargetNumberBytes+platform.MaxPacketBytes)
-	pruned := due
+	pruned, decided := due, due
 	for {
 		select {
 		case <-b.ctx.Done():
@@ -54,6 +54,10 @@
 		for _, r := range retries {
 			b.retry(datagram, r)
 		}
+		if now.Sub(decided) >= decideInterval {
+			decided = now
+			b.decideReadiness(now)
+		}
 		if now.Sub(pruned) > pruneInterval {
 			pruned = now
 			b.prune()
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -210,6 +210,12 @@
 	return slices.DeleteFunc(m.Known(), func(h registry.Host) bool { return h.DataCentre != m.Self.DataCentre })
 }
 
+// CountInDataCentre returns the number of known hosts of the own data centre, this one included.
+func (m *Members) CountInDataCentre() int {
+	order, _ := m.index()
+	return len(order)
+}
+
 // IsReader reports whether this host is the one that reads the store for all: the first
 // one alive by data centre and name, in a large fleet among the leads. Those whose calls
 // the store refuses come last. Hosts that hear each other agree on the reader without a
--- a/gossip/messages.go
+++ b/gossip/messages.go
@@ -14,6 +14,7 @@
 
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/peer"
+	"github.com/cornelbay/cornelbay/readiness"
 	"github.com/cornelbay/cornelbay/registry"
 )
 
@@ -150,6 +151,45 @@
 	AsksSources bool `cbor:"13,keyasint,omitempty"`
 	// Sources are the addresses of hosts to pull from, in the reply to AsksSources.
 	Sources []netip.AddrPort `cbor:"14,keyasint,omitempty"`
+	// Census is that of the host and of those below it, and in a heartbeat of a relay or a
+	// lead that of its data centre. It is nil in heartbeats that tell no loads.
+	Census *Census `cbor:"15,keyasint,omitempty"`
+}
+
+// Census counts hosts of one data centre and tells what is known of the others; see package
+// readiness.
+type Census struct {
+	_                   struct{} `cbor:",toarray"`
+	Alive, Able, Unable uint32
+	// Well is true if the data centre of the sender can serve its callers.
+	Well bool
+	// HeardMs and WellMs are the milliseconds since another data centre was heard, and since
+	// one could serve.
+	HeardMs, WellMs uint32
+}
+
+// NewCensus returns the census to send at a time.
+func NewCensus(now time.Time, c readiness.Census, well bool, others readiness.Others) *Census {
+	return &Census{
+		Alive: uint32(c.Alive), Able: uint32(c.Able), Unable: uint32(c.Unable), Well: well,
+		HeardMs: age(now, others.HeardAt), WellMs: age(now, others.WellAt),
+	}
+}
+
+// Hosts returns the counted hosts.
+func (c *Census) Hosts() readiness.Census {
+	return readiness.Census{Alive: int(c.Alive), Able: int(c.Able), Unable: int(c.Unable)}
+}
+
+// Others returns what the sender knew of the other data centres when the census was received.
+func (c *Census) Others(now time.Time) readiness.Others {
+	at := func(ms uint32) time.Time {
+		if ms >= unknownAgeMs {
+			return time.Time{}
+		}
+		return now.Add(-time.Duration(ms) * time.Millisecond)
+	}
+	return readiness.Others{HeardAt: at(c.HeardMs), WellAt: at(c.WellMs)}
 }
 
 // Outcome summarizes the flows that ended at a target.
--- a/placement/flow.go
+++ b/placement/flow.go
@@ -20,6 +20,8 @@
 	// of at most maxAnswerTimeout fit into the 1.4 s after which callers give up on an
 	// opening.
 	maxAttempts = 6
+	// openingTime is the time after which callers give up on an opening that is not answered.
+	openingTime = 1400 * time.Millisecond
 	// firstRetransmitTime and secondRetransmitTime are when callers retransmit an
 	// unanswered opening, plus some time for the packets to arrive.
 	firstRetransmitTime  = 220 * time.Millisecond
@@ -204,6 +206,7 @@
 // markAnswered records that the target with the given cookie has accepted the flow.
 func (p *Placer) markAnswered(now time.Time, f *Flow, cookie uint32) {
 	if !f.adopted {
+		p.reach.RecordAnswered(now)
 		p.counters.Answered++
 		p.targetState(cookie, now).counters.Answered++
 		if p.OnAnswered != nil {
@@ -281,7 +284,11 @@
 		p.backlogSince, p.backlogUntil = p.lastTick, now.Add(backlogTime)
 	}
 	var retries []Retry
-	for _, f := range p.pending {
+	for key, f := range p.pending {
+		if now.Sub(f.opened) > openingTime && !f.closed {
+			delete(p.pending, key) // its caller has given up
+			continue
+		}
 		if stalled || f.retransmits < retransmitsDue(now.Sub(f.opened)) || p.bypassed(f) {
 			f.unobserved = true
 		}
@@ -356,10 +363,12 @@
 	// this time.
 	f.deadline = now.Add(idleTimeout)
 	if len(f.tried) >= maxAttempts {
+		p.reach.RecordUnreached(now)
 		return r
 	}
 	m, err := p.choose(now, f.service, f.tried)
 	if err != nil {
+		p.reach.RecordUnreached(now)
 		return r
 	}
 	p.markIdle(now, f)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -23,6 +23,7 @@
 	"github.com/cornelbay/cornelbay/loads"
 	"github.com/cornelbay/cornelbay/outlier"
 	"github.com/cornelbay/cornelbay/pace"
+	"github.com/cornelbay/cornelbay/readiness"
 	"github.com/cornelbay/cornelbay/registry"
 	"github.com/cornelbay/cornelbay/share"
 	"github.com/cornelbay/cornelbay/suspicion"
@@ -67,6 +68,7 @@
 	pending     map[cornelbay.FlowKey]*Flow
 	heard       loads.Heard
 	suspicion   suspicion.Detector[uint32]
+	reach       readiness.Reach
 	answers     answers.Stats
 	coldBuckets map[uint32]*pace.TokenBucket
 	outliers    outlier.Detector[uint32]
@@ -170,6 +172,9 @@
 	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0] || slices.Equal(a, b))
 }
 
+// Reach returns whether the openings of this host have lately reached targets.
+func (p *Placer) Reach(now time.Time) readiness.Census { return p.reach.Census(now) }
+
 // Counters returns the outcomes of all openings so far.
 func (p *Placer) Counters() Counters { return p.counters }
 
@@ -361,6 +366,9 @@
 	case best.target != nil:
 		return best.target, nil
 	case lastResort.target != nil:
+		if p.suspected(lastResort.target) {
+			p.reach.RecordUnreached(now)
+		}
 		return lastResort.target, nil
 	case cold.target != nil:
 		return nil, ErrCold
--- /dev/null
+++ b/readiness/readiness_test.go
@@ -0,0 +1,284 @@
+package readiness
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func ExampleDecider() {
+	var d Decider
+	now := start
+	others := Others{HeardAt: now, WellAt: now}
+	now = now.Add(100 * time.Millisecond)
+	// Callers are served.
+	d.Decide(now, Evidence{Own: Census{1, 1, 0}, DataCentre: Census{4, 4, 0}, Others: others})
+	fmt.Println(d.Reason())
+	// No host reaches targets, and no other data centre is heard any more.
+	for range 2 {
+		now = now.Add(silentTime)
+		d.Decide(now, Evidence{Own: Census{1, 0, 1}, DataCentre: Census{4, 0, 4}, Others: others})
+	}
+	fmt.Println(d.Reason())
+	// The others are heard again.
+	now = now.Add(Hysteresis)
+	d.Decide(now, Evidence{Own: Census{1, 0, 0}, DataCentre: Census{4, 0, 0}, Others: Others{HeardAt: now}})
+	fmt.Println(d.Reason())
+	// Output:
+	// serving
+	// noTargets
+	// serving
+}
+
+func ExampleReach() {
+	var r Reach
+	fmt.Println(r.Census(start))
+	r.RecordAnswered(start)
+	fmt.Println(r.Census(start))
+	r.RecordUnreached(start.Add(memory))
+	fmt.Println(r.Census(start.Add(memory)))
+	// Output:
+	// {1 0 0}
+	// {1 1 0}
+	// {1 0 1}
+}
+
+// span is a time in which what a host is told does not change. heard and well say what it hears
+// of other data centres throughout; alone is true if it does not hear its own.
+type span struct {
+	length          time.Duration
+	own, dataCentre Census
+	heard, well     bool
+	alone           bool
+}
+
+// play runs spans through a decider in steps of 50 ms, and returns what it decided after each.
+func play(spans []span) []Reason {
+	var d Decider
+	var others Others
+	var reasons []Reason
+	now := start
+	for _, s := range spans {
+		for end := now.Add(s.length); now.Before(end); now = now.Add(50 * time.Millisecond) {
+			if s.heard {
+				others.HeardAt = now
+			}
+			if s.well {
+				others.WellAt = now
+			}
+			e := Evidence{Own: s.own, DataCentre: s.dataCentre, Others: others}
+			if s.alone {
+				e.DataCentre = Census{}
+			}
+			d.Decide(now, e)
+		}
+		reasons = append(reasons, d.Reason())
+	}
+	return reasons
+}
+
+// TestDecide guards against callers that are kept at a data centre that can't serve them, and
+// against withdrawals that serve none of them better.
+func TestDecide(t *testing.T) {
+	able, unable, untold := Census{1, 1, 0}, Census{1, 0, 1}, Census{1, 0, 0}
+	calm := span{length: 2 * time.Second, own: able, dataCentre: Census{8, 8, 0}, heard: true, well: true}
+	for _, tc := range []struct {
+		name  string
+		spans []span
+		want  []Reason
+	}{
+		{
+			"emptied and cut off, then healed",
+			[]span{
+				calm,
+				{length: 500 * time.Millisecond, own: unable, dataCentre: Census{8, 1, 7}},
+				{length: 7 * time.Second, own: untold, dataCentre: Census{8, 0, 0}},
+				{length: 100 * time.Millisecond, own: untold, dataCentre: Census{8, 0, 0}, heard: true},
+			},
+			[]Reason{Serving, NoTargets, NoTargets, Serving},
+		},
+		{
+			"cut off without an opening of its own: it follows its neighbours",
+			[]span{calm, {length: 500 * time.Millisecond, own: untold, dataCentre: Census{8, 1, 4}}},
+			[]Reason{Serving, NoTargets},
+		},
+		{
+			"cut off, with targets of its own",
+			[]span{calm, {length: 20 * time.Second, own: able, dataCentre: Census{8, 6, 2}}},
+			[]Reason{Serving, Serving},
+		},
+		{
+			"all targets of all data centres are dead",
+			[]span{calm, {length: 20 * time.Second, own: unable, dataCentre: Census{8, 0, 8}, heard: true}},
+			[]Reason{Serving, Serving},
+		},
+		{
+			"the others reach targets, this data centre does not",
+			[]span{calm, {length: time.Second, own: unable, dataCentre: Census{8, 0, 8}, heard: true, well: true}},
+			[]Reason{Serving, NoTargets},
+		},
+		{
+			"it returns in time to find out by openings",
+			[]span{
+				calm, {length: time.Second, own: unable, dataCentre: Census{8, 0, 8}, heard: true, well: true},
+				{length: retryTime, own: untold, dataCentre: Census{8, 0, 0}, heard: true, well: true},
+			},
+			[]Reason{Serving, NoTargets, Serving},
+		},
+		{
+			"this host alone can't reach targets",
+			[]span{
+				calm, {length: 500 * time.Millisecond, own: unable, dataCentre: Census{8, 7, 1}, heard: true, well: true},
+				{length: time.Second, own: unable, dataCentre: Census{8, 7, 1}, heard: true, well: true},
+			},
+			[]Reason{Serving, Serving, NoTargets},
+		},
+		{
+			"this host alone is cut off from all hosts and targets",
+			[]span{calm, {length: 500 * time.Millisecond, own: unable, alone: true}},
+			[]Reason{Serving, NoTargets},
+		},
+		{
+			"a moment without answers",
+			[]span{calm, {length: 250 * time.Millisecond, own: unable, dataCentre: Census{8, 0, 8}}, calm},
+			[]Reason{Serving, Serving, Serving},
+		},
+		{
+			"most hosts are dead, then back",
+			[]span{calm, {length: time.Second, own: able, dataCentre: Census{3, 3, 0}, heard: true, well: true}, calm},
+			[]Reason{Serving, Minority, Serving},
+		},
+		{
+			"most hosts are dead, the one that adds up among them",
+			[]span{
+				calm, {length: 2 * time.Second, own: able, alone: true, heard: true, well: true},
+				{length: time.Second, own: able, dataCentre: Census{3, 3, 0}, heard: true, well: true},
+			},
+			[]Reason{Serving, Serving, Minority},
+		},
+		{
+			"half of the hosts are dead",
+			[]span{calm, {length: 9 * time.Second, own: able, dataCentre: Census{4, 4, 0}, heard: true, well: true}},
+			[]Reason{Serving, Serving},
+		},
+		{
+			"most hosts are dead, and the other data centres are silent or not well",
+			[]span{
+				calm, {length: 5 * time.Second, own: able, dataCentre: Census{3, 3, 0}},
+				{length: 5 * time.Second, own: able, dataCentre: Census{3, 3, 0}, heard: true},
+			},
+			[]Reason{Serving, Serving, Serving},
+		},
+		{
+			"most hosts were removed for good",
+			[]span{calm, {length: peakTime + time.Second, own: able, dataCentre: Census{3, 3, 0}, heard: true, well: true}},
+			[]Reason{Serving, Serving},
+		},
+		{
+			"the neighbours are not heard, which tells nothing of them",
+			[]span{calm, {length: 5 * time.Second, own: able, alone: true, heard: true, well: true}},
+			[]Reason{Serving, Serving},
+		},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(play(tc.spans), tc.want)
+		})
+	}
+}
+
+// TestNeverAllWithdrawn lets data centres fail in any order, each hearing the others except in a
+// cut: whenever one has been able to serve for a while, not all are withdrawn. No host changes
+// more often than routers follow.
+func TestNeverAllWithdrawn(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const step = 50 * time.Millisecond
+		n := rapid.IntRange(1, 4).Draw(t, "dataCentres")
+		deciders, others := make([]Decider, n), make([]Others, n)
+		changed, ableSince := make([]time.Time, n), make([]time.Time, n)
+		censuses, cut := make([]Census, n), make([]bool, n)
+		now := start
+		for range rapid.IntRange(1, 12).Draw(t, "phases") {
+			for i := range n {
+				alive := rapid.IntRange(1, 9).Draw(t, "alive")
+				unable := rapid.IntRange(0, alive).Draw(t, "unable")
+				censuses[i] = Census{alive, alive - unable, unable}
+				cut[i] = rapid.Bool().Draw(t, "cut")
+			}
+			for range rapid.IntRange(1, 100).Draw(t, "steps") {
+				now = now.Add(step)
+				wells := make([]bool, n)
+				for i := range n {
+					wells[i] = deciders[i].Well()
+				}
+				ready, serving, minorities := false, false, 0
+				for i := range n {
+					for j := range n {
+						if i != j && !cut[i] && !cut[j] {
+							others[i].Merge(Others{HeardAt: now})
+							if wells[j] {
+								others[i].Merge(Others{WellAt: now})
+							}
+						}
+					}
+					c := censuses[i]
+					if deciders[i].Reason() != Serving {
+						c.Able, c.Unable = 0, 0 // no openings tell
+					}
+					if deciders[i].Decide(now, Evidence{Own: Census{1, 0, 0}, DataCentre: c, Others: others[i]}) {
+						if !changed[i].IsZero() && now.Sub(changed[i]) < Hysteresis {
+							t.Fatalf("data centre %d changed twice within %s", i, now.Sub(changed[i]))
+						}
+						changed[i] = now
+					}
+					since(&ableSince[i], now, !cut[i] && !censuses[i].mostUnable() && deciders[i].minoritySince.IsZero())
+					ready = ready || deciders[i].Reason() == Serving
+					// A data centre that has withdrawn finds out after cutOffTime at the latest.
+					if deciders[i].Reason() == Minority {
+						minorities++
+					}
+					serving = serving || lasts(now, ableSince[i], cutOffTime+Hysteresis)
+				}
+				if minorities == n {
+					t.Fatalf("all data centres have withdrawn in favour of each other")
+				}
+				if serving && !ready {
+					t.Fatalf("all data centres are withdrawn, although one can serve")
+				}
+			}
+		}
+	})
+}
+
+// TestTally guards against censuses that count hosts that are no longer heard, and against a new
+// host at the top of the tree that takes those that have not reported to it yet for dead.
+func TestTally(t *testing.T) {
+	is := is.New(t)
+	var tally Tally
+	own := Census{1, 1, 0}
+	_, known := tally.Total(start, own, true)
+	is.True(!known)
+	now := start
+	for now.Before(start.Add(2 * freshFor)) {
+		now = now.Add(freshFor / 4)
+		tally.ReceiveBelow(now, "a", Census{3, 2, 1})
+		_, known = tally.Total(now, own, true)
+	}
+	c, known := tally.Total(now, own, true)
+	is.True(known)
+	is.Equal(c, Census{4, 3, 1})
+	c, known = tally.Total(now.Add(freshFor+time.Millisecond), own, true)
+	is.True(!known) // it stood still
+	is.Equal(c.Alive, 1)
+	tally.ReceiveAbove(now, Census{9, 9, 0})
+	c, known = tally.Total(now, own, false)
+	is.True(known)
+	is.Equal(c.Alive, 9)
+	_, known = tally.Total(now.Add(freshFor+time.Millisecond), own, false)
+	is.True(!known)
+}
