Count no requests at unusable targets against the slots

Cause: requests on flows that stay at an evacuated or unreachable target counted as at work among the slots of the other targets.

Change: a flow's load takes a slot only if its target may get new flows.

--- a/placement/flow.go
+++ b/placement/flow.go
@@ -76,6 +76,9 @@
 	// its opening, or a further request, until the answer begins.
 	idle   bool
 	closed bool
+	// takesSlot is true if the flow's load counts against the slots that the hosts divide: those
+	// of targets that are usable. A flow stays at its target when that is evacuated or cut off.
+	takesSlot bool
 	// waiting is true while the opening waits for a slot.
 	waiting bool
 	// priority is that of the route when the flow was recorded.
--- a/placement/held.go
+++ b/placement/held.go
@@ -60,8 +60,11 @@
 		return false
 	}
 	sv.furtherAt = now
+	if !p.usable(now, f.target) {
+		return false
+	}
 	p.recordDemand(now, sv, f)
-	if !sv.isShort() || sv.held.Len() >= maxHeld || !p.usable(now, f.target) {
+	if !sv.isShort() || sv.held.Len() >= maxHeld {
 		return false
 	}
 	usual := p.answers.UsualRouteTime(f.route())
@@ -96,9 +99,10 @@
 	return s.objective
 }
 
-// usable reports whether a target is known and not suspected.
+// usable reports whether a target may get new flows now, and is not suspected.
 func (p *Placer) usable(now time.Time, m *registry.Endpoint) bool {
-	return p.view.Cookies[m.Cookie] != nil && m.Usable(now) && !p.suspected(m)
+	m, ok := p.view.Cookies[m.Cookie] // it may have changed since the flow was opened
+	return ok && m.Usable(now) && !p.suspected(m)
 }
 
 // hasRoom reports whether a request of a priority may be sent to a target. Those that others of
--- a/placement/held_test.go
+++ b/placement/held_test.go
@@ -198,3 +198,21 @@
 		}
 	})
 }
+
+// TestRequestsAtUnusableTargetsTakeNoSlots guards against openings that are refused with slots free
+// because of requests on flows that stay at evacuated targets, which nobody may answer.
+func TestRequestsAtUnusableTargetsTakeNoSlots(t *testing.T) {
+	is := is.New(t)
+	p, now := withOpenFlows(t, 6)
+	evacuated := warmTarget(1, "far")
+	evacuated.Evacuated = true
+	v := limited(evacuated, warmTarget(2, "near"))
+	v.Routes = p.view.Routes
+	p.SetView(v)
+	for port := range 6 {
+		is.True(ask(p, now, port) != 0)
+	}
+	m, err := p.Open(now, Opening{Key: key(100), Service: service})
+	is.NoErr(err)
+	is.Equal(m.Cookie, uint32(2))
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -283,7 +283,10 @@
 // adjustOpen changes the number of open flows at a flow's target by n.
 func (p *Placer) adjustOpen(now time.Time, f *Flow, n int) {
 	p.targetState(f.target.Cookie, now).adjustOpen(now, n)
-	if s, ok := p.services[f.service]; ok {
+	if n > 0 {
+		f.takesSlot = p.usable(now, f.target)
+	}
+	if s, ok := p.services[f.service]; ok && f.takesSlot {
 		s.atWork[f.priority] += n
 		s.freed = s.freed || n < 0
 	}
--- a/placement/service.go
+++ b/placement/service.go
@@ -132,7 +132,7 @@
 			s = &serviceState{name: name, atWork: make(map[int]int), waiting: admission.Queue[*Flow]{MaxLen: maxWaiting}}
 			p.services[name] = s
 			for _, f := range p.flows {
-				if f.service == name && !f.idle && !f.closed {
+				if f.service == name && !f.idle && !f.closed && f.takesSlot {
 					s.atWork[f.priority]++
 				}
 			}
