--- a/placement/admit.go
+++ b/placement/admit.go
@@ -22,10 +22,6 @@
 	// resetTime is less than the time after which callers retransmit an opening, 200 ms. Until
 	// then no other host has the opening, so that a reset cannot reach an open flow.
 	resetTime = 180 * time.Millisecond
-	// lateTick is the delay of a tick beyond which openings may have waited to be read, from
-	// the tick before until backlogTime after it.
-	lateTick    = resetTime - maxWait
-	backlogTime = 100 * time.Millisecond
 	// maxWaiting limits the openings of a service that wait at a host. Each keeps a packet.
 	maxWaiting = 4096
 	// shortageEnd is the time without a waiting opening after which a shortage is over.
@@ -256,24 +252,7 @@
 // MayRefuse reports whether an opening that has just been read may be refused: no other host can
 // have opened the flow by a further copy of it.
 func (p *Placer) MayRefuse(now time.Time, o Opening) bool {
-	return !o.Retransmitted && now.Sub(p.sentSince(now, o.Arrived)) <= resetTime
-}
-
-// sentSince returns the earliest time at which an opening that has just been read may have
-// been sent: it may have waited while this host was stalled, or short of processor time. Its
-// arrival is zero if it is not known.
-func (p *Placer) sentSince(now, arrived time.Time) time.Time {
-	since := now
-	switch {
-	case !p.lastTick.IsZero() && now.Sub(p.lastTick) > p.tickInterval+lateTick:
-		since = p.lastTick
-	case now.Before(p.backlogUntil):
-		since = p.backlogSince
-	}
-	if !arrived.IsZero() && arrived.Before(since) {
-		return arrived
-	}
-	return since
+	return !o.Retransmitted && now.Sub(p.stall.SentSince(now, o.Arrived)) <= resetTime
 }
 
 func (p *Placer) refuseAll(now time.Time, reason admission.Reason, requests []admission.Request[*Flow]) {
--- a/placement/flow.go
+++ b/placement/flow.go
@@ -43,9 +43,6 @@
 	// maxFlows limits the recorded flows. Flows beyond it are still forwarded, but do not
 	// count as load and are not retried at other targets.
 	maxFlows = 1 << 17
-	// stallThreshold is the delay of a tick beyond which this host is assumed to have been
-	// stalled, so that silence is no evidence against targets; see Stalled.
-	stallThreshold = 90 * time.Millisecond
 	// pendingTickInterval is the time between two ticks while openings are not answered,
 	// and idleTickInterval that without any. Ticks look at all flows every sweepInterval.
 	pendingTickInterval = 10 * time.Millisecond
@@ -277,15 +274,10 @@
 // Tick advances the time and returns the openings that were not answered. It is to be
 // called after each TickInterval, after the packets that are waiting have been read.
 func (p *Placer) Tick(now time.Time) []Retry {
-	gap := now.Sub(p.lastTick)
-	stalled := !p.lastTick.IsZero() && gap > p.tickInterval+stallThreshold
-	if stalled {
-		p.stalledAt = now
+	gap, stalled := p.stall.Tick(now)
+	if stalled { // silence is no evidence against targets
 		p.queueStateChange(StateChange{State: Stalled, Duration: gap})
 	}
-	if !p.lastTick.IsZero() && gap > p.tickInterval+lateTick {
-		p.backlogSince, p.backlogUntil = p.lastTick, now.Add(backlogTime)
-	}
 	var retries []Retry
 	for key, f := range p.pending {
 		if now.Sub(f.opened) > openingTime && !f.closed {
@@ -309,7 +301,7 @@
 		p.sweep(now)
 	}
 	p.dispatchAll(now)
-	p.lastTick, p.tickInterval = now, p.TickInterval()
+	p.stall.Next(now, p.TickInterval())
 	return retries
 }
 
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -18,7 +18,7 @@
 	if e.begun.IsZero() || e.partial || !e.answeredAt.IsZero() {
 		return
 	}
-	if now.Sub(p.stalledAt) > 2*idleTimeout && now.Sub(p.foreignPacketAt) > 2*idleTimeout {
+	if now.Sub(p.stall.ResumedAt) > 2*idleTimeout && now.Sub(p.foreignPacketAt) > 2*idleTimeout {
 		p.recordOutcome(f, true)
 	}
 	f.exchange = exchange{}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -26,6 +26,7 @@
 	"github.com/cornelbay/cornelbay/readiness"
 	"github.com/cornelbay/cornelbay/registry"
 	"github.com/cornelbay/cornelbay/share"
+	"github.com/cornelbay/cornelbay/stall"
 	"github.com/cornelbay/cornelbay/suspicion"
 )
 
@@ -85,17 +86,12 @@
 	nextDivision time.Time
 	warm         []*registry.Endpoint
 	warmTargets  []share.Target[uint32]
-	// stalledAt is when this host last resumed after a stall.
-	stalledAt time.Time
+	stall        stall.Detector
 	// roundTrip is the smoothed time from an opening to the caller's next packet, of flows
 	// that were tried at one target only; 0 until there was one.
 	roundTrip time.Duration
-	// lastTick is the time of the last call of Tick, tickInterval the TickInterval after it,
-	// and sweptAt when a call last looked at all flows.
-	lastTick, sweptAt time.Time
-	tickInterval      time.Duration
-	// Openings that are read before backlogUntil may have been sent since backlogSince.
-	backlogSince, backlogUntil time.Time
+	// sweptAt is when a call of Tick last looked at all flows.
+	sweptAt time.Time
 	// lastProgress is when the last packet after an opening arrived, of any flow.
 	lastProgress time.Time
 	// foreignPacketAt is when a packet last arrived of a flow that this host had not
@@ -224,7 +220,7 @@
 		return f.target, nil
 	}
 	f := &Flow{key: key, service: service, opened: now, lastSeen: now, opening: slices.Clone(o.Packet)}
-	f.sentSince = p.sentSince(now, o.Arrived)
+	f.sentSince = p.stall.SentSince(now, o.Arrived)
 	if p.view != nil {
 		f.priority = p.priority(key)
 	}
