--- a/placement/placement.go
+++ b/placement/placement.go
@@ -11,7 +11,6 @@
 package placement
 
 import (
-	"cmp"
 	"errors"
 	"slices"
 	"time"
@@ -20,6 +19,7 @@
 
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/answers"
+	"github.com/cornelbay/cornelbay/choice"
 	"github.com/cornelbay/cornelbay/loads"
 	"github.com/cornelbay/cornelbay/outlier"
 	"github.com/cornelbay/cornelbay/pace"
@@ -46,6 +46,10 @@
 	// roundTripWeight is the weight of a new sample in the exponentially weighted moving
 	// average of round trips.
 	roundTripWeight = 1.0 / 16
+	// leastLoadedLimit is the number of hosts up to which each one sends a new flow to the
+	// least loaded target. More hosts would all choose the same few targets until the next
+	// reports, and overload them.
+	leastLoadedLimit = 13
 	// defaultSlots is used for a target that announces no slots.
 	defaultSlots = cornelbay.DefaultSlots
 )
@@ -304,21 +308,10 @@
 }
 
 // candidate is a target that is considered for a flow.
-type candidate struct {
-	target *registry.Endpoint
-	// cost is the expected wait, plus the round trip to another data centre.
-	cost time.Duration
-	// load is the number of active flows per slot.
-	load     float64
-	tieBreak uint64
-}
-
-func compareCandidates(a, b candidate) int {
-	return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.load, b.load), cmp.Compare(a.tieBreak, b.tieBreak))
-}
+type candidate = choice.Candidate[*registry.Endpoint]
 
 // choose returns the best target of a service that is not among those already tried, in a
-// large fleet the best of some; see sampler.
+// large fleet the best of some; see choice.Sampler.
 // Suspected and ejected targets are used only when there is no other, or when a probe is
 // due that shows whether a suspected target answers again. An opening that was tried already
 // is no probe while there is another target: when many targets have died, it would use up
@@ -329,7 +322,7 @@
 		return nil, ErrNoTarget
 	}
 	var best, lastResort, due, cold candidate
-	samples := sampler{all: len(p.view.Hosts) <= leastLoadedLimit}
+	samples := choice.Sampler[*registry.Endpoint]{All: len(p.view.Hosts) <= leastLoadedLimit}
 	p.choices++
 	for _, m := range p.view.Services[service] {
 		if !m.Usable(now) || slices.Contains(tried, m.Cookie) {
@@ -338,76 +331,59 @@
 		c := p.estimate(now, m)
 		switch {
 		case now.Before(m.ColdUntil):
-			keepBest(&cold, c)
+			cold.Keep(c)
 		case p.ejected(now, m):
-			keepBest(&lastResort, c)
+			lastResort.Keep(c)
 		case !p.suspected(m):
-			samples.add(c, m.DataCentre == p.DataCentre)
+			samples.Add(c, m.DataCentre == p.DataCentre)
 		case p.probeDue(now, m):
-			keepBest(&due, c)
+			due.Keep(c)
 		default:
-			keepBest(&lastResort, c)
+			lastResort.Keep(c)
 		}
 	}
-	best = samples.best()
-	if due.target != nil && (best.target == nil || len(tried) == 0 && compareCandidates(due, best) < 0) {
-		p.startProbe(now, due.target)
-		return due.target, nil
+	best = samples.Best()
+	if due.Target != nil && (best.Target == nil || len(tried) == 0 && due.Compare(best) < 0) {
+		p.startProbe(now, due.Target)
+		return due.Target, nil
 	}
-	if best.target != nil && best.cost < p.answers.MeanDuration(service) {
-		return best.target, nil
+	if best.Target != nil && best.Cost < p.answers.MeanDuration(service) {
+		return best.Target, nil
 	}
-	if cold.target != nil && p.coldBucket(cold.target).Take(now) {
+	if cold.Target != nil && p.coldBucket(cold.Target).Take(now) {
 		p.counters.Cold++
-		return cold.target, nil
+		return cold.Target, nil
 	}
 	switch {
-	case best.target != nil:
-		return best.target, nil
-	case lastResort.target != nil:
-		if p.suspected(lastResort.target) {
+	case best.Target != nil:
+		return best.Target, nil
+	case lastResort.Target != nil:
+		if p.suspected(lastResort.Target) {
 			p.reach.RecordUnreached(now)
 		}
-		return lastResort.target, nil
-	case cold.target != nil:
+		return lastResort.Target, nil
+	case cold.Target != nil:
 		return nil, ErrCold
 	}
 	return nil, ErrNoTarget
 }
 
-// keepBest replaces best by a better candidate; one without a target counts as none.
-func keepBest(best *candidate, c candidate) {
-	if c.target != nil && (best.target == nil || compareCandidates(c, *best) < 0) {
-		*best = c
-	}
-}
-
 // estimate computes the load and the cost of a target. The cost is the expected wait, which
 // is zero while a slot is free and otherwise the time until the flows ahead have been
 // served, plus the round trip to another data centre.
 func (p *Placer) estimate(now time.Time, m *registry.Endpoint) candidate {
 	slots := slotsOf(m)
 	load := p.load(now, m.Cookie) / float64(slots)
-	c := candidate{target: m, load: load, tieBreak: p.tieBreak(m)}
+	c := candidate{Target: m, Load: load, TieBreak: p.tieBreak(m)}
 	if ahead := load + 1/float64(slots) - 1; ahead > 0 {
-		c.cost = time.Duration(ahead * float64(p.answers.MeanDuration(m.Service)))
+		c.Cost = time.Duration(ahead * float64(p.answers.MeanDuration(m.Service)))
 	}
 	if m.DataCentre != p.DataCentre {
-		c.cost += crossDataCentreCost
+		c.Cost += crossDataCentreCost
 	}
 	return c
 }
 
-// mix scrambles the bits of n, so that ties are broken in a different order on each
-// choice. It is the finalizer of MurmurHash3.
-func mix(n uint64) uint64 {
-	n ^= n >> 33
-	n *= 0xff51afd7ed558ccd
-	n ^= n >> 33
-	n *= 0xc4ceb9fe1a85ec53
-	return n ^ n>>33
-}
-
 // load estimates the active flows at a target: those of this host plus the average that
 // other hosts had there in their last reports.
 func (p *Placer) load(now time.Time, cookie uint32) float64 {
--- a/placement/service.go
+++ b/placement/service.go
@@ -7,6 +7,7 @@
 
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/admission"
+	"github.com/cornelbay/cornelbay/choice"
 	"github.com/cornelbay/cornelbay/outlier"
 	"github.com/cornelbay/cornelbay/pace"
 	"github.com/cornelbay/cornelbay/registry"
@@ -454,7 +455,7 @@
 	// maxUtilization bounds the expected wait at the targets of a data centre.
 	maxUtilization = 0.97
 	// maxBorrowSamples is the number of targets of a list that are looked at to find
-	// sampleSize of them that may get a flow.
+	// choice.SampleSize of them that may get a flow.
 	maxBorrowSamples = 8
 )
 
@@ -472,13 +473,13 @@
 	}
 	p.choices++
 	best, ownFar, due, full := p.chooseOwn(now, s)
-	if due.target != nil && (best.target == nil || compareCandidates(due, best) < 0) {
-		p.startProbe(now, due.target)
-		return due.target, nil, false
+	if due.BetterThan(best) {
+		p.startProbe(now, due.Target)
+		return due.Target, nil, false
 	}
 	acceptable := time.Duration(acceptableFactor * float64(p.answers.UsualTime(s.name)))
-	if best.target != nil && best.cost <= acceptable {
-		return best.target, nil, false
+	if best.Target != nil && best.Cost <= acceptable {
+		return best.Target, nil, false
 	}
 	var probe candidate
 	var probeFrom *borrowed
@@ -492,12 +493,12 @@
 		}
 		if m := b.vacated.Latest(now, func(m *registry.Endpoint) bool { return m.Usable(now) && !p.suspected(m) && !p.avoided(now, s, m) }); m != nil {
 			c := p.estimateVacated(s, m)
-			if best.target == nil || compareCandidates(c, best) < 0 {
+			if c.BetterThan(best) {
 				best, from = c, b
 			}
 		}
 		due := probe
-		if c := p.sample(now, s, list, &due); c.target != nil && (best.target == nil || compareCandidates(c, best) < 0) {
+		if c := p.sample(now, s, list, &due); c.BetterThan(best) {
 			best, from = c, b
 		}
 		if due != probe {
@@ -505,25 +506,25 @@
 		}
 	}
 	borrow(&s.borrowedNear, s.near, s.utilization[p.DataCentre])
-	if best.target == nil || best.cost > acceptable {
-		if ownFar.target != nil && (best.target == nil || compareCandidates(ownFar, best) < 0) {
+	if best.Target == nil || best.Cost > acceptable {
+		if ownFar.BetterThan(best) {
 			best, from = ownFar, nil
 		}
 		borrow(&s.borrowedFar, s.far, s.farUtilization)
 	}
-	if probe.target != nil && (best.target == nil || compareCandidates(probe, best) < 0) {
-		p.startProbe(now, probe.target)
-		return probe.target, probeFrom, false
+	if probe.BetterThan(best) {
+		p.startProbe(now, probe.Target)
+		return probe.Target, probeFrom, false
 	}
-	if best.target == nil || best.cost > 2*acceptable {
+	if best.Target == nil || best.Cost > 2*acceptable {
 		if m := p.takeCold(now, s); m != nil {
 			return m, nil, false
 		}
 	}
 	if from != nil {
-		from.vacated.Take(best.target)
+		from.vacated.Take(best.Target)
 	}
-	return best.target, from, best.target == nil && full
+	return best.Target, from, best.Target == nil && full
 }
 
 // hasFreeSlot reports whether a target has a free slot, as far as reports tell. The hosts of a
@@ -554,14 +555,14 @@
 		switch {
 		case p.suspected(o.target):
 			if p.probeDue(now, o.target) {
-				keepBest(&due, c)
+				due.Keep(c)
 			}
-		case t.open >= p.limit(o, t) || t.open > 0 && c.cost > s.objective:
+		case t.open >= p.limit(o, t) || t.open > 0 && c.Cost > s.objective:
 			full = true
 		case o.target.DataCentre == p.DataCentre:
-			keepBest(&near, c)
+			near.Keep(c)
 		default:
-			keepBest(&far, c)
+			far.Keep(c)
 		}
 	}
 	return near, far, due, full
@@ -588,34 +589,36 @@
 // whose flows this host knows.
 func (p *Placer) estimateOwn(now time.Time, s *serviceState, o ownTarget, t *targetState) candidate {
 	slots := max(o.share, 1)
-	c := candidate{target: o.target, load: float64(t.open) / slots, tieBreak: p.tieBreak(o.target)}
+	c := candidate{Target: o.target, Load: float64(t.open) / slots, TieBreak: p.tieBreak(o.target)}
 	alone := float64(p.answers.UsualTime(s.name)) * t.own().window.TimeFactor(now)
-	c.cost = time.Duration(alone * (1 + max(float64(t.open)+1-slots, 0)/slots))
+	c.Cost = time.Duration(alone * (1 + max(float64(t.open)+1-slots, 0)/slots))
 	if o.target.DataCentre != p.DataCentre {
-		c.cost += crossDataCentreCost
+		c.Cost += crossDataCentreCost
 	}
 	return c
 }
 
-func (p *Placer) tieBreak(m *registry.Endpoint) uint64 { return mix(p.choices<<32 | uint64(m.Cookie)) }
+func (p *Placer) tieBreak(m *registry.Endpoint) uint64 {
+	return choice.Mix(p.choices<<32 | uint64(m.Cookie))
+}
 
-// sample returns the best of up to sampleSize random targets of a list that may get a flow,
+// sample returns the best of up to choice.SampleSize random targets of a list that may get a flow,
 // by the expected time at a target whose other flows are not known. It offers suspected
 // targets that are due for a probe to probe.
 func (p *Placer) sample(now time.Time, s *serviceState, list []*registry.Endpoint, probe *candidate) candidate {
 	var best candidate
 	found := 0
-	for i := uint64(0); i < maxBorrowSamples && len(list) > 0 && found < sampleSize; i++ {
-		m := list[mix(p.choices<<8|i)%uint64(len(list))]
+	for i := uint64(0); i < maxBorrowSamples && len(list) > 0 && found < choice.SampleSize; i++ {
+		m := list[choice.Mix(p.choices<<8|i)%uint64(len(list))]
 		if !m.Usable(now) || p.avoided(now, s, m) {
 			continue
 		}
 		switch c := p.estimateBorrowed(now, s, m); {
 		case !p.suspected(m):
-			keepBest(&best, c)
+			best.Keep(c)
 			found++
 		case p.probeDue(now, m):
-			keepBest(probe, c)
+			probe.Keep(c)
 		}
 	}
 	return best
@@ -625,20 +628,20 @@
 func (p *Placer) estimateBorrowed(now time.Time, s *serviceState, m *registry.Endpoint) candidate {
 	u := min(s.utilization[m.DataCentre], maxUtilization)
 	wait := u * u / (1 - u*u) // the mean wait in a queue with two servers, relative to the service time
-	c := candidate{target: m, load: p.load(now, m.Cookie) / float64(slotsOf(m)), tieBreak: p.tieBreak(m)}
-	c.cost = time.Duration(float64(p.answers.UsualTime(s.name)) * p.timeFactor(m) * (1 + wait))
+	c := candidate{Target: m, Load: p.load(now, m.Cookie) / float64(slotsOf(m)), TieBreak: p.tieBreak(m)}
+	c.Cost = time.Duration(float64(p.answers.UsualTime(s.name)) * p.timeFactor(m) * (1 + wait))
 	if m.DataCentre != p.DataCentre {
-		c.cost += crossDataCentreCost
+		c.Cost += crossDataCentreCost
 	}
 	return c
 }
 
 // estimateVacated computes the expected time of a flow at a slot that one has just left.
 func (p *Placer) estimateVacated(s *serviceState, m *registry.Endpoint) candidate {
-	c := candidate{target: m, tieBreak: p.tieBreak(m)}
-	c.cost = time.Duration(float64(p.answers.UsualTime(s.name)) * p.timeFactor(m))
+	c := candidate{Target: m, TieBreak: p.tieBreak(m)}
+	c.Cost = time.Duration(float64(p.answers.UsualTime(s.name)) * p.timeFactor(m))
 	if m.DataCentre != p.DataCentre {
-		c.cost += crossDataCentreCost
+		c.Cost += crossDataCentreCost
 	}
 	return c
 }
