Withdraw only for data centres that had time to notice the fault

Cause: when all targets died, hosts withdrew within 0.1 s in favour of data centres that had not noticed yet, and again when others found targets first.

--- a/readiness/readiness.go
+++ b/readiness/readiness.go
@@ -12,12 +12,15 @@
 //     the hosts that had openings to tell by have to agree.
 //   - The hosts that are left of a data centre withdraw if most of its hosts have fallen silent
 //     and another data centre can serve.
-//   - A single host that can't reach targets while its neighbours can withdraws alone.
 //
 // A withdrawn host still forwards what it receives.
 package readiness
 
-import "time"
+import (
+	"time"
+
+	"github.com/cornelbay/cornelbay/suspicion"
+)
 
 // Reason says why a host is ready or not.
 type Reason string
@@ -37,11 +40,15 @@
 	// silentTime is how long the other data centres have to be silent before a host takes its own
 	// for cut off. Without a cut a heartbeat of one of them arrives in it, also along the tree.
 	silentTime = 350 * time.Millisecond
-	// aloneTime is the same for a host that withdraws alone.
-	aloneTime = time.Second
+	// noticeTime is the time by which another data centre has noticed a fault that strikes all of
+	// them at once: what it says before does not show that it can serve.
+	noticeTime = 300 * time.Millisecond
 	// Hysteresis is the least time between two changes. Routers take that long to follow one:
 	// two checks, half a second apart.
 	Hysteresis = time.Second
+	// recoveryTime is the time in which a host finds targets again that others have found: it
+	// probes a silent one at least that often.
+	recoveryTime = suspicion.MaxProbeInterval
 	// wellFor is how long another data centre counts as able to serve after it has said so.
 	wellFor = time.Second
 	// retryTime is how long a host that can't reach targets stays withdrawn. Then it returns,
@@ -68,13 +75,13 @@
 type Decider struct {
 	reason    Reason
 	changedAt time.Time
-	// unableSince is since when most of the hosts, or this one, can't reach targets, and
-	// minoritySince since when most hosts are silent.
-	unableSince, minoritySince time.Time
+	// ownSince is since when this host can't reach targets, unableSince since when most of the
+	// hosts can't, and minoritySince since when most hosts are silent.
+	ownSince, unableSince, minoritySince time.Time
+	// wellSince is since when another data centre has been able to serve.
+	wellSince time.Time
 	// cutOff is true for a host that withdrew while no other data centre was heard.
 	cutOff bool
-	// mostUnable is true if most of the hosts of the data centre can't reach targets.
-	mostUnable bool
 	// peak is the largest number of hosts that were alive within peakTime before peakAt.
 	peak   int
 	peakAt time.Time
@@ -91,7 +98,7 @@
 // Well reports whether other data centres may rely on this one: it can serve what its own
 // callers ask, as far as is known.
 func (d *Decider) Well() bool {
-	return d.Reason() == Serving && !d.mostUnable && d.minoritySince.IsZero()
+	return d.Reason() == Serving && d.ownSince.IsZero() && d.unableSince.IsZero() && d.minoritySince.IsZero()
 }
 
 // Decide takes the evidence at a time and reports whether the decision has changed.
@@ -104,9 +111,9 @@
 	if next == d.Reason() {
 		return false
 	}
-	d.cutOff = next == NoTargets && !e.Others.HeardAt.After(d.unableSince)
+	d.cutOff = next == NoTargets && now.Sub(e.Others.HeardAt) >= silentTime
 	d.reason, d.changedAt = next, now
-	d.unableSince, d.minoritySince = time.Time{}, time.Time{}
+	d.ownSince, d.unableSince, d.minoritySince = time.Time{}, time.Time{}, time.Time{}
 	return true
 }
 
@@ -119,8 +126,9 @@
 		d.peak, d.peakAt = e.DataCentre.Alive, now
 	}
 	since(&d.minoritySince, now, known && 2*e.DataCentre.Alive < d.peak)
-	d.mostUnable = e.DataCentre.mostUnable()
-	since(&d.unableSince, now, d.mostUnable || e.Own.mostUnable())
+	since(&d.wellSince, now, !e.Others.WellAt.IsZero() && now.Sub(e.Others.WellAt) <= wellFor)
+	since(&d.ownSince, now, e.Own.mostUnable())
+	since(&d.unableSince, now, e.DataCentre.mostUnable())
 }
 
 // since keeps the time from which on a condition holds.
@@ -141,7 +149,7 @@
 		}
 		return NoTargets
 	case Minority:
-		if !d.minoritySince.IsZero() && now.Sub(e.Others.WellAt) <= wellFor {
+		if !d.minoritySince.IsZero() && !d.wellSince.IsZero() {
 			return Minority
 		}
 		return Serving
@@ -149,7 +157,7 @@
 	switch {
 	case d.withdraws(now, e):
 		return NoTargets
-	case lasts(now, d.minoritySince, confirmTime) && e.Others.WellAt.After(d.minoritySince):
+	case lasts(now, d.minoritySince, confirmTime) && e.Others.WellAt.After(d.minoritySince.Add(noticeTime)):
 		return Minority
 	}
 	return Serving
@@ -164,16 +172,20 @@
 	return now.Sub(d.changedAt) >= retryTime
 }
 
-// withdraws reports whether this host withdraws since it can't reach targets.
+// withdraws reports whether this host withdraws since most hosts can't reach targets.
 func (d *Decider) withdraws(now time.Time, e Evidence) bool {
-	if !lasts(now, d.unableSince, confirmTime) {
+	if d.unableSince.IsZero() {
 		return false
 	}
-	if !d.mostUnable {
-		return lasts(now, d.unableSince, aloneTime)
+	since := d.unableSince
+	if !d.ownSince.IsZero() && d.ownSince.Before(since) {
+		since = d.ownSince // it noticed before its neighbours said so
+	}
+	silent := e.Others.HeardAt.Before(since) && now.Sub(e.Others.HeardAt) >= silentTime
+	if silent {
+		return lasts(now, since, confirmTime)
 	}
-	silent := e.Others.HeardAt.Before(d.unableSince) && now.Sub(e.Others.HeardAt) >= silentTime
-	return silent || e.Others.WellAt.After(d.unableSince)
+	return e.Others.WellAt.After(d.unableSince.Add(noticeTime)) && lasts(now, d.wellSince, recoveryTime)
 }
 
 func lasts(now, since time.Time, d time.Duration) bool { return !since.IsZero() && now.Sub(since) >= d }
