--- a/placement/flow.go
+++ b/placement/flow.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/exchange"
 	"github.com/cornelbay/cornelbay/registry"
 )
 
@@ -36,10 +37,6 @@
 	// evidence against its target: the routers are sending flows to different hosts than
 	// before, and the answer may be seen by another host.
 	rerouteWindow = 60 * time.Millisecond
-	// maxAckAdvance is more bytes than a caller acknowledges between two packets that this
-	// host sees. A packet that acknowledges more carries no valid acknowledgement, as
-	// resets do.
-	maxAckAdvance = 1 << 24
 	// maxFlows limits the recorded flows. Flows beyond it are still forwarded, but do not
 	// count as load and are not retried at other targets.
 	maxFlows = 1 << 17
@@ -59,12 +56,8 @@
 	// tried are the cookies of the targets that were sent the opening.
 	tried            []uint32
 	opened, lastSeen time.Time
-	// lastAck is the highest acknowledgement number of the caller, and dataEnd the sequence
-	// number after the last data of the caller, if it has sent any.
-	lastAck, dataEnd uint32
-	hasData          bool
-	// exchange is the last request on the flow.
-	exchange exchange
+	// exchanges are the requests on the flow.
+	exchanges exchange.Tracker
 	// deadline is when the opening counts as unanswered.
 	deadline time.Time
 	// answered is true once it is known which target has the flow.
@@ -154,7 +147,7 @@
 		if f = p.adopt(now, key, s.Cookie); f == nil {
 			return s.Cookie
 		}
-		f.lastAck = s.Acknowledged
+		f.exchanges.Start(s.Acknowledged)
 	}
 	f.lastSeen = now
 	if !f.answered {
@@ -162,7 +155,7 @@
 			return s.Cookie
 		}
 		p.markAnswered(now, f, s.Cookie)
-		f.lastAck = s.Acknowledged
+		f.exchanges.Start(s.Acknowledged)
 		p.beginExchange(now, f, f.adopted)
 	}
 	if f.closed {
--- a/placement/held.go
+++ b/placement/held.go
@@ -120,7 +120,7 @@
 
 // holdPacket records a further packet of a flow whose request is held.
 func (p *Placer) holdPacket(f *Flow, s Segment) {
-	if s.Bytes > 0 && !f.sendsData(s) || len(f.heldPackets) >= maxHeldPackets {
+	if s.Bytes > 0 && !f.exchanges.SendsData(s.Sequence, s.Bytes) || len(f.heldPackets) >= maxHeldPackets {
 		return // a copy, or one that the caller will send again
 	}
 	f.heldPackets = append(f.heldPackets, slices.Clone(s.Packet))
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -14,14 +14,14 @@
 // recordBrokenOff records a flow that fell silent before its request was answered as
 // failed, unless its packets may arrive at another host or this host may have missed them.
 func (p *Placer) recordBrokenOff(now time.Time, f *Flow) {
-	e := &f.exchange
-	if e.begun.IsZero() || e.partial || !e.answeredAt.IsZero() {
+	e := &f.exchanges.Last
+	if e.Begun.IsZero() || e.Partial || !e.AnsweredAt.IsZero() {
 		return
 	}
 	if now.Sub(p.stall.ResumedAt) > 2*idleTimeout && now.Sub(p.foreignPacketAt) > 2*idleTimeout {
 		p.recordOutcome(f, true)
 	}
-	f.exchange = exchange{}
+	f.exchanges.End()
 }
 
 // rejectionFactor is the number of usual times after which a short answer is taken as the
@@ -31,13 +31,13 @@
 // recordOutcome records the outcome of the last exchange of a flow. Its duration is the time
 // until the answer began, or until the caller's last packet.
 func (p *Placer) recordOutcome(f *Flow, failed bool) {
-	e := &f.exchange
-	o := outlier.Outcome{Ended: 1, TotalDuration: f.lastSeen.Sub(e.begun)}
-	if !e.answeredAt.IsZero() {
-		o.TotalDuration = e.answeredAt.Sub(e.begun)
+	e := &f.exchanges.Last
+	o := outlier.Outcome{Ended: 1, TotalDuration: f.lastSeen.Sub(e.Begun)}
+	if !e.AnsweredAt.IsZero() {
+		o.TotalDuration = e.AnsweredAt.Sub(e.Begun)
 	}
 	if s, ok := p.services[f.service]; ok {
-		if failed && !e.answeredAt.IsZero() && p.overloaded(f, o.TotalDuration) {
+		if failed && !e.AnsweredAt.IsZero() && p.overloaded(f, o.TotalDuration) {
 			p.counters.Rejected++
 			p.recordPace(s, f, 0, false)
 			return
@@ -114,7 +114,7 @@
 // truncated reports whether the last answer that the caller of a flow has acknowledged is
 // much shorter than the mean of its route.
 func (p *Placer) truncated(f *Flow) bool {
-	return p.answers.RecordSize(f.route(), float64(f.lastAck-f.exchange.ackedBefore))
+	return p.answers.RecordSize(f.route(), float64(f.exchanges.AnswerBytes()))
 }
 
 // ejectOutliers ejects the outliers among the targets of each service.
