Let trials exchange decisions of placement

A seam for three of them: after which time an opening counts as unanswered, for how long it may wait, what another data centre costs. The zero value is the product. No change of behaviour.

--- a/placement/admit.go
+++ b/placement/admit.go
@@ -127,10 +127,15 @@
 	return m, nil, err
 }
 
+// longestWait returns for how long an opening may wait, given the latency objective of its route.
+func longestWait(objective time.Duration) time.Duration {
+	return min(time.Duration(waitShare*float64(objective)), maxWait)
+}
+
 // hold makes an opening wait, and refuses those that then cannot be served in time.
 func (p *Placer) hold(now time.Time, s *serviceState, f *Flow) {
 	f.waiting, f.idle = true, true
-	deadline := now.Add(min(time.Duration(waitShare*float64(p.objective(s, f))), maxWait))
+	deadline := now.Add(p.Policies.Wait.Or(longestWait, p.objective(s, f)))
 	r := admission.Request[*Flow]{
 		Value: f, Caller: f.key.Source.Addr().String(), Priority: f.priority, Arrived: now, Deadline: deadline,
 	}
--- a/placement/flow.go
+++ b/placement/flow.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -104,11 +105,12 @@
 }
 
 func (p *Placer) answerTimeout() time.Duration {
-	rtt := p.roundTrip
-	if rtt == 0 {
-		rtt = initialRoundTrip
-	}
-	return min(max(answerFactor*rtt, minAnswerTimeout), maxAnswerTimeout)
+	return p.Policies.AnswerTimeout.Or(answerTimeout, cmp.Or(p.roundTrip, initialRoundTrip))
+}
+
+// answerTimeout returns after which time an opening counts as unanswered, for a mean round trip.
+func answerTimeout(roundTrip time.Duration) time.Duration {
+	return min(max(answerFactor*roundTrip, minAnswerTimeout), maxAnswerTimeout)
 }
 
 // Segment is what a packet after the opening of a flow shows.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -20,6 +20,7 @@
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/answers"
 	"github.com/cornelbay/cornelbay/choice"
+	"github.com/cornelbay/cornelbay/decision"
 	"github.com/cornelbay/cornelbay/loads"
 	"github.com/cornelbay/cornelbay/outlier"
 	"github.com/cornelbay/cornelbay/pace"
@@ -54,6 +55,19 @@
 	defaultSlots = cornelbay.DefaultSlots
 )
 
+// Policies are the decisions of a Placer that trials and tests exchange. The zero value is the
+// product.
+type Policies struct {
+	// AnswerTimeout returns after which time an opening counts as unanswered and is tried at
+	// another target, for a mean round trip.
+	AnswerTimeout decision.Func[time.Duration, time.Duration]
+	// Wait returns for how long an opening may wait for a slot, given the latency objective of
+	// its route.
+	Wait decision.Func[time.Duration, time.Duration]
+	// Distance returns what it costs a flow to go to a target in another data centre.
+	Distance decision.Func[cornelbay.DataCentreName, time.Duration]
+}
+
 // Placer selects targets for the flows of one host. Its zero value knows no targets. It is
 // not safe for concurrent use.
 type Placer struct {
@@ -62,6 +76,8 @@
 	// WarmUpFactor and WarmUpSlack limit the openings at a cold target, which gets at most
 	// ColdPerSecond*WarmUpFactor + WarmUpSlack of them in a second; see pace.TokenBucket.
 	WarmUpFactor, WarmUpSlack float64
+	// Policies are decisions of the product unless a trial exchanges them.
+	Policies Policies
 	// OnAnswered, if not nil, is called with the time from each opening to the caller's
 	// next packet.
 	OnAnswered func(time.Duration)
@@ -378,12 +394,18 @@
 	if ahead := load + 1/float64(slots) - 1; ahead > 0 {
 		c.Cost = time.Duration(ahead * float64(p.answers.MeanDuration(m.Service)))
 	}
-	if m.DataCentre != p.DataCentre {
-		c.Cost += crossDataCentreCost
-	}
+	c.Cost += p.distance(m)
 	return c
 }
 
+// distance returns what it costs a flow to leave this host's data centre for a target.
+func (p *Placer) distance(m *registry.Endpoint) time.Duration {
+	if m.DataCentre == p.DataCentre {
+		return 0
+	}
+	return p.Policies.Distance.Or(func(cornelbay.DataCentreName) time.Duration { return crossDataCentreCost }, m.DataCentre)
+}
+
 // load estimates the active flows at a target: those of this host plus the average that
 // other hosts had there in their last reports.
 func (p *Placer) load(now time.Time, cookie uint32) float64 {
--- a/placement/service.go
+++ b/placement/service.go
@@ -592,9 +592,7 @@
 	c := candidate{Target: o.target, Load: float64(t.open) / slots, TieBreak: p.tieBreak(o.target)}
 	alone := float64(p.answers.UsualTime(s.name)) * t.own().window.TimeFactor(now)
 	c.Cost = time.Duration(alone * (1 + max(float64(t.open)+1-slots, 0)/slots))
-	if o.target.DataCentre != p.DataCentre {
-		c.Cost += crossDataCentreCost
-	}
+	c.Cost += p.distance(o.target)
 	return c
 }
 
@@ -630,9 +628,7 @@
 	wait := u * u / (1 - u*u) // the mean wait in a queue with two servers, relative to the service time
 	c := candidate{Target: m, Load: p.load(now, m.Cookie) / float64(slotsOf(m)), TieBreak: p.tieBreak(m)}
 	c.Cost = time.Duration(float64(p.answers.UsualTime(s.name)) * p.timeFactor(m) * (1 + wait))
-	if m.DataCentre != p.DataCentre {
-		c.Cost += crossDataCentreCost
-	}
+	c.Cost += p.distance(m)
 	return c
 }
 
@@ -640,9 +636,7 @@
 func (p *Placer) estimateVacated(s *serviceState, m *registry.Endpoint) candidate {
 	c := candidate{Target: m, TieBreak: p.tieBreak(m)}
 	c.Cost = time.Duration(float64(p.answers.UsualTime(s.name)) * p.timeFactor(m))
-	if m.DataCentre != p.DataCentre {
-		c.Cost += crossDataCentreCost
-	}
+	c.Cost += p.distance(m)
 	return c
 }
 
