Play callers whose data centre can't serve them

A router that follows the readiness checks, and a target that one host can't reach: callers get their answers once routers have followed, and open flows keep their target. Fails with hosts that are always ready.

--- a/balancer/ready_test.go
+++ b/balancer/ready_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"net/http"
+	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,6 +23,70 @@
 	return a
 }
 
+// router sends the packets of callers of data centre a to host 1, or to host 2 while host 1 is out
+// of rotation after two failed checks, as routers do.
+type router struct {
+	w      *testEnv
+	misses atomic.Int32
+}
+
+func (r *router) check(until <-chan struct{}) {
+	for {
+		select {
+		case <-until:
+			return
+		case <-time.After(500 * time.Millisecond):
+		}
+		if r.w.readyAnswer(1).Ready {
+			r.misses.Store(0)
+		} else {
+			r.misses.Add(1)
+		}
+	}
+}
+
+func (r *router) route() (netip.AddrPort, bool) {
+	if r.misses.Load() < 2 {
+		return r.w.at(1), true
+	}
+	return r.w.at(2), true
+}
+
+// TestCallersAreServedByAnotherDataCentre plays callers of a data centre whose only host is cut off
+// from the targets. Once routers have had time to follow, each gets its answer; open flows keep
+// their target.
+func TestCallersAreServedByAnotherDataCentre(t *testing.T) {
+	w := newTestEnv(t, 132)
+	tg := w.target(1, "s1", "b")
+	w.host(1, "a")
+	w.host(2, "b")
+	time.Sleep(3 * time.Second) // host 1 has heard for a while that the other data centre can serve
+	r := &router{w: w}
+	done := make(chan struct{})
+	go r.check(done)
+	defer close(done)
+	open, _, err := w.open(1, service1)
+	w.is.NoErr(err)
+
+	cut := w.address(1, 1)
+	tg.CutFrom.Store(&cut)
+	cutAt := time.Now()
+	late := 0
+	for time.Since(cutAt) < 5*time.Second {
+		began := time.Since(cutAt)
+		_, err := w.caller().OpenVia(w.t.Context(), r.route, service1)
+		if err != nil && began > 3*time.Second {
+			late++
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	w.is.Equal(late, 0)
+	at, _ := r.route()
+	w.is.Equal(at, w.at(2))
+	_, err = open.Ask(w.t.Context(), at, answerTime)
+	w.is.NoErr(err)
+}
+
 // TestCutOffHostLeavesRotation guards against callers that are kept at a data centre without
 // targets that can't reach those of the others, while other hosts could serve them. A host that
 // has left the rotation still forwards what it gets.
--- a/fakeplatform/endpoints.go
+++ b/fakeplatform/endpoints.go
@@ -84,6 +84,8 @@
 	conn *net.UDPConn
 	// Silent makes the target drop every packet that it receives.
 	Silent atomic.Bool
+	// CutFrom, if not nil, is a host whose packets are lost on the way to the target.
+	CutFrom atomic.Pointer[netip.Addr]
 	// Delay is the delay of the reply to an opening packet, in nanoseconds.
 	Delay atomic.Int64
 	// Work is the time that a request takes, in nanoseconds.
@@ -162,11 +164,12 @@
 func (t *Target) serve() {
 	buf := make([]byte, platform.TargetNumberBytes+platform.MaxPacketBytes)
 	for {
-		n, _, err := t.conn.ReadFromUDPAddrPort(buf)
+		n, from, err := t.conn.ReadFromUDPAddrPort(buf)
 		if err != nil {
 			return // closed
 		}
-		if n < platform.TargetNumberBytes || t.Silent.Load() {
+		cut := t.CutFrom.Load()
+		if n < platform.TargetNumberBytes || t.Silent.Load() || cut != nil && *cut == from.Addr().Unmap() {
 			continue
 		}
 		// 0 addresses any target.
