--- a/readiness/readiness_test.go
+++ b/readiness/readiness_test.go
@@ -127,7 +127,8 @@
 		{
 			"it returns in time to find out by openings",
 			[]span{
-				calm, {length: time.Second, own: unable, dataCentre: Census{8, 0, 8}, heard: true, well: true},
+				calm,
+				{length: time.Second, own: unable, dataCentre: Census{8, 0, 8}, heard: true, well: true},
 				{length: retryTime, own: untold, dataCentre: Census{8, 0, 0}, heard: true, well: true},
 			},
 			[]Reason{Serving, NoTargets, Serving},
@@ -135,8 +136,10 @@
 		{
 			"all targets were dead, and the others have found some again first",
 			[]span{
-				calm, {length: 4 * time.Second, own: unable, dataCentre: Census{8, 0, 8}, heard: true},
-				{length: time.Second, own: unable, dataCentre: Census{8, 0, 8}, heard: true, well: true}, calm,
+				calm,
+				{length: 4 * time.Second, own: unable, dataCentre: Census{8, 0, 8}, heard: true},
+				{length: time.Second, own: unable, dataCentre: Census{8, 0, 8}, heard: true, well: true},
+				calm,
 			},
 			[]Reason{Serving, Serving, Serving, Serving},
 		},
@@ -158,7 +161,8 @@
 		{
 			"most hosts are dead, the one that adds up among them",
 			[]span{
-				calm, {length: 2 * time.Second, own: able, alone: true, heard: true, well: true},
+				calm,
+				{length: 2 * time.Second, own: able, alone: true, heard: true, well: true},
 				{length: time.Second, own: able, dataCentre: Census{3, 3, 0}, heard: true, well: true},
 			},
 			[]Reason{Serving, Serving, Minority},
@@ -171,7 +175,8 @@
 		{
 			"most hosts are dead, and the other data centres are silent or not well",
 			[]span{
-				calm, {length: 5 * time.Second, own: able, dataCentre: Census{3, 3, 0}},
+				calm,
+				{length: 5 * time.Second, own: able, dataCentre: Census{3, 3, 0}},
 				{length: 5 * time.Second, own: able, dataCentre: Census{3, 3, 0}, heard: true},
 			},
 			[]Reason{Serving, Serving, Serving},
--- a/stall/stall.go
+++ b/stall/stall.go
@@ -40,7 +40,9 @@
 }
 
 // Next records when the next tick is due: after an interval from now.
-func (d *Detector) Next(now time.Time, interval time.Duration) { d.lastTick, d.interval = now, interval }
+func (d *Detector) Next(now time.Time, interval time.Duration) {
+	d.lastTick, d.interval = now, interval
+}
 
 func (d *Detector) isLate(now time.Time) bool {
 	return !d.lastTick.IsZero() && now.Sub(d.lastTick) > d.interval+lateTick
