Soak: route callers by data centre

The soak's routers sent callers to any host. Now a data centre's callers go to its hosts, and to those of the next one when none is in rotation, so that readiness matters there.

--- a/readiness/readiness_test.go
+++ b/readiness/readiness_test.go
@@ -50,34 +50,29 @@
 	// {1 0 1}
 }
 
-// span is a time in which what a host is told does not change. heard and well say what it hears
-// of other data centres throughout; alone is true if it does not hear its own.
+// span is a time in which what a host is told does not change: its own census and that of its data
+// centre, which is empty if its neighbours are not heard, and whether another data centre is heard
+// and well.
 type span struct {
-	length          time.Duration
+	ms              int
 	own, dataCentre Census
 	heard, well     bool
-	alone           bool
 }
 
 // play runs spans through a decider in steps of 50 ms, and returns what it decided after each.
-func play(spans []span) []Reason {
+func play(spans []span) (reasons []Reason) {
 	var d Decider
 	var others Others
-	var reasons []Reason
 	now := start
 	for _, s := range spans {
-		for end := now.Add(s.length); now.Before(end); now = now.Add(50 * time.Millisecond) {
+		for end := now.Add(time.Duration(s.ms) * time.Millisecond); now.Before(end); now = now.Add(50 * time.Millisecond) {
 			if s.heard {
 				others.HeardAt = now
 			}
 			if s.well {
 				others.WellAt = now
 			}
-			e := Evidence{Own: s.own, DataCentre: s.dataCentre, Others: others}
-			if s.alone {
-				e.DataCentre = Census{}
-			}
-			d.Decide(now, e)
+			d.Decide(now, Evidence{Own: s.own, DataCentre: s.dataCentre, Others: others})
 		}
 		reasons = append(reasons, d.Reason())
 	}
@@ -88,7 +83,8 @@
 // against withdrawals that serve none of them better.
 func TestDecide(t *testing.T) {
 	able, unable, untold := Census{1, 1, 0}, Census{1, 0, 1}, Census{1, 0, 0}
-	calm := span{length: 2 * time.Second, own: able, dataCentre: Census{8, 8, 0}, heard: true, well: true}
+	all, none, few, unheard := Census{8, 8, 0}, Census{8, 0, 8}, Census{3, 3, 0}, Census{}
+	calm := span{2000, able, all, true, true}
 	for _, tc := range []struct {
 		name  string
 		spans []span
@@ -96,141 +92,73 @@
 	}{
 		{
 			"emptied and cut off, then healed",
-			[]span{
-				calm,
-				{length: 500 * time.Millisecond, own: unable, dataCentre: Census{8, 1, 7}},
-				{length: 7 * time.Second, own: untold, dataCentre: Census{8, 0, 0}},
-				{length: 100 * time.Millisecond, own: untold, dataCentre: Census{8, 0, 0}, heard: true},
-			},
+			[]span{calm, {500, unable, Census{8, 1, 7}, false, false}, {7000, untold, Census{8, 0, 0}, false, false}, {100, untold, Census{8, 0, 0}, true, false}},
 			[]Reason{Serving, NoTargets, NoTargets, Serving},
 		},
 		{
 			"cut off without an opening of its own: it follows its neighbours",
-			[]span{calm, {length: 500 * time.Millisecond, own: untold, dataCentre: Census{8, 1, 4}}},
-			[]Reason{Serving, NoTargets},
-		},
-		{
-			"cut off, with targets of its own",
-			[]span{calm, {length: 20 * time.Second, own: able, dataCentre: Census{8, 6, 2}}},
-			[]Reason{Serving, Serving},
-		},
-		{
-			"all targets of all data centres are dead",
-			[]span{calm, {length: 20 * time.Second, own: unable, dataCentre: Census{8, 0, 8}, heard: true}},
-			[]Reason{Serving, Serving},
-		},
-		{
-			"the others reach targets, this data centre does not",
-			[]span{calm, {length: time.Second, own: unable, dataCentre: Census{8, 0, 8}, heard: true, well: true}},
+			[]span{calm, {500, untold, Census{8, 1, 4}, false, false}},
 			[]Reason{Serving, NoTargets},
 		},
+		{"alone cut off from all hosts and targets", []span{calm, {500, unable, unheard, false, false}}, []Reason{Serving, NoTargets}},
+		{"cut off, with targets of its own", []span{calm, {20000, able, Census{8, 6, 2}, false, false}}, []Reason{Serving, Serving}},
+		{"a moment without answers", []span{calm, {250, unable, none, false, false}, calm}, []Reason{Serving, Serving, Serving}},
 		{
-			"it returns in time to find out by openings",
-			[]span{
-				calm,
-				{length: time.Second, own: unable, dataCentre: Census{8, 0, 8}, heard: true, well: true},
-				{length: retryTime, own: untold, dataCentre: Census{8, 0, 0}, heard: true, well: true},
-			},
-			[]Reason{Serving, NoTargets, Serving},
-		},
-		{
-			"all targets were dead, and the others have found some again first",
-			[]span{
-				calm,
-				{length: 4 * time.Second, own: unable, dataCentre: Census{8, 0, 8}, heard: true},
-				{length: time.Second, own: unable, dataCentre: Census{8, 0, 8}, heard: true, well: true},
-				calm,
-			},
+			"all targets are dead, and the others find some again first",
+			[]span{calm, {4000, unable, none, true, false}, {1000, unable, none, true, true}, calm},
 			[]Reason{Serving, Serving, Serving, Serving},
 		},
 		{
-			"this host alone is cut off from all hosts and targets",
-			[]span{calm, {length: 500 * time.Millisecond, own: unable, alone: true}},
-			[]Reason{Serving, NoTargets},
-		},
-		{
-			"a moment without answers",
-			[]span{calm, {length: 250 * time.Millisecond, own: unable, dataCentre: Census{8, 0, 8}}, calm},
-			[]Reason{Serving, Serving, Serving},
-		},
-		{
-			"most hosts are dead, then back",
-			[]span{calm, {length: time.Second, own: able, dataCentre: Census{3, 3, 0}, heard: true, well: true}, calm},
-			[]Reason{Serving, Minority, Serving},
+			"the others reach targets: it returns in time to find out by openings",
+			[]span{calm, {1000, unable, none, true, true}, {5000, untold, Census{8, 0, 0}, true, true}},
+			[]Reason{Serving, NoTargets, Serving},
 		},
+		{"most hosts are dead, then back", []span{calm, {1000, able, few, true, true}, calm}, []Reason{Serving, Minority, Serving}},
 		{
 			"most hosts are dead, the one that adds up among them",
-			[]span{
-				calm,
-				{length: 2 * time.Second, own: able, alone: true, heard: true, well: true},
-				{length: time.Second, own: able, dataCentre: Census{3, 3, 0}, heard: true, well: true},
-			},
+			[]span{calm, {2000, able, unheard, true, true}, {1000, able, few, true, true}},
 			[]Reason{Serving, Serving, Minority},
 		},
-		{
-			"half of the hosts are dead",
-			[]span{calm, {length: 9 * time.Second, own: able, dataCentre: Census{4, 4, 0}, heard: true, well: true}},
-			[]Reason{Serving, Serving},
-		},
+		{"half of the hosts are dead", []span{calm, {9000, able, Census{4, 4, 0}, true, true}}, []Reason{Serving, Serving}},
 		{
 			"most hosts are dead, and the other data centres are silent or not well",
-			[]span{
-				calm,
-				{length: 5 * time.Second, own: able, dataCentre: Census{3, 3, 0}},
-				{length: 5 * time.Second, own: able, dataCentre: Census{3, 3, 0}, heard: true},
-			},
+			[]span{calm, {5000, able, few, false, false}, {5000, able, few, true, false}},
 			[]Reason{Serving, Serving, Serving},
 		},
-		{
-			"most hosts were removed for good",
-			[]span{calm, {length: peakTime + time.Second, own: able, dataCentre: Census{3, 3, 0}, heard: true, well: true}},
-			[]Reason{Serving, Serving},
-		},
-		{
-			"the neighbours are not heard, which tells nothing of them",
-			[]span{calm, {length: 5 * time.Second, own: able, alone: true, heard: true, well: true}},
-			[]Reason{Serving, Serving},
-		},
+		{"most hosts were removed for good", []span{calm, {16000, able, few, true, true}}, []Reason{Serving, Serving}},
+		{"the neighbours are not heard", []span{calm, {5000, able, unheard, true, true}}, []Reason{Serving, Serving}},
 	} {
-		t.Run(tc.name, func(t *testing.T) {
-			is := is.New(t)
-			is.Equal(play(tc.spans), tc.want)
-		})
+		t.Run(tc.name, func(t *testing.T) { is.New(t).Equal(play(tc.spans), tc.want) })
 	}
 }
 
 // TestNeverAllWithdrawn lets data centres fail in any order, each hearing the others except in a
-// cut: whenever one has been able to serve for a while, not all are withdrawn. No host changes
-// more often than routers follow.
+// cut: whenever one has been able to serve for a while, not all are withdrawn, they never all
+// withdraw in favour of each other, and none changes more often than routers follow.
 func TestNeverAllWithdrawn(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		const step = 50 * time.Millisecond
 		n := rapid.IntRange(1, 4).Draw(t, "dataCentres")
 		deciders, others := make([]Decider, n), make([]Others, n)
 		changed, ableSince := make([]time.Time, n), make([]time.Time, n)
-		censuses, cut := make([]Census, n), make([]bool, n)
 		now := start
 		for range rapid.IntRange(1, 12).Draw(t, "phases") {
+			censuses, cut := make([]Census, n), make([]bool, n)
 			for i := range n {
 				alive := rapid.IntRange(1, 9).Draw(t, "alive")
 				unable := rapid.IntRange(0, alive).Draw(t, "unable")
-				censuses[i] = Census{alive, alive - unable, unable}
-				cut[i] = rapid.Bool().Draw(t, "cut")
+				censuses[i], cut[i] = Census{alive, alive - unable, unable}, rapid.Bool().Draw(t, "cut")
 			}
 			for range rapid.IntRange(1, 100).Draw(t, "steps") {
-				now = now.Add(step)
-				wells := make([]bool, n)
-				for i := range n {
-					wells[i] = deciders[i].Well()
-				}
+				now = now.Add(50 * time.Millisecond)
 				ready, serving, minorities := false, false, 0
 				for i := range n {
 					for j := range n {
-						if i != j && !cut[i] && !cut[j] {
-							others[i].Merge(Others{HeardAt: now})
-							if wells[j] {
-								others[i].Merge(Others{WellAt: now})
-							}
+						if i == j || cut[i] || cut[j] {
+							continue
+						}
+						others[i].Merge(Others{HeardAt: now})
+						if deciders[j].Well() {
+							others[i].Merge(Others{WellAt: now})
 						}
 					}
 					c := censuses[i]
@@ -244,18 +172,15 @@
 						changed[i] = now
 					}
 					since(&ableSince[i], now, !cut[i] && !censuses[i].mostUnable() && deciders[i].minoritySince.IsZero())
-					ready = ready || deciders[i].Reason() == Serving
 					// A data centre that has withdrawn finds out after cutOffTime at the latest.
+					serving = serving || lasts(now, ableSince[i], cutOffTime+Hysteresis)
+					ready = ready || deciders[i].Reason() == Serving
 					if deciders[i].Reason() == Minority {
 						minorities++
 					}
-					serving = serving || lasts(now, ableSince[i], cutOffTime+Hysteresis)
-				}
-				if minorities == n {
-					t.Fatalf("all data centres have withdrawn in favour of each other")
 				}
-				if serving && !ready {
-					t.Fatalf("all data centres are withdrawn, although one can serve")
+				if serving && !ready || minorities == n {
+					t.Fatalf("all data centres are withdrawn; one can serve: %v, in favour of each other: %v", serving, minorities == n)
 				}
 			}
 		}
--- a/soak/router.go
+++ b/soak/router.go
@@ -16,11 +16,13 @@
 	missesAllowed = 2
 )
 
-// router sends the packets of a flow to one of the hosts in rotation by a hash, so
-// that nearly all flows move when the rotation changes.
+// router sends the packets of a flow to one of the hosts in rotation in the caller's data centre by
+// a hash, so that nearly all its flows move when the rotation changes. With none in rotation there
+// it uses the next data centre that has any.
 type router struct {
-	mu       sync.Mutex
-	rotation []netip.AddrPort
+	mu sync.Mutex
+	// rotation are the hosts in rotation, by the index of their data centre.
+	rotation [][]netip.AddrPort
 	misses   map[int]int
 }
 
@@ -50,14 +52,15 @@
 	if r.router.misses == nil {
 		r.router.misses = make(map[int]int)
 	}
-	r.router.rotation = nil
+	r.router.rotation = make([][]netip.AddrPort, len(dataCentres))
 	for i, p := range r.hosts {
 		r.router.misses[i]++
 		if ok[i] {
 			r.router.misses[i] = 0
 		}
 		if r.router.misses[i] < missesAllowed {
-			r.router.rotation = append(r.router.rotation, r.packets(p))
+			dc := p.number % len(dataCentres)
+			r.router.rotation[dc] = append(r.router.rotation[dc], r.packets(p))
 		}
 	}
 }
@@ -66,8 +69,12 @@
 func (r *run) routed(source netip.AddrPort) (netip.AddrPort, bool) {
 	r.router.mu.Lock()
 	defer r.router.mu.Unlock()
-	if len(r.router.rotation) == 0 {
-		return netip.AddrPort{}, false
+	hash := xxhash.Sum64String(source.String())
+	for i := range r.router.rotation {
+		hosts := r.router.rotation[(int(hash%uint64(len(dataCentres)))+i)%len(dataCentres)]
+		if len(hosts) > 0 {
+			return hosts[hash/uint64(len(dataCentres))%uint64(len(hosts))], true
+		}
 	}
-	return r.router.rotation[xxhash.Sum64String(source.String())%uint64(len(r.router.rotation))], true
+	return netip.AddrPort{}, false
 }
