--- a/placement/placement.go
+++ b/placement/placement.go
@@ -8,6 +8,13 @@
 // retried at another target after a few round trips, before the caller retransmits it.
 // Cold targets get flows at a limited rate, and targets whose flows fail or last longer
 // than those of the others get none for a while.
+//
+// A flow passes through the packages that answer one question each:
+//
+//	opening -> room? -> which target?  -> answered in time? -> later packets -> how did it end?
+//	           share    choice            suspicion            exchange         answers
+//	           pace     loads             readiness (Reach)                     outlier
+//	           admission                  stall
 package placement
 
 import (
