Keep the hosts of a single data centre ready

Cause: with no other data centre ever heard, hosts whose targets were all dead took themselves for cut off and stayed out of rotation for 15 s, with nobody to serve their callers. Found by reading the change again; the new case of TestDecide fails without the check. Ages that are not known are left out of the log.

--- a/balancer/ready.go
+++ b/balancer/ready.go
@@ -78,11 +78,16 @@
 	reason := b.decider.Reason()
 	b.rotation.Store(&reason)
 	b.metrics.rotation.WithLabelValues(string(reason)).Inc()
-	line := log.WithFields(log.Fields{
+	fields := log.Fields{
 		"reason": reason, "alive": e.DataCentre.Alive, "able": e.DataCentre.Able, "unable": e.DataCentre.Unable,
-		"ownUnable": own.Unable > 0, "othersHeardAgoMs": now.Sub(e.Others.HeardAt).Milliseconds(),
-		"othersWellAgoMs": now.Sub(e.Others.WellAt).Milliseconds(),
-	})
+		"ownUnable": own.Unable > 0,
+	}
+	for name, at := range map[string]time.Time{"othersHeardAgoMs": e.Others.HeardAt, "othersWellAgoMs": e.Others.WellAt} {
+		if !at.IsZero() { // else there was none yet
+			fields[name] = now.Sub(at).Milliseconds()
+		}
+	}
+	line := log.WithFields(fields)
 	if reason == readiness.Serving {
 		line.Info("back in rotation")
 		return
--- a/readiness/readiness.go
+++ b/readiness/readiness.go
@@ -43,9 +43,9 @@
 	// noticeTime is the time by which another data centre has noticed a fault that strikes all of
 	// them at once: what it says before does not show that it can serve.
 	noticeTime = 300 * time.Millisecond
-	// Hysteresis is the least time between two changes. Routers take that long to follow one:
+	// hysteresis is the least time between two changes. Routers take that long to follow one:
 	// two checks, half a second apart.
-	Hysteresis = time.Second
+	hysteresis = time.Second
 	// recoveryTime is the time in which a host finds targets again that others have found: it
 	// probes a silent one at least that often.
 	recoveryTime = suspicion.MaxProbeInterval
@@ -104,7 +104,7 @@
 // Decide takes the evidence at a time and reports whether the decision has changed.
 func (d *Decider) Decide(now time.Time, e Evidence) (changed bool) {
 	d.observe(now, e)
-	if !d.changedAt.IsZero() && now.Sub(d.changedAt) < Hysteresis {
+	if !d.changedAt.IsZero() && now.Sub(d.changedAt) < hysteresis {
 		return false
 	}
 	next := d.next(now, e)
@@ -181,8 +181,10 @@
 	if !d.ownSince.IsZero() && d.ownSince.Before(since) {
 		since = d.ownSince // it noticed before its neighbours said so
 	}
-	silent := e.Others.HeardAt.Before(since) && now.Sub(e.Others.HeardAt) >= silentTime
-	if silent {
+	if e.Others.HeardAt.IsZero() {
+		return false // there may be no other data centre
+	}
+	if e.Others.HeardAt.Before(since) && now.Sub(e.Others.HeardAt) >= silentTime {
 		return lasts(now, since, confirmTime)
 	}
 	return e.Others.WellAt.After(d.unableSince.Add(noticeTime)) && lasts(now, d.wellSince, recoveryTime)
--- a/readiness/readiness_test.go
+++ b/readiness/readiness_test.go
@@ -28,7 +28,7 @@
 	}
 	fmt.Println(d.Reason())
 	// The others are heard again.
-	now = now.Add(Hysteresis)
+	now = now.Add(hysteresis)
 	d.Decide(now, Evidence{Own: Census{1, 0, 0}, DataCentre: Census{4, 0, 0}, Others: Others{HeardAt: now}})
 	fmt.Println(d.Reason())
 	// Output:
@@ -101,6 +101,7 @@
 			[]Reason{Serving, NoTargets},
 		},
 		{"alone cut off from all hosts and targets", []span{calm, {500, unable, unheard, false, false}}, []Reason{Serving, NoTargets}},
+		{"the only data centre, with all targets dead", []span{{2000, able, all, false, false}, {9000, unable, none, false, false}}, []Reason{Serving, Serving}},
 		{"cut off, with targets of its own", []span{calm, {20000, able, Census{8, 6, 2}, false, false}}, []Reason{Serving, Serving}},
 		{"a moment without answers", []span{calm, {250, unable, none, false, false}, calm}, []Reason{Serving, Serving, Serving}},
 		{
@@ -166,14 +167,14 @@
 						c.Able, c.Unable = 0, 0 // no openings tell
 					}
 					if deciders[i].Decide(now, Evidence{Own: Census{1, 0, 0}, DataCentre: c, Others: others[i]}) {
-						if !changed[i].IsZero() && now.Sub(changed[i]) < Hysteresis {
+						if !changed[i].IsZero() && now.Sub(changed[i]) < hysteresis {
 							t.Fatalf("data centre %d changed twice within %s", i, now.Sub(changed[i]))
 						}
 						changed[i] = now
 					}
 					since(&ableSince[i], now, !cut[i] && !censuses[i].mostUnable() && deciders[i].minoritySince.IsZero())
 					// A data centre that has withdrawn finds out after cutOffTime at the latest.
-					serving = serving || lasts(now, ableSince[i], cutOffTime+Hysteresis)
+					serving = serving || lasts(now, ableSince[i], cutOffTime+hysteresis)
 					ready = ready || deciders[i].Reason() == Serving
 					if deciders[i].Reason() == Minority {
 						minorities++
