--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -5,6 +5,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // The exit codes of a case.
@@ -30,6 +32,13 @@
 		fmt.Println("not run:", err)
 		return exitNotRun
 	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-signals
+		killAll()
+		os.Exit(exitNotRun)
+	}()
 	broken, err := run(r, binary, os.Getenv("TROUBLE") != "0")
 	if err = errors.Join(err, r.Close()); err != nil {
 		fmt.Println("not run:", err)
--- a/review/rig/world.go
+++ b/review/rig/world.go
@@ -347,6 +347,9 @@
 		return err
 	}
 	_ = logs.Close() // the process has it open
+	started.Lock()
+	started.all = append(started.all, cmd.Process)
+	started.Unlock()
 	h.mu.Lock()
 	h.cmd = cmd
 	h.mu.Unlock()
@@ -354,6 +357,20 @@
 	return nil
 }
 
+// started are the processes that were started, so that none is left if the program is stopped.
+var started struct {
+	sync.Mutex
+	all []*os.Process
+}
+
+func killAll() {
+	started.Lock()
+	defer started.Unlock()
+	for _, p := range started.all {
+		_ = p.Kill() // it may have ended
+	}
+}
+
 // LogPath returns the path of the host's log.
 func (h *Host) LogPath() string { return filepath.Join(h.w.dir, h.Name+".log") }
 
