--- a/review/rig/endpoint.go
+++ b/review/rig/endpoint.go
@@ -39,6 +39,8 @@
 	born     time.Time
 	coldTill time.Time
 	closed   bool
+	// down is true after a crash: the endpoint's machine resets what it gets.
+	down bool
 	// cold are the times of the openings that the endpoint took while it was cold.
 	cold []time.Duration
 }
@@ -92,10 +94,23 @@
 	})
 }
 
+// Crash ends the endpoint's boot. Its machine goes on running.
+func (e *Endpoint) Crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.down = true
+	for k := range e.flows {
+		e.w.ledger.closed(k)
+	}
+	e.flows = make(map[key]*served)
+	e.w.Record.Say("%s in %s crashed", e.Name, e.Zone)
+}
+
 // Restart ends the endpoint's boot and begins a new one under the same id, which is cold for a
 // while. It announces itself at once.
 func (e *Endpoint) Restart(cold time.Duration) {
 	e.mu.Lock()
+	e.down = false
 	e.flows, e.seqNo, e.born, e.coldTill = make(map[key]*served), 0, time.Now(), time.Now().Add(cold)
 	e.mu.Unlock()
 	e.announce()
@@ -159,6 +174,11 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	f := e.flows[p.key]
+	if e.down {
+		e.w.ledger.resetBy(p.key, e.Name)
+		e.send(packet{key: p.key.reversed(), flags: flagReset, seq: p.ack, echo: p.echo})
+		return
+	}
 	if p.opening() {
 		e.opening(p, f)
 		return
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -1,6 +1,8 @@
 package rig
 
 import (
+	"bytes"
+	"maps"
 	"net"
 	"net/http"
 	"strings"
@@ -78,30 +80,28 @@
 		defer f.mu.Unlock()
 		delete(f.open, c)
 	}()
-	f.store.ServeHTTP(&answer{w, r, c}, r)
+	// The store keeps a lock while it writes the answer to a list, so it must not wait for the channel.
+	a := answer{header: make(http.Header), status: http.StatusOK}
+	f.store.ServeHTTP(&a, r)
+	if c.silent.Load() {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+	a.header.Del("Store-Era") // the platform's page doesn't name it
+	maps.Copy(w.Header(), a.header)
+	w.WriteHeader(a.status)
+	_, _ = w.Write(a.body.Bytes()) // the host may have ended
 }
 
-// answer drops what the platform's page doesn't name, and what would go over a silent channel.
+// answer keeps an answer of the store until it is known whether the channel is silent.
 type answer struct {
-	http.ResponseWriter
-	r *http.Request
-	c *call
+	header http.Header
+	status int
+	body   bytes.Buffer
 }
 
-func (a *answer) WriteHeader(status int) {
-	a.Header().Del("Store-Era")
-	a.wait()
-	a.ResponseWriter.WriteHeader(status)
-}
+func (a *answer) Header() http.Header { return a.header }
 
-func (a *answer) Write(b []byte) (int, error) {
-	a.wait()
-	return a.ResponseWriter.Write(b)
-}
+func (a *answer) WriteHeader(status int) { a.status = status }
 
-func (a *answer) wait() {
-	if a.c.silent.Load() {
-		<-a.r.Context().Done()
-		panic(http.ErrAbortHandler)
-	}
-}
+func (a *answer) Write(b []byte) (int, error) { return a.body.Write(b) }
--- a/review/rig/world.go
+++ b/review/rig/world.go
@@ -436,6 +436,19 @@
 // that matches.
 func (h *Host) Silence(match func(kind string, watch bool) bool) int { return h.front.silence(match) }
 
+// Cut partitions the host from the store until Heal: open and new channels are silent.
+func (h *Host) Cut() {
+	h.front.cut.Store(true)
+	h.front.silence(func(string, bool) bool { return true })
+	h.w.Record.Say("%s is cut off from the store", h.Name)
+}
+
+// Heal ends Cut for new channels.
+func (h *Host) Heal() {
+	h.front.cut.Store(false)
+	h.w.Record.Say("%s reaches the store again", h.Name)
+}
+
 // WaitForWatch waits until a host begins a watch of a kind at the store, and returns the host.
 func (w *World) WaitForWatch(kind string) *Host {
 	count := func(h *Host) int {
