--- a/review/cases/freeze/main.go
+++ b/review/cases/freeze/main.go
@@ -1,4 +1,4 @@
-// Freeze freezes one host three times for two seconds while clients open long flows.
+// Freeze freezes one host six times for two seconds while clients open long flows.
 package main
 
 import (
@@ -12,10 +12,10 @@
 
 const (
 	frozen    = 2 * time.Second
-	freezes   = 3
-	every     = 17 * time.Second
-	clients   = 20 // for each freeze
-	opensFrom = 600 * time.Millisecond
+	freezes   = 6
+	every     = 13 * time.Second
+	clients   = 24 // for each freeze
+	opensFrom = 500 * time.Millisecond
 	spacing   = 50 * time.Millisecond
 	timeLimit = 3 * time.Second
 	// idle is how long a client keeps its flow without a request after the first one.
