--- a/review/rig/world.go
+++ b/review/rig/world.go
@@ -269,9 +269,9 @@
 	})
 }
 
-// ServiceAddress returns the address of the i-th service.
+// ServiceAddress returns the address of the i-th service. It stands in packets only.
 func (w *World) ServiceAddress(i int) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 0, 1}), uint16(8443+i))
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 255, 0, 1}), uint16(8443+i))
 }
 
 // Evacuate orders or takes back the evacuation of a zone.
