Drop openings that were superseded while they waited in the socket

Cause, from one flow of the case on the code before (times in seconds): its first opening is sent to the frozen host at 5.48; the copy of 5.68 goes to another host, which opens the flow at target B and is answered. The first host runs again at 6.177, reads the opening of 5.48 and sends it to target A. A's answers reach the caller for 9 s and make it repeat A's cookie. The host waits for the first packet of the opening it has sent, gets it at 13.70 with A's cookie, takes that for the answer and sends all packets of the flow to A.

Change: an opening is dropped if it waited in the socket, by the kernel's stamp, for longer than the caller waits before its next copy (180, 380 and 780 ms for the three of them). Callers lose nothing: the next copy is on its way to this host or another, and after the last one they have given up. Such a copy is no evidence against the target of a flow that this host has opened either. The log shows the reason and how long the packet waited.

Ruled out: holding the opening back to ask the other hosts. A host that wakes up has hundreds of them, which takes longer than callers wait, and the next copy answers the question.

TestSupersededOpeningIsDropped and TestSupersededCopyIsNoEvidence fail without it.

--- a/balancer/packets.go
+++ b/balancer/packets.go
@@ -34,6 +34,7 @@
 	reasonKnown         = "known"
 	reasonNoRoute       = "noRoute"
 	reasonNoTarget      = "noTarget"
+	reasonSuperseded    = "superseded"
 	reasonNotReady      = "notReady"
 	reasonNoCookie      = "noCookie"
 	reasonUnknownCookie = "unknownCookie"
@@ -92,7 +93,9 @@
 	case v.reset:
 		b.reset(&p, v.reason)
 	case v.reason != reasonWaiting && v.reason != reasonHeld:
-		b.flowLog(p.Key).WithFields(log.Fields{"reason": v.reason, "cookie": p.Cookie}).Info("packet dropped")
+		b.flowLog(p.Key).WithFields(log.Fields{
+			"reason": v.reason, "cookie": p.Cookie, "queuedMs": now.Sub(arrived).Milliseconds(),
+		}).Info("packet dropped")
 	}
 	b.applyAdmissions(admissions)
 	if v.reason == reasonOpened || v.reason == reasonWaiting || v.reason == reasonHeld {
@@ -162,7 +165,7 @@
 		return verdict{reason: reasonNotReady}
 	}
 	o := placement.Opening{
-		Key: p.Key, Packet: packet, Retransmitted: p.Acknowledged > 0, Arrived: arrived,
+		Key: p.Key, Packet: packet, Copy: int(p.Acknowledged), Arrived: arrived,
 	}
 	refused := verdict{reset: b.placer.MayRefuse(now, o), reason: reasonNoRoute}
 	r, ok := b.view.Routes[p.Key.Destination]
@@ -176,6 +179,9 @@
 	if errors.Is(err, placement.ErrWaiting) {
 		return verdict{reason: reasonWaiting}
 	}
+	if errors.Is(err, placement.ErrSuperseded) {
+		return verdict{reason: reasonSuperseded}
+	}
 	if err != nil {
 		refused.reason = reasonNoTarget
 		return refused
--- a/placement/admit.go
+++ b/placement/admit.go
@@ -254,10 +254,23 @@
 	}
 }
 
+// supersededAfter is, for each copy of an opening, less than the time after which the caller sends
+// the next one: 200 ms after the first and 400 ms after the second. The caller gives up 800 ms
+// after the third.
+var supersededAfter = [...]time.Duration{resetTime, 380 * time.Millisecond, 780 * time.Millisecond}
+
+// superseded reports whether an opening arrived so long ago that the caller has sent the next copy
+// since, or has given up. The next copy may have reached another host, which then has the flow: a
+// host that has been suspended finds openings of that kind in its socket.
+func (o *Opening) superseded(now time.Time) bool {
+	last := len(supersededAfter) - 1
+	return !o.Arrived.IsZero() && now.Sub(o.Arrived) > supersededAfter[min(o.Copy, last)]
+}
+
 // MayRefuse reports whether an opening that has just been read may be refused: no other host can
 // have opened the flow by a further copy of it.
 func (p *Placer) MayRefuse(now time.Time, o Opening) bool {
-	return !o.Retransmitted && now.Sub(p.stall.SentSince(now, o.Arrived)) <= resetTime
+	return o.Copy == 0 && now.Sub(p.stall.SentSince(now, o.Arrived)) <= resetTime
 }
 
 func (p *Placer) refuseAll(now time.Time, reason admission.Reason, requests []admission.Request[*Flow]) {
--- a/placement/admit_test.go
+++ b/placement/admit_test.go
@@ -133,7 +133,7 @@
 	is := is.New(t)
 	p := placer(limited(warmTarget(1, "near")))
 	fill(t, p, start)
-	m, err := p.Open(start, Opening{Key: key(1), Service: service, Retransmitted: true})
+	m, err := p.Open(start, Opening{Key: key(1), Service: service, Copy: 1})
 	is.NoErr(err)
 	is.Equal(m.Cookie, uint32(1))
 	is.True(maxWait < firstRetransmitTime-20*time.Millisecond)
--- a/placement/clock_test.go
+++ b/placement/clock_test.go
@@ -40,3 +40,11 @@
 		e.do()
 	}
 }
+
+// copyNumber returns the number of an opening that is the caller's first, or a copy of it.
+func copyNumber(retransmitted bool) int {
+	if retransmitted {
+		return 1
+	}
+	return 0
+}
--- a/placement/drift_test.go
+++ b/placement/drift_test.go
@@ -125,7 +125,7 @@
 				if retransmitted {
 					delete(undecided, k)
 				}
-				if _, err := p.Open(now, Opening{Key: k, Service: service, Packet: []byte("opening"), Retransmitted: retransmitted}); err == ErrWaiting {
+				if _, err := p.Open(now, Opening{Key: k, Service: service, Packet: []byte("opening"), Copy: copyNumber(retransmitted)}); err == ErrWaiting {
 					undecided[k] = true
 				}
 			case op < 85:
--- a/placement/evidence_test.go
+++ b/placement/evidence_test.go
@@ -46,7 +46,7 @@
 	beyond := 3 - p.services[service].own[0].target.Cookie
 	before := p.answers.UsualTime(service)
 	for port := 2; port < 100; port++ {
-		m, err := p.Open(start, Opening{Key: key(port), Service: service, Retransmitted: true})
+		m, err := p.Open(start, Opening{Key: key(port), Service: service, Copy: 1})
 		is.NoErr(err)
 		p.RoutePacket(start, key(port), Segment{Cookie: m.Cookie, Acknowledged: 1})
 		now := start.Add(time.Second)
--- a/placement/fleet_test.go
+++ b/placement/fleet_test.go
@@ -466,7 +466,7 @@
 		if h == nil {
 			return
 		}
-		target, err := h.Open(f.time(), Opening{Key: a.key, Service: service, Packet: []byte("o"), Retransmitted: retransmitted})
+		target, err := h.Open(f.time(), Opening{Key: a.key, Service: service, Packet: []byte("o"), Copy: copyNumber(retransmitted)})
 		switch {
 		case err == nil:
 			f.send(h, a, target)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -45,6 +45,9 @@
 	// ErrCold is also returned if this host is not the owner of the cold target that it
 	// would use and thus has no tokens for it.
 	ErrCold = merry.New("service has only cold targets, which are at their rate limit")
+	// ErrSuperseded is returned for an opening that was read so late that the caller has sent
+	// the next copy since, which another host may have got.
+	ErrSuperseded = merry.New("the caller has sent a later copy of the opening")
 )
 
 const (
@@ -221,20 +224,24 @@
 	Service cornelbay.ServiceName
 	// Packet is kept until the flow is answered.
 	Packet []byte
-	// Retransmitted is true for a further copy of the packet.
-	Retransmitted bool
+	// Copy is 0 for the first packet of the caller, and n for its nth retransmission.
+	Copy int
 	// Arrived is when the packet arrived at this host, if that was before it was read.
 	Arrived time.Time
 }
 
 // Open selects the target of a new flow and records the flow. A retransmission of the opening
 // of a known flow goes to that flow's target; that of an unknown flow may belong to a flow that
-// another host opened. The error ErrWaiting means that the opening waits for a slot.
+// another host opened. The error ErrWaiting means that the opening waits for a slot, and
+// ErrSuperseded that the caller has sent a later copy.
 func (p *Placer) Open(now time.Time, o Opening) (*registry.Endpoint, error) {
-	key, service, retransmitted := o.Key, o.Service, o.Retransmitted
+	key, service, retransmitted := o.Key, o.Service, o.Copy > 0
 	if f, ok := p.flows[key]; ok && f.waiting && retransmitted {
 		p.forget(f) // an opening of which another host may have the next retransmission
 	}
+	if o.superseded(now) {
+		return nil, ErrSuperseded
+	}
 	if f, ok := p.flows[key]; ok && !f.closed {
 		f.lastSeen = now
 		f.retransmits++
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -232,7 +232,7 @@
 func TestARetransmissionAtAnotherHostIsAnnounced(t *testing.T) {
 	is := is.New(t)
 	p := placer(view(warmTarget(1, "near"), warmTarget(2, "near")))
-	m, err := p.Open(start, Opening{Key: key(1), Service: service, Retransmitted: true})
+	m, err := p.Open(start, Opening{Key: key(1), Service: service, Copy: 1})
 	is.NoErr(err)
 	is.Equal(p.AmbiguousFlows(), []AmbiguousFlow{{Key: key(1), Tried: []uint32{m.Cookie}}})
 	p.MergeAmbiguousFlow(start, AmbiguousFlow{Key: key(1), Tried: []uint32{2, 1}}) // announced by the first host
--- a/placement/reset_test.go
+++ b/placement/reset_test.go
@@ -80,7 +80,7 @@
 	is := is.New(t)
 	p := placer(limited(warmTarget(1, "near")))
 	n := fill(t, p, start)
-	m, err := p.Open(start.Add(time.Millisecond), Opening{Key: key(1000 + n), Service: service, Packet: []byte("opening"), Retransmitted: true})
+	m, err := p.Open(start.Add(time.Millisecond), Opening{Key: key(1000 + n), Service: service, Packet: []byte("opening"), Copy: 1})
 	is.NoErr(err)
 	is.Equal(m.Cookie, uint32(1))
 	is.Equal(p.Waiting(), 0)
@@ -105,6 +105,49 @@
 	}
 }
 
+// TestSupersededOpeningIsDropped guards against a flow that another host has opened and that this
+// host, once it runs again, opens at a second target: it finds the caller's first packets in its
+// socket, and the caller has sent the next copy since.
+func TestSupersededOpeningIsDropped(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct {
+		copy    int
+		waited  time.Duration
+		dropped bool
+	}{
+		{0, 0, false},
+		{0, 150 * time.Millisecond, false},
+		{0, callerRetransmits, true},
+		{0, 2 * time.Second, true},
+		{1, 350 * time.Millisecond, false},
+		{1, 400 * time.Millisecond, true}, // the caller's second copy follows 400 ms after the first
+		{2, 700 * time.Millisecond, false},
+		{2, 800 * time.Millisecond, true}, // the caller has given up
+		{9, 800 * time.Millisecond, true},
+	} {
+		p := placer(view(warmTarget(1, "near")))
+		now := start.Add(10 * time.Second)
+		_, err := p.Open(now, Opening{Key: key(1), Service: service, Copy: c.copy, Arrived: now.Add(-c.waited)})
+		is.Equal(errors.Is(err, ErrSuperseded), c.dropped) // c.copy, c.waited
+		is.Equal(err != nil, c.dropped)
+		is.Equal(p.load(now, 1) == 0, c.dropped)
+	}
+}
+
+// TestSupersededCopyIsNoEvidence guards against an opening that is tried at another target, as a
+// host that has been suspended takes a copy from before for one that the caller has just sent.
+func TestSupersededCopyIsNoEvidence(t *testing.T) {
+	is := is.New(t)
+	p := placer(view(warmTarget(1, "near"), warmTarget(2, "near")))
+	ms := func(n int) time.Time { return start.Add(time.Duration(n) * time.Millisecond) }
+	p.Tick(ms(0))
+	open(t, p, ms(5), 1)
+	p.Tick(ms(900)) // the host has been suspended
+	_, err := p.Open(ms(901), Opening{Key: key(1), Service: service, Copy: 1, Arrived: ms(205)})
+	is.True(errors.Is(err, ErrSuperseded))
+	is.Equal(len(tickTo(p, ms(910), ms(1300))), 0)
+}
+
 // TestLateOpeningIsAnnounced guards against two hosts that each send packets of a flow to the
 // target that they know of.
 func TestLateOpeningIsAnnounced(t *testing.T) {
