Let the earliest evidence decide which target has a flow

Cause: a host that knew which target has a flow announced it only if it had tried several targets itself. Of one that got a further copy of the opening, the others learned only that it had tried a target. And an announcement changed nothing at a host that believed to know the target, however late its own evidence was.

Change: announcements say when the packet arrived that shows the target, as a time ago; the first packet after the opening carries the right cookie, later ones may carry that of a late answer. Hosts keep the earliest evidence, move the flow to its target (`flow corrected` in the log), and answer a later claim with their own. The time in the socket counts, so that a host which was frozen doesn't take an announcement for fresh. All hosts announce the answer to an opening of which others may have a copy, and that they send such an opening on: one that is read late by the time of the last tick, too. A claim about an earlier flow between the same ports is ignored. Hosts of the version before ignore the new field, and their announcements count as evidence of the time at which they arrive, so that nothing gets worse while both run.

The bound on the datagram's size is tested with the longest entries.

TestLateOpeningIsAnnounced counted one announcement, of the opening that waited. Late openings that are sent on at once are announced now, too, and the test checks each of them by its key.

--- a/balancer/ambiguous.go
+++ b/balancer/ambiguous.go
@@ -6,6 +6,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/gossip"
 	"github.com/cornelbay/cornelbay/placement"
 )
@@ -81,10 +82,9 @@
 // sendAmbiguous sends a batch in one datagram and returns the number of recipients.
 func (b *Balancer) sendAmbiguous(batch []queuedAmbiguousFlow) int {
 	var m gossip.AmbiguousFlows
+	now := time.Now()
 	for _, d := range batch {
-		m.Flows = append(m.Flows, gossip.AmbiguousFlow{
-			Source: d.Key.Source, Destination: d.Key.Destination, Tried: d.Tried, Chosen: d.Chosen,
-		})
+		m.Flows = append(m.Flows, ambiguousToWire(now, d.AmbiguousFlow))
 	}
 	b.stateMu.Lock()
 	var to []netip.AddrPort
@@ -105,3 +105,29 @@
 	b.sendToPeers(datagram, to)
 	return len(to)
 }
+
+func ambiguousToWire(now time.Time, a placement.AmbiguousFlow) gossip.AmbiguousFlow {
+	w := gossip.AmbiguousFlow{Source: a.Key.Source, Destination: a.Key.Destination, Tried: a.Tried, Chosen: a.Chosen}
+	if !a.ChosenAt.IsZero() {
+		w.ChosenMsAgo = uint32(now.Sub(a.ChosenAt).Milliseconds())
+	}
+	return w
+}
+
+// ambiguousFromWire returns the announcement in a datagram that arrived at the given time.
+func ambiguousFromWire(arrived time.Time, w gossip.AmbiguousFlow) placement.AmbiguousFlow {
+	return placement.AmbiguousFlow{
+		Key:   cornelbay.FlowKey{Source: w.Source, Destination: w.Destination, Protocol: cornelbay.TCP.Number()},
+		Tried: w.Tried, Chosen: w.Chosen, ChosenAt: arrived.Add(-time.Duration(w.ChosenMsAgo) * time.Millisecond),
+	}
+}
+
+// logCorrections logs the flows that another host knew better.
+func (b *Balancer) logCorrections(corrections []placement.Correction) {
+	for _, c := range corrections {
+		b.metrics.count("flowCorrected")
+		b.flowLog(c.Key).WithFields(log.Fields{
+			"target": c.To.Name, "wrongTarget": c.From.Name, "laterMs": c.After.Milliseconds(),
+		}).Info("flow corrected")
+	}
+}
--- a/balancer/ambiguous_test.go
+++ b/balancer/ambiguous_test.go
@@ -129,6 +129,7 @@
 				Source: netip.AddrPortFrom(w.address(9, 9), 40000+port), Destination: service1, Protocol: cornelbay.TCP.Number(),
 			},
 			Tried: []uint32{0xf0000001, 0xf0000002, 0xf0000003, 0xf0000004, 0xf0000005, 0xf0000006}, Chosen: 0xf0000002,
+			ChosenAt: time.Now().Add(-time.Minute),
 		})
 	}
 	b.queueAmbiguous(all, netip.AddrPort{})
--- a/balancer/heartbeat.go
+++ b/balancer/heartbeat.go
@@ -13,14 +13,14 @@
 	"github.com/cornelbay/cornelbay/loads"
 	"github.com/cornelbay/cornelbay/outlier"
 	"github.com/cornelbay/cornelbay/peer"
-	"github.com/cornelbay/cornelbay/placement"
 )
 
 // receiveGossip reads the datagrams of other hosts until the socket is closed.
 func (b *Balancer) receiveGossip() {
 	buf := make([]byte, peer.MaxDatagramBytes)
+	control := make([]byte, controlBytes)
 	for {
-		n, _, err := b.peerConn.ReadFromUDPAddrPort(buf)
+		n, c, _, _, err := b.peerConn.ReadMsgUDPAddrPort(buf, control)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -28,12 +28,14 @@
 			log.WithError(err).Warn("reading datagram failed")
 			continue
 		}
-		b.handleDatagram(buf[:n])
+		now := time.Now()
+		b.handleDatagram(buf[:n], now.Add(-queueingTime(now, control[:c])))
 	}
 }
 
-// handleDatagram verifies and processes one datagram of another host.
-func (b *Balancer) handleDatagram(datagram []byte) {
+// handleDatagram verifies and processes one datagram of another host, which arrived at the given
+// time.
+func (b *Balancer) handleDatagram(datagram []byte, arrived time.Time) {
 	b.stateMu.Lock()
 	defer b.stateMu.Unlock()
 	e, m, err := b.codec.Open(datagram)
@@ -51,10 +53,11 @@
 	case gossip.AmbiguousFlows:
 		b.trafficMu.Lock()
 		for _, d := range m.Flows {
-			flow := cornelbay.FlowKey{Source: d.Source, Destination: d.Destination, Protocol: cornelbay.TCP.Number()}
-			b.placer.MergeAmbiguousFlow(now, placement.AmbiguousFlow{Key: flow, Tried: d.Tried, Chosen: d.Chosen})
+			b.placer.MergeAmbiguousFlow(now, ambiguousFromWire(arrived, d))
 		}
+		corrections := b.placer.Corrections()
 		b.trafficMu.Unlock()
+		b.logCorrections(corrections)
 	case gossip.Outcomes:
 		b.handleOutcomes(now, e.From, m)
 	case gossip.Heartbeat:
--- a/gossip/messages.go
+++ b/gossip/messages.go
@@ -235,6 +235,9 @@
 	// Chosen is the cookie of the target that has the flow, or 0 while that is
 	// unknown.
 	Chosen uint32 `cbor:"4,keyasint,omitempty"`
+	// ChosenMsAgo is the time since the packet that showed it arrived. Hosts of earlier versions
+	// leave it out.
+	ChosenMsAgo uint32 `cbor:"5,keyasint,omitempty"`
 }
 
 // AmbiguousFlows reports a batch of ambiguous flows to another host.
--- a/placement/admit.go
+++ b/placement/admit.go
@@ -189,7 +189,7 @@
 		f.opened, f.lastSeen = now, now
 		p.start(now, f, m)
 		if now.Sub(f.sentSince) > resetTime {
-			p.queueAmbiguous(AmbiguousFlow{Key: f.key, Tried: f.tried})
+			p.announceOpening(f)
 		}
 		p.admissions = append(p.admissions, a)
 		p.counters.Admitted++
--- a/placement/flow.go
+++ b/placement/flow.go
@@ -61,8 +61,14 @@
 	exchanges exchange.Tracker
 	// deadline is when the opening counts as unanswered.
 	deadline time.Time
-	// answered is true once it is known which target has the flow.
+	// answered is true once it is known which target has the flow, and chosenAt is when the packet
+	// arrived that showed it, at this host or another.
 	answered bool
+	chosenAt time.Time
+	// shared is true if other hosts may have sent the opening to other targets.
+	shared bool
+	// announcedAt is when this host last told the others which target has the flow.
+	announcedAt time.Time
 	// idle is true while the flow does not count as load of this host: a flow is load from
 	// its opening, or a further request, until the answer begins.
 	idle   bool
@@ -186,7 +192,7 @@
 	if !ok {
 		return nil
 	}
-	f := &Flow{key: key, service: m.Service, target: m, priority: p.priority(key), lastSeen: now, answered: true, adopted: true, idle: true}
+	f := &Flow{key: key, service: m.Service, target: m, priority: p.priority(key), lastSeen: now, answered: true, chosenAt: now, adopted: true, idle: true}
 	p.track(f)
 	return f
 }
@@ -215,9 +221,10 @@
 		}
 	}
 	p.resolve(now, f, cookie)
+	f.chosenAt = now
 	p.markActive(now, f)
-	if len(f.tried) > 1 {
-		p.queueAmbiguous(AmbiguousFlow{Key: f.key, Tried: f.tried, Chosen: cookie})
+	if f.isAmbiguous() {
+		p.announceTarget(now, f)
 	}
 	p.clearSuspicion(now, cookie)
 }
@@ -364,7 +371,7 @@
 	p.markIdle(now, f)
 	f.idle, f.borrowed = false, nil
 	p.assign(now, f, m)
-	p.queueAmbiguous(AmbiguousFlow{Key: f.key, Tried: f.tried})
+	p.announceOpening(f)
 	p.counters.Retried++
 	r.Target, r.Opening = m, f.opening
 	return r
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -134,6 +134,7 @@
 	counters     Counters
 	stateChanges []StateChange
 	ambiguous    []AmbiguousFlow
+	corrections  []Correction
 	admissions   []Admission
 	releases     []Release
 	shortages    []Shortage
@@ -283,8 +284,8 @@
 	}
 	p.track(f)
 	p.start(now, f, m)
-	if retransmitted {
-		p.queueAmbiguous(AmbiguousFlow{Key: key, Tried: f.tried})
+	if retransmitted || now.Sub(f.sentSince) > resetTime {
+		p.announceOpening(f)
 	}
 	return m, nil
 }
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -199,7 +199,7 @@
 	is.Equal(opener.load(now, first), 0.0) // its packets arrive at the other host
 	is.Equal(other.load(now, first), 1.0)
 	is.Equal(opener.RoutePacket(now, key(1), Segment{Cookie: second}), first)
-	is.Equal(opener.ResolvedFlows(), []AmbiguousFlow{{Key: key(1), Tried: []uint32{first, second}, Chosen: first}}) // for hosts that have just started
+	is.Equal(opener.ResolvedFlows(), []AmbiguousFlow{{Key: key(1), Tried: []uint32{first, second}, Chosen: first, ChosenAt: now}}) // for hosts that have just started
 	is.Equal(len(tickTo(opener, now, now.Add(time.Second))), 0)
 	other.RoutePacket(now, key(1), Segment{Cookie: second, Finishing: true})
 	is.Equal(len(other.ResolvedFlows()), 0)
--- a/placement/reset_test.go
+++ b/placement/reset_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/cornelbay/cornelbay"
 )
 
 // callerRetransmits is when a caller retransmits its opening.
@@ -156,9 +158,15 @@
 		p := placer(limited(warmTarget(1, "near")))
 		p.Tick(start)
 		now := start.Add(stall)
-		fill(t, p, now)
+		n := fill(t, p, now)
 		serve(p, now.Add(time.Millisecond), 0)
 		is.Equal(len(p.Admissions()), 1)
-		is.Equal(len(p.AmbiguousFlows()) == 1, stall > callerRetransmits)
+		announced := make(map[cornelbay.FlowKey]bool)
+		for _, a := range p.AmbiguousFlows() {
+			announced[a.Key] = true
+		}
+		for i := range n + 1 { // those that were sent on at once, and the one that waited
+			is.Equal(announced[key(1000+i)], stall > callerRetransmits)
+		}
 	}
 }
