Replace the cookies of late answers in the packets that are forwarded

Cause, from one flow of the case on the code before (times in seconds): target A gets the opening at 4.163 and its answer is lost; 41 ms later the host tries target B, where the flow opens. A repeats its answer until 13.57. From then on the caller's packets carry A's cookie. The host knows the flow and sends them to B, but with A's cookie in them. B repeats the last cookie that it received, too, so its answers at 16.29, 20.31, 24.33 and 28.35 confirm the wrong cookie to the caller. The other hosts have forgotten the flow after 20 s. The first packet after the stop, at 32.36, goes through another host, which follows the cookie to A, and A resets the flow.

Change: a host puts the cookie of the target that it has chosen into all packets that it forwards, also those of requests that it has held. The caller gets the right cookie with the target's next packet, and any host can serve the flow.

TestCallersLearnTheCookieOfTheirTarget fails on the code before (`flow was reset`) in 2 of 2 runs and passes 5 of 5 with the change.

The stand-in for targets repeated the cookie of the request's first packet; it now repeats that of the last packet on the flow, as targets do.

--- a/balancer/admission.go
+++ b/balancer/admission.go
@@ -48,6 +48,7 @@
 	for _, r := range releases {
 		for _, packet := range r.Packets {
 			n := copy(buf[platform.TargetNumberBytes:], packet)
+			platform.SetCookie(buf[platform.TargetNumberBytes:], r.Target.Cookie)
 			b.send(buf[:platform.TargetNumberBytes+n], r.Target)
 		}
 	}
--- a/balancer/ambiguous_test.go
+++ b/balancer/ambiguous_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/cornelbay/cornelbay"
+	"github.com/cornelbay/cornelbay/fakeplatform"
 	"github.com/cornelbay/cornelbay/gossip"
 	"github.com/cornelbay/cornelbay/peer"
 	"github.com/cornelbay/cornelbay/placement"
@@ -137,3 +138,30 @@
 	w.is.Equal(n, maxQueuedAmbiguous)
 	w.is.True(datagrams <= 2*maxQueuedAmbiguous/maxAmbiguousPerDatagram)
 }
+
+// TestCallersLearnTheCookieOfTheirTarget guards against a flow that is reset while its target
+// lives: another target has answered the opening late, both ends of the flow repeat the cookie of
+// that answer, and a host that doesn't know the flow follows it.
+func TestCallersLearnTheCookieOfTheirTarget(t *testing.T) {
+	w := newTestEnv(t, 141)
+	is := is.New(t)
+	late, tg := w.target(1, "s1", "a"), w.target(2, "s1", "b")
+	const lateBy, work = 150 * time.Millisecond, 500 * time.Millisecond
+	late.Delay.Store(int64(lateBy))
+	w.host(1, "a")
+	f, err := w.caller().Open(t.Context(), w.at(1), service1)
+	is.NoErr(err)
+	tg.Work.Store(int64(work))
+	_, err = f.Ask(t.Context(), w.at(1), 2*lateBy)
+	is.True(errors.Is(err, fakeplatform.ErrNoReply)) // the late answer has come meanwhile
+	is.Equal(late.Openings(), 1)
+	name, err := f.Ask(t.Context(), w.at(1), answerTime)
+	is.NoErr(err)
+	is.Equal(name, tg.Name)
+	w.is.NoErr(w.hosts[1].close())
+	w.host(2, "a")
+	name, err = f.Ask(t.Context(), w.at(2), answerTime)
+	is.NoErr(err)
+	is.Equal(name, tg.Name)
+	is.Equal(late.Stray(), 0)
+}
--- a/balancer/packets.go
+++ b/balancer/packets.go
@@ -86,9 +86,8 @@
 	b.logReleases(releases)
 	switch {
 	case v.target != nil:
-		if p.Opening {
-			platform.SetCookie(packet, v.target.Cookie)
-		}
+		// The target repeats the cookie to the caller, which may carry that of a late answer.
+		platform.SetCookie(packet, v.target.Cookie)
 		b.send(buf[:platform.TargetNumberBytes+n], v.target)
 	case v.reset:
 		b.reset(&p, v.reason)
--- a/fakeplatform/endpoints.go
+++ b/fakeplatform/endpoints.go
@@ -107,6 +107,8 @@
 	initial, sent uint32
 	// next is the sequence number of the caller's next request.
 	next uint32
+	// cookie is that of the last packet, which the target repeats.
+	cookie uint32
 	// answer is the last answer, or nil while a request is served.
 	answer []byte
 }
@@ -198,6 +200,7 @@
 				t.cfg.OnAccept(p.Key.Source)
 			}
 		}
+		f.cookie = p.Cookie
 		reply := packet(replyKey(p.Key), flagOpen|flagAcknowledge, f.initial, 0, p.Cookie, nil)
 		time.AfterFunc(time.Duration(t.Delay.Load()), func() { t.send(p.Key, reply) })
 		return
@@ -208,6 +211,7 @@
 		t.send(p.Key, packet(replyKey(p.Key), flagReset, 0, 0, p.Cookie, nil))
 		return
 	}
+	f.cookie = p.Cookie
 	n := uint32(len(b) - platform.HeaderBytes)
 	switch {
 	case p.Finishing:
@@ -272,7 +276,7 @@
 
 func (t *Target) answer(r targetRequest, data string) {
 	f := r.flow
-	f.answer = packet(replyKey(r.key), flagAcknowledge, f.initial+1+f.sent, 0, r.packet.Cookie, []byte(data))
+	f.answer = packet(replyKey(r.key), flagAcknowledge, f.initial+1+f.sent, 0, f.cookie, []byte(data))
 	f.sent += uint32(len(data))
 	t.send(r.key, f.answer)
 }
