Keep ambiguous flows for as long as late answers mislead their callers

Cause: a target that was sent an opening repeats its answer for 9.4 s, and a caller that got the last one may be idle for 15 s from then on, 24.4 s after the others were told of the flow. They forgot it after 20 s. Announcements of a flow did not prolong that, and a host that saw the cookie of a late answer told nobody, so that one lost datagram was enough.

Change: ambiguous flows are kept for 30 s after the last packet or announcement, and a host that gets the cookie of a late answer announces the flow's target again, at most five times a second per flow. The number of targets recorded for a flow is bounded, as cookies come from callers. Up to 2,048 ambiguous flows wait to be sent, in place of 256: a host that starts is told all that the others know.

Measured: TestLateAnswersAreKnownForAsLongAsTheyMatter (wrong target after 24.4 s) and TestLateAnswerIsAnnounced fail without the change.

--- a/placement/ambiguous.go
+++ b/placement/ambiguous.go
@@ -26,7 +26,9 @@
 const (
 	// maxAmbiguousFlows limits the ambiguous flows that wait to be announced; any beyond it
 	// are dropped.
-	maxAmbiguousFlows = 256
+	maxAmbiguousFlows = 2048
+	// maxTried limits the targets that are recorded for one flow.
+	maxTried = 2 * maxAttempts
 	// announceInterval is the shortest time between two announcements of one flow whose target
 	// is known, unless another host asks for it.
 	announceInterval = 200 * time.Millisecond
@@ -99,7 +101,7 @@
 	if a.Chosen != 0 && a.ChosenAt.Before(f.sentSince.Add(-openingTime)) {
 		return // an earlier flow between the same ports
 	}
-	f.shared = true
+	f.shared, f.heardAt = true, now
 	for _, cookie := range a.Tried {
 		f.addTried(cookie)
 	}
@@ -126,7 +128,7 @@
 
 // addTried records that the opening of a flow was sent to a target.
 func (f *Flow) addTried(cookie uint32) {
-	if !slices.Contains(f.tried, cookie) {
+	if len(f.tried) < maxTried && !slices.Contains(f.tried, cookie) {
 		f.tried = append(f.tried, cookie)
 	}
 }
--- a/placement/ambiguous_test.go
+++ b/placement/ambiguous_test.go
@@ -78,3 +78,40 @@
 	p.MergeAmbiguousFlow(start, AmbiguousFlow{Key: key(1), Tried: []uint32{1}, Chosen: 1, ChosenAt: start.Add(-10 * time.Second)})
 	is.Equal(p.RoutePacket(start.Add(time.Millisecond), key(1), Segment{Cookie: 2}), uint32(2))
 }
+
+// TestLateAnswersAreKnownForAsLongAsTheyMatter guards against a flow that is reset while its target
+// lives: a host that was told which target has the flow has forgotten it when the flow's host ends,
+// though the caller has got late answers of another target for 10 s, and has been idle for 15 s.
+func TestLateAnswersAreKnownForAsLongAsTheyMatter(t *testing.T) {
+	is := is.New(t)
+	const lastAnswer, idle = 9400 * time.Millisecond, 15 * time.Second
+	p := placer(view(warmTarget(1, "near"), warmTarget(2, "near")))
+	p.MergeAmbiguousFlow(start, AmbiguousFlow{Key: key(1), Tried: []uint32{1, 2}, Chosen: 2, ChosenAt: start})
+	for now := start; now.Before(start.Add(lastAnswer + idle)); now = now.Add(100 * time.Millisecond) {
+		p.Tick(now)
+	}
+	is.Equal(p.RoutePacket(start.Add(lastAnswer+idle), key(1), Segment{Cookie: 1}), uint32(2))
+}
+
+// TestLateAnswerIsAnnounced guards against a host that follows the cookie of a late answer, as the
+// announcement of the flow has not reached it, or was too long ago.
+func TestLateAnswerIsAnnounced(t *testing.T) {
+	is := is.New(t)
+	v := view(warmTarget(1, "near"), warmTarget(2, "near"))
+	has, other := placer(v), placer(v)
+	is.Equal(has.RoutePacket(start, key(1), Segment{Cookie: 2}), uint32(2))
+	is.Equal(len(has.AmbiguousFlows()), 0)
+	now := start.Add(time.Minute / 2)
+	for range 10 {
+		now = now.Add(time.Millisecond)
+		is.Equal(has.RoutePacket(now, key(1), Segment{Cookie: 1}), uint32(2))
+	}
+	a := has.AmbiguousFlows()
+	is.Equal(len(a), 1)
+	other.MergeAmbiguousFlow(now, a[0])
+	is.Equal(other.RoutePacket(now, key(1), Segment{Cookie: 1}), uint32(2))
+	for i := range uint32(100) { // a caller that makes up cookies
+		has.RoutePacket(now.Add(time.Duration(i)*time.Second), key(1), Segment{Cookie: 1000 + i})
+	}
+	is.True(len(has.flows[key(1)].tried) <= maxTried)
+}
--- a/placement/flow.go
+++ b/placement/flow.go
@@ -33,6 +33,10 @@
 	// forgetTimeout is the silence after which a flow is forgotten: flows may be idle for
 	// 15 s. Later packets of a forgotten flow carry the cookie of their target.
 	forgetTimeout = 20 * time.Second
+	// lateAnswerTime is for how long a target that was sent an opening repeats its answer to
+	// it. The packets of a flow that another target has carry the wrong cookie after that
+	// until the caller gets the next packet of its target.
+	lateAnswerTime = 10 * time.Second
 	// rerouteWindow is the time before and after the first packet of a flow that this host
 	// had not recorded. If an opening made in that time is not answered, this is no
 	// evidence against its target: the routers are sending flows to different hosts than
@@ -67,8 +71,9 @@
 	chosenAt time.Time
 	// shared is true if other hosts may have sent the opening to other targets.
 	shared bool
-	// announcedAt is when this host last told the others which target has the flow.
-	announcedAt time.Time
+	// announcedAt is when this host last told the others which target has the flow, and heardAt
+	// when one of them last announced it.
+	announcedAt, heardAt time.Time
 	// idle is true while the flow does not count as load of this host: a flow is load from
 	// its opening, or a further request, until the answer begins.
 	idle   bool
@@ -169,6 +174,9 @@
 	if f.closed {
 		return f.target.Cookie
 	}
+	if s.Cookie != f.target.Cookie {
+		p.recordLateAnswer(now, f, s.Cookie)
+	}
 	if s.Finishing {
 		p.releaseNow(now, f)
 	}
@@ -197,6 +205,18 @@
 	return f
 }
 
+// recordLateAnswer records that the caller of an open flow repeats the cookie of another target,
+// which has answered the opening, too. Hosts that don't know the flow would follow this cookie.
+func (p *Placer) recordLateAnswer(now time.Time, f *Flow, cookie uint32) {
+	if _, ok := p.view.Cookies[cookie]; !ok {
+		return
+	}
+	f.shared = true
+	f.addTried(f.target.Cookie)
+	f.addTried(cookie)
+	p.announceAgain(now, f)
+}
+
 func (p *Placer) track(f *Flow) {
 	if p.flows == nil {
 		p.flows = make(map[cornelbay.FlowKey]*Flow)
@@ -312,7 +332,7 @@
 func (p *Placer) sweep(now time.Time) {
 	for key, f := range p.flows {
 		switch {
-		case now.Sub(f.lastSeen) > forgetTimeout:
+		case now.Sub(f.lastSeen) > f.retention() && now.Sub(f.heardAt) > f.retention():
 			p.dropHeld(f)
 			p.markIdle(now, f)
 			delete(p.flows, key)
@@ -324,6 +344,14 @@
 	}
 }
 
+// retention returns the silence after which a flow is forgotten.
+func (f *Flow) retention() time.Duration {
+	if f.isAmbiguous() && !f.closed {
+		return forgetTimeout + lateAnswerTime
+	}
+	return forgetTimeout
+}
+
 // retransmitsDue returns how many times a caller without an answer has retransmitted its
 // opening by the given time since it.
 func retransmitsDue(since time.Duration) int {
