Hand ambiguous flows over at a planned stop

Cause: which target has an ambiguous flow was told once, when the flow opened. A stopping host, the only one that may know it, told nobody.

Measured: TestStoppingHostHandsItsAmbiguousFlowsOver fails without the change.

--- a/balancer/ambiguous.go
+++ b/balancer/ambiguous.go
@@ -14,7 +14,7 @@
 const (
 	// maxQueuedAmbiguous bounds the queue of ambiguous flows to send; further ones are
 	// dropped and counted.
-	maxQueuedAmbiguous = 256
+	maxQueuedAmbiguous = 2048
 	// maxAmbiguousPerDatagram entries fit into a datagram even if each opening was
 	// sent to the maximum number of targets, which is 6 (maxAttempts in placement).
 	maxAmbiguousPerDatagram = 16
--- a/balancer/ambiguous_test.go
+++ b/balancer/ambiguous_test.go
@@ -165,3 +165,32 @@
 	is.Equal(name, tg.Name)
 	is.Equal(late.Stray(), 0)
 }
+
+// TestStoppingHostHandsItsAmbiguousFlowsOver guards against a flow that is reset at a planned stop
+// of its host: the announcement of its target was lost on the way to the other hosts.
+func TestStoppingHostHandsItsAmbiguousFlowsOver(t *testing.T) {
+	w := newTestEnv(t, 142)
+	is := is.New(t)
+	tg := w.target(1, "s1", "a")
+	b := w.host(1, "a")
+	p := newFakePeer(w, 1, "p1")
+	p.sendHeartbeat(t, b)
+	w.eventually("the peer is heard", func() bool { return lastIncarnation(b, "p1") > 0 })
+	cookie := registry.Cookie(tg.Number)
+	flow := cornelbay.FlowKey{
+		Source: netip.MustParseAddrPort("127.142.9.9:1"), Destination: service1, Protocol: cornelbay.TCP.Number(),
+	}
+	b.trafficMu.Lock()
+	b.placer.MergeAmbiguousFlow(time.Now(), placement.AmbiguousFlow{Key: flow, Tried: []uint32{cookie + 1, cookie}, Chosen: cookie})
+	b.trafficMu.Unlock()
+	n, _ := p.receiveAmbiguous(t, 500*time.Millisecond)
+	is.Equal(n, 0)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		b.Stop()
+	}()
+	n, _ = p.receiveAmbiguous(t, time.Second)
+	is.True(n > 1) // more than once, as datagrams may be lost
+	<-stopped
+}
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -31,6 +31,9 @@
 	tombstoneSlack = 15 * time.Second
 	// stopCheckInterval is how often a stopping host checks whether it may end.
 	stopCheckInterval = 10 * time.Millisecond
+	// handOverInterval is how often a stopping host tells the others which targets have the
+	// ambiguous flows: datagrams may be lost.
+	handOverInterval = 400 * time.Millisecond
 	// readBufferBytes buffers the packets that arrive while the process isn't
 	// scheduled.
 	readBufferBytes = 2 << 20
@@ -354,7 +357,12 @@
 	b.stopping.Store(true)
 	b.ready.Store(false)
 	begin := time.Now()
+	var handedOver time.Time
 	for {
+		if time.Since(handedOver) >= handOverInterval {
+			handedOver = time.Now()
+			b.handOver()
+		}
 		time.Sleep(stopCheckInterval)
 		elapsed := time.Since(begin)
 		idle := time.Since(b.started) - time.Duration(b.lastPacket.Load())
@@ -368,6 +376,14 @@
 	}
 }
 
+// handOver tells the other hosts which targets have the ambiguous flows of this host.
+func (b *Balancer) handOver() {
+	b.trafficMu.Lock()
+	flows := b.placer.ResolvedFlows()
+	b.trafficMu.Unlock()
+	b.queueAmbiguous(flows, netip.AddrPort{})
+}
+
 // close closes everything, waits for the goroutines, and returns the first error.
 func (b *Balancer) close() error {
 	b.cancel()
