Treat a target that answers again as cold until the store confirms it

With the first answer all suspicion ended, and the hosts sent it as much as the others: their tables, last confirmed by the store before the crash, still had its old entry, and got the new one 2.1 s later.

Change: a target that answers after it was silent gets no flows, unless there is no other, until the store has confirmed the targets as of 0.5 s after that answer. By then they show whether it has started anew. The same holds for the other targets of a data centre that was silent as a whole.

Hosts therefore tell each other at once which targets don't answer. A host that got answers less than 150 ms apart at that time ignores it, so that the cut path of one host harms nobody. And a target that has crashed resets its caller, which then ignores the answers of the targets that are tried next: one such opening made all targets of three data centres suspected, and so unconfirmed. Only the first attempt at an opening, or one whose caller has sent it again, is firm evidence of a crash now, and only two targets are evidence against the rest of their data centre.

--- a/balancer/ambiguous.go
+++ b/balancer/ambiguous.go
@@ -87,14 +87,9 @@
 		m.Flows = append(m.Flows, ambiguousToWire(now, d.AmbiguousFlow))
 	}
 	b.stateMu.Lock()
-	var to []netip.AddrPort
-	switch {
-	case batch[0].to.IsValid():
-		to = []netip.AddrPort{batch[0].to}
-	case b.inMesh:
-		to = b.withSeeds(addresses(b.members.Known()))
-	default:
-		to = addresses(b.members.KnownInDataCentre())
+	to := []netip.AddrPort{batch[0].to}
+	if !batch[0].to.IsValid() {
+		to = b.sharers()
 	}
 	datagram, err := b.codec.Seal(m)
 	b.stateMu.Unlock()
@@ -106,6 +101,15 @@
 	return len(to)
 }
 
+// sharers returns the hosts that may get packets of the same flows as this one, and that send flows
+// to the same targets. The caller holds stateMu.
+func (b *Balancer) sharers() []netip.AddrPort {
+	if b.inMesh {
+		return b.withSeeds(addresses(b.members.Known()))
+	}
+	return addresses(b.members.KnownInDataCentre())
+}
+
 func ambiguousToWire(now time.Time, a placement.AmbiguousFlow) gossip.AmbiguousFlow {
 	w := gossip.AmbiguousFlow{Source: a.Key.Source, Destination: a.Key.Destination, Tried: a.Tried, Chosen: a.Chosen}
 	if !a.ChosenAt.IsZero() {
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -321,14 +321,15 @@
 	defer b.stateMu.Unlock()
 	now := time.Now()
 	changed := f(now, &b.tables)
-	b.cacheConfirmedTimes()
 	if changed {
 		b.publishTables(now)
 	}
+	b.cacheConfirmedTimes()
 }
 
 // cacheConfirmedTimes copies the tables' confirmation times for the packet path. The
-// caller holds stateMu.
+// caller holds stateMu. publishTables comes first if the tables have changed: the packet path
+// must not take its earlier view for confirmed.
 func (b *Balancer) cacheConfirmedTimes() {
 	since := func(t time.Time) int64 {
 		if t.IsZero() {
@@ -337,7 +338,11 @@
 		return int64(t.Sub(b.started))
 	}
 	b.routesConfirmedAt.Store(since(b.tables.Routes.ConfirmedAt()))
-	b.targetsConfirmedAt.Store(since(b.tables.Targets.ConfirmedAt()))
+	confirmed := b.tables.Targets.ConfirmedAt()
+	b.targetsConfirmedAt.Store(since(confirmed))
+	b.trafficMu.Lock()
+	b.placer.SetTargetsConfirmed(confirmed)
+	b.trafficMu.Unlock()
 }
 
 const (
--- a/balancer/heartbeat.go
+++ b/balancer/heartbeat.go
@@ -58,6 +58,8 @@
 		corrections := b.placer.Corrections()
 		b.trafficMu.Unlock()
 		b.logCorrections(corrections)
+	case gossip.SilentTargets:
+		b.mergeSilences(now, arrived, m)
 	case gossip.Outcomes:
 		b.handleOutcomes(now, e.From, m)
 	case gossip.Heartbeat:
--- a/balancer/retry.go
+++ b/balancer/retry.go
@@ -38,6 +38,7 @@
 		b.trafficMu.Lock()
 		retries, changes, ambiguous := b.placer.Tick(now), b.placer.StateChanges(), b.placer.AmbiguousFlows()
 		admissions, releases, shortages := b.placer.Admissions(), b.placer.Releases(), b.placer.Shortages()
+		silences := b.placer.Silences()
 		due = now.Add(b.placer.TickInterval())
 		b.sendReleases(releases) // before the lock lets later packets of these flows pass
 		b.trafficMu.Unlock()
@@ -45,6 +46,7 @@
 		b.applyAdmissions(admissions) // first: resets must not be late
 		b.logReleases(releases)
 		b.queueAmbiguous(ambiguous, netip.AddrPort{})
+		b.announceSilences(silences)
 		for _, change := range changes {
 			logTargetState(change)
 		}
@@ -74,8 +76,8 @@
 	}
 	line := log.WithFields(log.Fields{"target": change.Target.Name, "dataCentre": change.Target.DataCentre})
 	switch change.State {
-	case placement.Recovered:
-		line.Info("target answers again")
+	case placement.Recovered, placement.Doubted:
+		line.WithField("targetsAgeMs", change.Duration.Milliseconds()).Info("target " + string(change.State))
 	case placement.RampBegun, placement.RampEnded, placement.SpeedChanged:
 		line.WithField("timeFactor", math.Round(100*change.TimeFactor)/100).Info("target " + string(change.State))
 	case placement.Failing, placement.Slow:
--- a/gossip/messages.go
+++ b/gossip/messages.go
@@ -23,6 +23,7 @@
 	peer.Register(Push{})
 	peer.Register(Outcomes{})
 	peer.Register(AmbiguousFlows{})
+	peer.Register(SilentTargets{})
 	peer.RegisterCall[Pull, PullReply]()
 }
 
@@ -248,6 +249,22 @@
 // Kind returns KindDoubts.
 func (AmbiguousFlows) Kind() cornelbay.MessageKind { return cornelbay.KindDoubts }
 
+// SilentTarget is a target that has not answered an opening.
+type SilentTarget struct {
+	Cookie uint32 `cbor:"1,keyasint"`
+	// MsAgo is the time since the opening was sent.
+	MsAgo uint32 `cbor:"2,keyasint,omitempty"`
+}
+
+// SilentTargets tells other hosts that targets have not answered the sender: they may have crashed,
+// and be cold when they answer again. Hosts of earlier versions drop the message.
+type SilentTargets struct {
+	Targets []SilentTarget `cbor:"1,keyasint"`
+}
+
+// Kind returns KindSilent.
+func (SilentTargets) Kind() cornelbay.MessageKind { return cornelbay.KindSilent }
+
 // Pull requests everything that has changed since the given revisions.
 type Pull struct {
 	Since Revisions `cbor:"1,keyasint"`
--- a/message.go
+++ b/message.go
@@ -28,6 +28,7 @@
 	KindNews     // gossip.Push
 	KindDoubts   // gossip.AmbiguousFlows
 	KindOutcomes // gossip.Outcomes
+	KindSilent   // gossip.SilentTargets
 )
 
 // Message is a control message from one host to another that fits into a
--- a/placement/admit_test.go
+++ b/placement/admit_test.go
@@ -14,6 +14,7 @@
 	"github.com/cornelbay/cornelbay/outlier"
 	"github.com/cornelbay/cornelbay/pace"
 	"github.com/cornelbay/cornelbay/registry"
+	"github.com/cornelbay/cornelbay/suspicion"
 )
 
 const objective = 400 * time.Millisecond
@@ -262,7 +263,7 @@
 	p := placer(limited(warmTarget(1, "near"), warmTarget(2, "near")))
 	short(p)
 	p.divide(start, p.services[service])
-	p.suspect(start, p.view.Cookies[1], start)
+	p.suspect(start, p.view.Cookies[1], suspicion.Unanswered{Opened: start})
 	p.clearSuspicion(start.Add(time.Second), 1)
 	got := make(map[uint32]int)
 	for i := range fill(t, p, start.Add(time.Second)) {
--- a/placement/borrow_test.go
+++ b/placement/borrow_test.go
@@ -26,7 +26,7 @@
 		is.Equal(s.own[0].target.DataCentre, cornelbay.DataCentreName("near"))
 		other := v.Cookies[3-s.own[0].target.Cookie]
 		for range silent {
-			p.suspect(start, other, start)
+			p.suspect(start, other, suspicion.Unanswered{Opened: start})
 		}
 		borrowed := func(now time.Time) int {
 			before := s.borrowed()
--- a/placement/flow.go
+++ b/placement/flow.go
@@ -8,6 +8,7 @@
 	"github.com/cornelbay/cornelbay"
 	"github.com/cornelbay/cornelbay/exchange"
 	"github.com/cornelbay/cornelbay/registry"
+	"github.com/cornelbay/cornelbay/suspicion"
 )
 
 const (
@@ -382,7 +383,7 @@
 func (p *Placer) retry(now time.Time, f *Flow) Retry {
 	p.counters.Unanswered++
 	p.targetState(f.target.Cookie, now).counters.Unanswered++
-	p.suspect(now, f.target, f.opened)
+	p.suspect(now, f.target, suspicion.Unanswered{Opened: f.opened, Firm: len(f.tried) == 1 || f.retransmits > 0})
 	r := Retry{Key: f.key, Silent: f.target, Waited: now.Sub(f.opened)}
 	// If no other target can be used now, the opening counts as unanswered again after
 	// this time.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -117,6 +117,8 @@
 	warm         []*registry.Endpoint
 	warmTargets  []share.Target[uint32]
 	stall        stall.Detector
+	// targetsConfirmedAt is when the store last confirmed the targets of the view.
+	targetsConfirmedAt time.Time
 	// roundTrip is the smoothed time from an opening to the caller's next packet, of flows
 	// that were tried at one target only; 0 until there was one.
 	roundTrip time.Duration
@@ -135,6 +137,7 @@
 	stateChanges []StateChange
 	ambiguous    []AmbiguousFlow
 	corrections  []Correction
+	silences     []Silence
 	admissions   []Admission
 	releases     []Release
 	shortages    []Shortage
@@ -347,12 +350,13 @@
 // due that shows whether a suspected target answers again. An opening that was tried already
 // is no probe while there is another target: when many targets have died, it would use up
 // its attempts on them. A cold target is used, within
-// its rate limit, when no warm one has an expected cost below the mean duration of a flow.
+// its rate limit, when no warm one has an expected cost below the mean duration of a flow. One
+// that answers again and may be cold is used before the suspected ones.
 func (p *Placer) choose(now time.Time, service cornelbay.ServiceName, tried []uint32) (*registry.Endpoint, error) {
 	if p.view == nil {
 		return nil, ErrNoTarget
 	}
-	var best, lastResort, due, cold candidate
+	var best, lastResort, due, cold, unconfirmed candidate
 	samples := choice.Sampler[*registry.Endpoint]{All: len(p.view.Hosts) <= leastLoadedLimit}
 	p.choices++
 	for _, m := range p.view.Services[service] {
@@ -365,6 +369,8 @@
 			cold.Keep(c)
 		case p.ejected(now, m):
 			lastResort.Keep(c)
+		case !p.suspected(m) && p.unconfirmed(m):
+			unconfirmed.Keep(c)
 		case !p.suspected(m):
 			samples.Add(c, m.DataCentre == p.DataCentre)
 		case p.probeDue(now, m):
@@ -388,6 +394,8 @@
 	switch {
 	case best.Target != nil:
 		return best.Target, nil
+	case unconfirmed.Target != nil:
+		return unconfirmed.Target, nil
 	case lastResort.Target != nil:
 		if p.suspected(lastResort.Target) {
 			p.reach.RecordUnreached(now)
--- a/placement/suspicion.go
+++ b/placement/suspicion.go
@@ -5,6 +5,7 @@
 
 	"github.com/cornelbay/cornelbay/outlier"
 	"github.com/cornelbay/cornelbay/registry"
+	"github.com/cornelbay/cornelbay/suspicion"
 )
 
 // StateChange is a change in the state of a target, or of this host.
@@ -13,7 +14,8 @@
 	Target *registry.Endpoint
 	State  State
 	// Outcome is the evidence for an ejection. Duration is how long the ejected target
-	// gets no flows, or how long this host was stalled.
+	// gets no flows, how long this host was stalled, or how long ago the store confirmed the
+	// targets when one that may be cold answered.
 	Outcome  outlier.Outcome
 	Duration time.Duration
 	// TimeFactor is the time of a request at the target relative to the usual time, for
@@ -30,6 +32,9 @@
 	Silent State = "silent"
 	// Recovered targets were silent and answer again.
 	Recovered State = "answers again"
+	// Doubted targets were silent at another host while this one sent them no openings, and
+	// may have started anew.
+	Doubted State = "may have restarted"
 	// Failing targets have flows that fail more often than those of others.
 	Failing State = "failing"
 	// Slow targets have flows that last longer than those of others.
@@ -73,21 +78,69 @@
 	return p.suspicion.ProbeDue(now, m.Cookie, m.DataCentre)
 }
 
+// announceTime is the time after which the store has what a target announces as it starts.
+const announceTime = 500 * time.Millisecond
+
+// SetTargetsConfirmed records when the store last confirmed the targets of the view, as of which
+// they are those that it lists. Without a call the view is taken for up to date.
+func (p *Placer) SetTargetsConfirmed(at time.Time) { p.targetsConfirmedAt = at }
+
+// unconfirmed reports whether a target that answers again may have started anew, and be cold,
+// without this host knowing: the store has not confirmed the targets since.
+func (p *Placer) unconfirmed(m *registry.Endpoint) bool {
+	if p.targetsConfirmedAt.IsZero() {
+		return false
+	}
+	at := p.suspicion.RecoveredAt(m.Cookie, m.DataCentre)
+	return !at.IsZero() && p.targetsConfirmedAt.Before(at.Add(announceTime))
+}
+
 // startProbe records that an opening is sent to a suspected target.
 func (p *Placer) startProbe(now time.Time, m *registry.Endpoint) {
 	p.suspicion.RecordProbe(now, m.Cookie, m.DataCentre)
 }
 
-func (p *Placer) suspect(now time.Time, m *registry.Endpoint, opened time.Time) {
-	if p.suspicion.RecordUnanswered(now, m.Cookie, m.DataCentre, opened) {
+func (p *Placer) suspect(now time.Time, m *registry.Endpoint, u suspicion.Unanswered) {
+	if p.suspicion.RecordUnanswered(now, m.Cookie, m.DataCentre, u) {
 		p.queueStateChange(StateChange{Target: m, State: Silent})
 	}
+	if u.Firm && len(p.silences) < maxSilences && !p.suspicion.ToldLately(now, m.Cookie) {
+		p.silences = append(p.silences, Silence{Cookie: m.Cookie, Since: u.Opened})
+	}
+}
+
+// Silence is a target that has not answered an opening, as one host announces it to the others: the
+// target may have crashed, and is cold then when it answers again.
+type Silence struct {
+	Cookie uint32
+	// Since is when the opening was sent.
+	Since time.Time
+}
+
+// maxSilences limits the silences that wait to be announced.
+const maxSilences = 64
+
+// Silences returns the silences to be announced to other hosts since the last call.
+func (p *Placer) Silences() []Silence {
+	s := p.silences
+	p.silences = nil
+	return s
+}
+
+// MergeSilence applies an announcement of another host.
+func (p *Placer) MergeSilence(now time.Time, s Silence) {
+	if !p.unknown(s.Cookie) {
+		p.suspicion.RecordDoubt(now, s.Cookie, s.Since)
+	}
 }
 
 // clearSuspicion records that the target with the given cookie is alive and reachable.
 func (p *Placer) clearSuspicion(now time.Time, cookie uint32) {
 	t, known := p.targets[cookie]
-	was := known && p.suspicion.RecordAnswer(now, cookie)
+	var was, doubted bool
+	if known {
+		was, doubted = p.suspicion.RecordAnswer(now, cookie)
+	}
 	if p.view == nil {
 		return
 	}
@@ -100,10 +153,17 @@
 			s.freed = true
 		}
 	}
-	if was {
-		if t.limits != nil {
-			t.limits.window.Restart(now)
+	if was && t.limits != nil {
+		t.limits.window.Restart(now)
+	}
+	if was || doubted {
+		c := StateChange{Target: m, State: Recovered}
+		if doubted {
+			c.State = Doubted
+		}
+		if !p.targetsConfirmedAt.IsZero() {
+			c.Duration = now.Sub(p.targetsConfirmedAt)
 		}
-		p.queueStateChange(StateChange{Target: m, State: Recovered})
+		p.queueStateChange(c)
 	}
 }
--- a/suspicion/suspicion.go
+++ b/suspicion/suspicion.go
@@ -16,28 +16,49 @@
 	// DataCentreThreshold is the number of consecutive unanswered openings in a data
 	// centre from which the whole data centre is suspected.
 	DataCentreThreshold = 2
+	// minDowntime is less than the time that a target takes to start anew: between two answers
+	// that are not further apart it has not.
+	minDowntime = 150 * time.Millisecond
+	// doubtTime is for how long a target may be down after another host got no answer from it.
+	// Later, the store has removed the entry of one that crashed.
+	doubtTime = 10 * time.Second
 )
 
-// evidence is that against a target or a data centre: the openings that have not been
-// answered since the last one that was.
+// evidence is that against a target or a data centre.
 type evidence struct {
-	unanswered    int
-	lastAnswer    time.Time
-	probeAt       time.Time
-	probeInterval time.Duration
+	// unanswered are the openings that have not been answered since the last one that was, and
+	// firm those of them whose callers waited for an answer; see Unanswered.
+	unanswered, firm int
+	lastAnswer       time.Time
+	// recoveredAt is when the last time ended in which there was firm evidence.
+	recoveredAt time.Time
+	// gapFrom is when the answer before the last pause arrived that was long enough for a
+	// restart, and gapTo when the next one did.
+	gapFrom, gapTo time.Time
+	// doubtedAt is when another host last sent an opening that was not answered, and
+	// toldAt when this host was told.
+	doubtedAt, toldAt time.Time
+	probeAt           time.Time
+	probeInterval     time.Duration
 }
 
-func (e *evidence) recordUnanswered(now, opened time.Time) {
-	if opened.Before(e.lastAnswer) {
+func (e *evidence) recordUnanswered(now time.Time, u Unanswered) {
+	if u.Opened.Before(e.lastAnswer) {
 		return // a later opening was answered
 	}
 	e.unanswered++
+	if u.Firm {
+		e.firm++
+	}
 	e.probeInterval = min(max(2*e.probeInterval, MinProbeInterval), MaxProbeInterval)
 	e.probeAt = now.Add(e.probeInterval)
 }
 
 func (e *evidence) recordAnswer(now time.Time) {
-	e.unanswered, e.probeInterval, e.lastAnswer = 0, 0, now
+	if now.Sub(e.lastAnswer) >= minDowntime {
+		e.gapFrom, e.gapTo = e.lastAnswer, now
+	}
+	e.unanswered, e.firm, e.probeInterval, e.lastAnswer = 0, 0, 0, now
 }
 
 func (e *evidence) recordProbe(now time.Time) {
@@ -96,29 +117,89 @@
 	get(&d.targets, target).recordProbe(now)
 }
 
+// Unanswered is an opening that was not answered.
+type Unanswered struct {
+	// Opened is when it was sent to the target.
+	Opened time.Time
+	// Firm is true if its caller was waiting for an answer. The caller of an opening that was
+	// tried at another target before may have been reset by that one, and then ignores answers.
+	Firm bool
+}
+
 // RecordUnanswered records an opening that was not answered, and reports whether the target is
 // suspected from now on.
-func (d *Detector[K]) RecordUnanswered(now time.Time, target K, dc cornelbay.DataCentreName, opened time.Time) (began bool) {
+func (d *Detector[K]) RecordUnanswered(now time.Time, target K, dc cornelbay.DataCentreName, u Unanswered) (began bool) {
 	was := d.Unanswered(target)
-	get(&d.targets, target).recordUnanswered(now, opened)
-	get(&d.dataCentres, dc).recordUnanswered(now, opened)
+	e := get(&d.targets, target)
+	ofDataCentre := u
+	ofDataCentre.Firm = u.Firm && e.firm == 0 // one target is no firm evidence against the others
+	e.recordUnanswered(now, u)
+	get(&d.dataCentres, dc).recordUnanswered(now, ofDataCentre)
 	return !was && d.Unanswered(target)
 }
 
-// RecordAnswer records that a target answers, and reports whether it was suspected.
-func (d *Detector[K]) RecordAnswer(now time.Time, target K) (was bool) {
+// RecordAnswer records that a target answers, and reports whether it was suspected. doubted reports
+// whether it may have started anew although no firm evidence shows it here; see RecordDoubt.
+func (d *Detector[K]) RecordAnswer(now time.Time, target K) (was, doubted bool) {
 	was = d.Unanswered(target)
-	get(&d.targets, target).recordAnswer(now)
-	return was
+	e := get(&d.targets, target)
+	firm := e.firm > 0
+	e.recordAnswer(now)
+	doubted = !firm && e.gapTo.Equal(now) && e.mayHaveRestarted()
+	if firm || doubted {
+		e.recoveredAt = now
+	}
+	return was, doubted
+}
+
+// mayHaveRestarted reports whether the target may have started anew in the last pause between two
+// of its answers: another host got none.
+func (e *evidence) mayHaveRestarted() bool {
+	return !e.doubtedAt.IsZero() && !e.gapFrom.After(e.doubtedAt) && e.gapTo.After(e.doubtedAt) && e.gapTo.Sub(e.doubtedAt) < doubtTime
+}
+
+// RecordDoubt records that another host sent an opening at the given time that was not answered.
+// The target is not suspected for it: its path to that host may be cut. But if it was silent here
+// at that time as well, it may have started anew when it answers again.
+func (d *Detector[K]) RecordDoubt(now time.Time, target K, opened time.Time) {
+	e := get(&d.targets, target)
+	e.doubtedAt, e.toldAt = opened, now
+	if e.mayHaveRestarted() && e.recoveredAt.Before(e.gapTo) {
+		e.recoveredAt = e.gapTo
+	}
+}
+
+// ToldLately reports whether another host has just told this one of an unanswered opening.
+func (d *Detector[K]) ToldLately(now time.Time, target K) bool {
+	e, ok := d.targets[target]
+	return ok && !e.toldAt.IsZero() && now.Sub(e.toldAt) < MinProbeInterval
 }
 
 // RecordAnswerFrom records that a target of a data centre answers, and reports whether the whole
 // data centre was suspected.
 func (d *Detector[K]) RecordAnswerFrom(now time.Time, dc cornelbay.DataCentreName) (was bool) {
 	was = d.dataCentreSuspected(dc)
-	get(&d.dataCentres, dc).recordAnswer(now)
+	e := get(&d.dataCentres, dc)
+	firm := e.firm >= DataCentreThreshold
+	e.recordAnswer(now)
+	if firm {
+		e.recoveredAt = now
+	}
 	return was
 }
 
+// RecoveredAt returns when a target, or its whole data centre, was last found to answer again after
+// it had been suspected on firm evidence. It is zero if neither was.
+func (d *Detector[K]) RecoveredAt(target K, dc cornelbay.DataCentreName) time.Time {
+	var at time.Time
+	if e, ok := d.dataCentres[dc]; ok {
+		at = e.recoveredAt
+	}
+	if e, ok := d.targets[target]; ok && e.recoveredAt.After(at) {
+		at = e.recoveredAt
+	}
+	return at
+}
+
 // Forget drops the evidence against a target.
 func (d *Detector[K]) Forget(target K) { delete(d.targets, target) }
--- a/suspicion/suspicion_test.go
+++ b/suspicion/suspicion_test.go
@@ -11,9 +11,10 @@
 func ExampleDetector() {
 	var d Detector[int]
 	now := time.Unix(1_700_000_000, 0)
-	fmt.Println(d.RecordUnanswered(now, 1, "a", now), d.Suspected(1, "a"), d.Suspected(2, "a"))
-	fmt.Println(d.RecordUnanswered(now, 2, "a", now), d.Suspected(3, "a"), d.ProbeDue(now, 3, "a"))
-	fmt.Println(d.RecordAnswer(now, 1), d.RecordAnswerFrom(now, "a"), d.Suspected(3, "a"))
+	fmt.Println(d.RecordUnanswered(now, 1, "a", Unanswered{Opened: now, Firm: true}), d.Suspected(1, "a"), d.Suspected(2, "a"))
+	fmt.Println(d.RecordUnanswered(now, 2, "a", Unanswered{Opened: now, Firm: true}), d.Suspected(3, "a"), d.ProbeDue(now, 3, "a"))
+	was, _ := d.RecordAnswer(now, 1)
+	fmt.Println(was, d.RecordAnswerFrom(now, "a"), d.Suspected(3, "a"))
 	// Output:
 	// true true false
 	// true true false
@@ -27,8 +28,33 @@
 	var d Detector[int]
 	now := time.Unix(1_700_000_000, 0)
 	d.RecordAnswer(now, 1)
-	is.True(!d.RecordUnanswered(now, 1, "a", now.Add(-time.Millisecond)))
+	is.True(!d.RecordUnanswered(now, 1, "a", Unanswered{Opened: now.Add(-time.Millisecond)}))
 	is.True(!d.Suspected(1, "a"))
 	d.Forget(1)
-	is.True(d.RecordUnanswered(now, 1, "a", now.Add(-time.Millisecond)))
+	is.True(d.RecordUnanswered(now, 1, "a", Unanswered{Opened: now.Add(-time.Millisecond)}))
+}
+
+// TestOneTargetIsNoFirmEvidenceAgainstOthers guards against a data centre whose targets all count as
+// restarted as several callers got no answer from one of them.
+func TestOneTargetIsNoFirmEvidenceAgainstOthers(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_700_000_000, 0)
+	for _, c := range []struct {
+		silent []int
+		firm   bool // against target 3, which was not tried
+	}{
+		{[]int{1, 1, 1}, false},
+		{[]int{1, 2}, true},
+	} {
+		var d Detector[int]
+		for _, target := range c.silent {
+			d.RecordUnanswered(now, target, "a", Unanswered{Opened: now, Firm: true})
+		}
+		is.True(d.Suspected(3, "a"))
+		later := now.Add(time.Second)
+		d.RecordAnswer(later, 1)
+		is.True(d.RecordAnswerFrom(later, "a"))
+		is.Equal(d.RecoveredAt(1, "a"), later)
+		is.Equal(!d.RecoveredAt(3, "a").IsZero(), c.firm)
+	}
 }
