Refuse values of targets and hosts that are out of range

Reported by operators of systems like ours: another writer left one odd entry among those of the endpoints.

Cause, by test: an entry with port 0, with 2^40 slots or with number 0 ("i-0", which addresses any target) was taken for a target. Flows go by slots, so that one entry took them all. A warm-up time of 1e300 ms became a negative or an endless time, depending on the processor. A name without its prefix or in upper case means the number of another entry, and of two targets with the same cookie the one that started first keeps its flows: an entry that doesn't say when it started took them away from a good one.

A target that doesn't say when it started counts as the last.

Targets of some tests had no address and now have one.

--- a/registry/restore_test.go
+++ b/registry/restore_test.go
@@ -78,7 +78,9 @@
 // TestTargetsAfterRestore checks which targets get new flows, and which the packets of
 // their open flows, once the store is back from an older copy.
 func TestTargetsAfterRestore(t *testing.T) {
-	ready := func(started int64) *Target { return &Target{Name: "a", Number: 1, Service: "s", StartedMs: started} }
+	ready := func(started int64) *Target {
+		return &Target{Name: "a", Number: 1, Service: "s", DataCentre: "imlil", Address: testAddress, StartedMs: started}
+	}
 	draining := func(started int64) *Target {
 		m := ready(started)
 		m.Draining = true
@@ -354,7 +356,7 @@
 	is := is.New(t)
 	var tables Tables
 	h := func(name string, at Revision) Record[Host] {
-		return Record[Host]{Name: name, Revision: at, Value: Host{Name: cornelbay.HostName(name)}}
+		return Record[Host]{Name: name, Revision: at, Value: Host{Name: cornelbay.HostName(name), DataCentre: "imlil", Address: testAddress}}
 	}
 	tables.Hosts.Replace(start, 20, []Record[Host]{h("a", 3), h("b", 15)})
 	tables.Hosts.Replace(start, in(10), []Record[Host]{h("a", in(3))})
--- a/registry/view.go
+++ b/registry/view.go
@@ -237,7 +237,7 @@
 func (t *Tables) viewHosts() []Host {
 	var hosts []Host
 	for _, r := range t.Hosts.All() {
-		if !r.Deleted || r.Lost {
+		if (!r.Deleted || r.Lost) && r.Value.Check() == nil {
 			hosts = append(hosts, r.Value)
 		}
 	}
@@ -264,6 +264,9 @@
 		}
 	}
 	for _, r := range t.Targets.All() {
+		if r.Value.Check() != nil {
+			continue // from a host of an earlier version, which checks less
+		}
 		m := t.endpoint(&r)
 		m.Evacuated, m.EvacuatedUntil = evacuated[m.DataCentre], lostEvacuations[m.DataCentre]
 		m.ColdPerSecond = coldRates[m.Service]
@@ -290,11 +293,12 @@
 }
 
 // add indexes a target by service and by cookie. Of two targets with the same cookie,
-// the one that started first keeps it, and the other gets no flows.
+// the one that started first keeps it, and the other gets no flows. One that doesn't say when it
+// started counts as the last.
 func (v *View) add(m *Endpoint) {
 	if other, ok := v.Cookies[m.Cookie]; ok {
 		first, second := other, m
-		if second.StartedMs < first.StartedMs || second.StartedMs == first.StartedMs && second.Number < first.Number {
+		if second.startsBefore(first) {
 			first, second = second, first
 		}
 		second.Shadowed = true
@@ -305,6 +309,16 @@
 	v.Services[m.Service] = append(v.Services[m.Service], m)
 }
 
+func (m *Endpoint) startsBefore(o *Endpoint) bool {
+	switch {
+	case m.StartedMs == o.StartedMs:
+		return m.Number < o.Number
+	case m.StartedMs == 0 || o.StartedMs == 0:
+		return o.StartedMs == 0
+	}
+	return m.StartedMs < o.StartedMs
+}
+
 // Service returns the service for a flow on the route. The choice depends on the
 // flow's source only, so that all hosts agree on it.
 func (r *Route) Service(source netip.AddrPort) (cornelbay.ServiceName, bool) {
--- a/registry/view_test.go
+++ b/registry/view_test.go
@@ -10,9 +10,12 @@
 	"github.com/cornelbay/cornelbay"
 )
 
+var testAddress = netip.MustParseAddrPort("10.0.0.2:80")
+
 func target(name string, number uint64) Record[Target] {
 	return Record[Target]{Name: name, Revision: 1, Value: Target{
 		Name: cornelbay.TargetName(name), Number: number, Service: "s", DataCentre: "imlil", Slots: 2,
+		Address: testAddress,
 	}}
 }
 
@@ -173,3 +176,56 @@
 	is.True(!from.ReplaceRouting(start, 13, 13, routes(3, "a"))) // older
 	is.True(!from.ReplaceRouting(start, 15, 14, routes(2, "a", "b", "c")))
 }
+
+// TestValuesOutOfRangeAreNotUsed guards against targets and hosts of another writer that a host of an
+// earlier version has accepted and sent to this one.
+func TestValuesOutOfRangeAreNotUsed(t *testing.T) {
+	for _, c := range []struct {
+		title string
+		edit  func(*Target, *Host)
+	}{
+		{"number 0", func(t *Target, _ *Host) { t.Number = 0 }},
+		{"negative slots", func(t *Target, _ *Host) { t.Slots = -1 }},
+		{"enormous slots", func(t *Target, _ *Host) { t.Slots = 1 << 40 }},
+		{"negative warm-up", func(t *Target, _ *Host) { t.ColdFor = -1 }},
+		{"endless warm-up", func(t *Target, _ *Host) { t.ColdFor = 1 << 62 }},
+		{"negative start", func(t *Target, _ *Host) { t.StartedMs = -1 }},
+		{"no service", func(t *Target, _ *Host) { t.Service = "" }},
+		{"port 0", func(t *Target, h *Host) {
+			t.Address = netip.AddrPortFrom(testAddress.Addr(), 0)
+			h.Address = t.Address
+		}},
+		{"no address", func(t *Target, h *Host) { t.Address, h.Address = netip.AddrPort{}, netip.AddrPort{} }},
+		{"no data centre", func(t *Target, h *Host) { t.DataCentre, h.DataCentre = "", "" }},
+	} {
+		t.Run(c.title, func(t *testing.T) {
+			is := is.New(t)
+			odd, good := target("odd", 7), target("good", 8)
+			h := Host{Name: "h1", DataCentre: "imlil", Address: testAddress}
+			oddHost := h
+			c.edit(&odd.Value, &oddHost)
+			var tables Tables
+			tables.Targets.Replace(start, 1, []Record[Target]{odd, good})
+			tables.Hosts.Replace(start, 1, []Record[Host]{{Name: "h0", Revision: 1, Value: oddHost}, {Name: "h1", Revision: 1, Value: h}})
+			v := tables.View()
+			for service, targets := range v.Services {
+				is.Equal(string(service), "s")
+				is.Equal(len(targets), 1)
+				is.Equal(string(targets[0].Name), "good")
+			}
+			is.Equal(len(v.Cookies), 1)
+			is.Equal(len(v.Hosts) == 1, oddHost != h)
+		})
+	}
+}
+
+// TestTargetWithoutAStartKeepsNoCookie guards against an entry of another writer that takes the
+// flows of a target away from it: of two with the same cookie the one that started first has it.
+func TestTargetWithoutAStartKeepsNoCookie(t *testing.T) {
+	is := is.New(t)
+	odd, good := target("i-01", 1), target("i-1", 1)
+	good.Value.StartedMs = 1_700_000_000_000
+	var tables Tables
+	tables.Targets.Replace(start, 1, []Record[Target]{odd, good})
+	is.Equal(string(tables.View().Cookies[1].Name), "i-1")
+}
