--- a/fakeplatform/store.go
+++ b/fakeplatform/store.go
@@ -3,7 +3,9 @@
 package fakeplatform
 
 import (
+	"bytes"
 	"encoding/json"
+	"fmt"
 	"maps"
 	"net"
 	"net/http"
@@ -70,6 +72,10 @@
 	events         map[string][]event
 	changed        chan struct{}
 	calls          map[string]int
+	// raw are specs that are no JSON, by the token that stands for each in the object. rawMu
+	// guards it.
+	rawMu sync.Mutex
+	raw   map[string][]byte
 	// PageSize is the number of objects in one page of a list; 0 means 50.
 	PageSize int
 }
@@ -108,6 +114,20 @@
 	return s.put(kind, name, b).Meta.Revision
 }
 
+// PutRaw writes an object whose spec is any bytes, as the store's answers carry it.
+func (s *Store) PutRaw(kind, name string, spec []byte) uint64 {
+	s.rawMu.Lock()
+	if s.raw == nil {
+		s.raw = make(map[string][]byte)
+	}
+	token := fmt.Sprintf(`"raw spec %d of %s"`, len(s.raw), kind)
+	s.raw[token] = spec
+	s.rawMu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.put(kind, name, json.RawMessage(token)).Meta.Revision
+}
+
 // DropHistory discards all events, so that every watch from an earlier revision fails
 // with 410 Gone, including those that are waiting.
 func (s *Store) DropHistory() {
@@ -277,7 +297,7 @@
 	for _, name := range names[:min(size, len(names))] {
 		items = append(items, s.kinds[kind][name])
 	}
-	writeJSON(w, http.StatusOK, map[string]any{"items": items, "has_more": len(names) > size, "store_revision": s.revision})
+	s.writeJSON(w, http.StatusOK, map[string]any{"items": items, "has_more": len(names) > size, "store_revision": s.revision})
 }
 
 func (s *Store) watch(w http.ResponseWriter, r *http.Request, kind string) {
@@ -303,7 +323,7 @@
 		changed, dropEvents := s.changed, s.faults.DropEvents
 		s.mu.Unlock()
 		if len(events) > 0 && !dropEvents {
-			writeJSON(w, http.StatusOK, map[string]any{"events": events, "store_revision": revision})
+			s.writeJSON(w, http.StatusOK, map[string]any{"events": events, "store_revision": revision})
 			return
 		}
 		select {
@@ -311,7 +331,7 @@
 		case <-r.Context().Done():
 			return
 		case <-timeout:
-			writeJSON(w, http.StatusOK, map[string]any{"events": []event{}, "store_revision": revision})
+			s.writeJSON(w, http.StatusOK, map[string]any{"events": []event{}, "store_revision": revision})
 			return
 		}
 	}
@@ -341,7 +361,7 @@
 		<-r.Context().Done()
 		return
 	}
-	writeJSON(w, status, stored)
+	s.writeJSON(w, status, stored)
 }
 
 func (s *Store) applyWrite(method, kind, name string, o object) (int, object) {
@@ -360,8 +380,17 @@
 	return http.StatusOK, s.put(kind, name, o.Spec)
 }
 
-func writeJSON(w http.ResponseWriter, status int, body any) {
+func (s *Store) writeJSON(w http.ResponseWriter, status int, body any) {
+	b, err := json.Marshal(body)
+	if err != nil {
+		panic(err) // bodies are values of this package
+	}
+	s.rawMu.Lock()
+	for token, spec := range s.raw {
+		b = bytes.ReplaceAll(b, []byte(token), spec)
+	}
+	s.rawMu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(body) // the client may have disconnected
+	_, _ = w.Write(b) // the client may have disconnected
 }
