Be ready only after the other hosts have told of ambiguous flows

Cause: a host was ready as soon as its tables were complete, and told the others that it starts after that. They answer with the ambiguous flows some milliseconds later.

Change: the host tells them when its tables are complete, and is ready 50 ms later.

--- a/balancer/ambiguous_test.go
+++ b/balancer/ambiguous_test.go
@@ -194,3 +194,26 @@
 	is.True(n > 1) // more than once, as datagrams may be lost
 	<-stopped
 }
+
+// TestStartingHostKnowsAmbiguousFlowsOnceReady guards against a flow that is reset at the restart of
+// its host: the first packet arrives before the other hosts have told it which target has the flow.
+func TestStartingHostKnowsAmbiguousFlowsOnceReady(t *testing.T) {
+	w := newTestEnv(t, 74)
+	is := is.New(t)
+	tg, late := w.target(1, "s1", "a"), w.target(2, "s1", "a")
+	b := w.host(1, "a")
+	cookie, wrong := registry.Cookie(tg.Number), registry.Cookie(late.Number)
+	flow := cornelbay.FlowKey{
+		Source: netip.MustParseAddrPort("127.74.9.9:1"), Destination: service1, Protocol: cornelbay.TCP.Number(),
+	}
+	b.trafficMu.Lock()
+	b.placer.MergeAmbiguousFlow(time.Now(), placement.AmbiguousFlow{Key: flow, Tried: []uint32{wrong, cookie}, Chosen: cookie})
+	b.trafficMu.Unlock()
+	started := w.startHost(2, "a")
+	for !started.ready.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	started.trafficMu.Lock()
+	defer started.trafficMu.Unlock()
+	is.Equal(started.placer.RoutePacket(time.Now(), flow, placement.Segment{Cookie: wrong}), cookie)
+}
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -113,6 +113,8 @@
 	pushed gossip.Revisions
 	// packed is the last packed reply to a pull.
 	packed packedReply
+	// joinedAt is when this host told the others that it starts, with complete tables.
+	joinedAt time.Time
 	// bootstrapped is true once a seed has answered or this host no longer waits for one.
 	bootstrapped bool
 	// referrals spreads the pulls of hosts that ask this one for sources, and sources are
--- a/balancer/bootstrap.go
+++ b/balancer/bootstrap.go
@@ -18,6 +18,10 @@
 	// seedPatience is how long a starting host that has the store's copies waits for a seed
 	// before it gets ready.
 	seedPatience = 35 * time.Millisecond
+	// joinTime is the time between a starting host's first message to the others and its
+	// readiness: they answer with the ambiguous flows. It is some round trips within a data
+	// centre.
+	joinTime = 50 * time.Millisecond
 )
 
 // bootstrap fills the tables of a starting host. It lists the store's copies, which may be
@@ -91,13 +95,24 @@
 	b.checkReady(time.Now())
 }
 
-// checkReady marks the host as ready once it has what it needs. The caller holds stateMu.
+// checkReady marks the host as ready once it has what it needs, and the other hosts have had time to
+// tell it which targets have the ambiguous flows. The caller holds stateMu.
 func (b *Balancer) checkReady(now time.Time) {
-	if b.bootstrapped && b.tables.Synced() && !b.stopping.Load() && !b.ready.Swap(true) {
-		log.WithFields(log.Fields{
-			"version": b.tables.ConfigVersion(), "afterMs": now.Sub(b.started).Milliseconds(),
-		}).Info("ready")
+	if !b.bootstrapped || !b.tables.Synced() || b.stopping.Load() || b.ready.Load() {
+		return
+	}
+	if b.joinedAt.IsZero() {
+		b.joinedAt = now
+		b.sendJoining(now)
+		time.AfterFunc(joinTime, b.finishBootstrap)
+	}
+	if now.Sub(b.joinedAt) < joinTime {
+		return
 	}
+	b.ready.Store(true)
+	log.WithFields(log.Fields{
+		"version": b.tables.ConfigVersion(), "afterMs": now.Sub(b.started).Milliseconds(),
+	}).Info("ready")
 }
 
 // listCopy fills a table that is still empty from the store's copy.
--- a/balancer/report.go
+++ b/balancer/report.go
@@ -177,8 +177,13 @@
 func (b *Balancer) announce() {
 	b.stateMu.Lock()
 	defer b.stateMu.Unlock()
+	b.sendJoining(time.Now())
+}
+
+// sendJoining is announce for a caller that holds stateMu.
+func (b *Balancer) sendJoining(now time.Time) {
 	hb := gossip.Heartbeat{Host: b.self, Joining: true}
-	b.sendToPeers(b.sealHeartbeat(time.Now(), hb), addresses(b.members.KnownInDataCentre()))
+	b.sendToPeers(b.sealHeartbeat(now, hb), addresses(b.members.KnownInDataCentre()))
 }
 
 func loadsToWire(loads map[uint32]float64) map[uint32]uint32 {
