Limit the messages on silent targets

Cause: a host told the others of each silent target at once.

Change: like the messages on ambiguous flows they are limited to 1,000 datagrams a second for each host; up to 64 targets wait for the next one and share it.

With six hosts a message may wait for 5 ms.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -156,6 +156,11 @@
 	// without taking stateMu.
 	routesConfirmedAt, targetsConfirmedAt atomic.Int64
 
+	// silences are the silent targets that wait to be announced, not before silencesDue. Only
+	// retryLoop uses them.
+	silences    []placement.Silence
+	silencesDue time.Time
+
 	metrics metrics
 	ctx     context.Context
 	cancel  context.CancelFunc
--- a/balancer/retry.go
+++ b/balancer/retry.go
@@ -46,7 +46,7 @@
 		b.applyAdmissions(admissions) // first: resets must not be late
 		b.logReleases(releases)
 		b.queueAmbiguous(ambiguous, netip.AddrPort{})
-		b.announceSilences(silences)
+		b.announceSilences(now, silences)
 		for _, change := range changes {
 			logTargetState(change)
 		}
--- a/balancer/silent.go
+++ b/balancer/silent.go
@@ -9,21 +9,34 @@
 	"github.com/cornelbay/cornelbay/placement"
 )
 
+// maxSilences limits the silent targets that wait to be announced, so that they fit into a datagram.
+const maxSilences = 64
+
 // announceSilences tells the hosts that send flows to the same targets which of these have not
-// answered. It does so at once: the targets may be back within a fraction of a second.
-func (b *Balancer) announceSilences(silences []placement.Silence) {
-	if len(silences) == 0 {
+// answered. It does so at once if it can, as the targets may be back within a fraction of a second.
+// Many targets of a large fleet may be silent at once: like the messages on ambiguous flows, these
+// are limited to 1,000 datagrams a second, and wait for the next call. Only retryLoop calls it.
+func (b *Balancer) announceSilences(now time.Time, silences []placement.Silence) {
+	for _, s := range silences {
+		if len(b.silences) == maxSilences {
+			b.metrics.count("silenceNotTold")
+			continue
+		}
+		b.silences = append(b.silences, s)
+	}
+	if len(b.silences) == 0 || now.Before(b.silencesDue) {
 		return
 	}
-	now := time.Now()
 	var m gossip.SilentTargets
-	for _, s := range silences {
+	for _, s := range b.silences {
 		m.Targets = append(m.Targets, gossip.SilentTarget{Cookie: s.Cookie, MsAgo: uint32(now.Sub(s.Since).Milliseconds())})
 	}
+	b.silences = nil
 	b.stateMu.Lock()
 	to := b.sharers()
 	datagram, err := b.codec.Seal(m)
 	b.stateMu.Unlock()
+	b.silencesDue = now.Add(time.Duration(len(to)) * ambiguousSendInterval)
 	if err != nil {
 		log.WithError(err).Error("silent targets not sealed")
 		return
