--- a/balancer/ambiguous_test.go
+++ b/balancer/ambiguous_test.go
@@ -217,3 +217,24 @@
 	defer started.trafficMu.Unlock()
 	is.Equal(started.placer.RoutePacket(time.Now(), flow, placement.Segment{Cookie: wrong}), cookie)
 }
+
+// TestHostIsNotReadyWhileOthersAnswerIt is TestStartingHostKnowsAmbiguousFlowsOnceReady without a race:
+// a host has to leave the others time for their answers.
+func TestHostIsNotReadyWhileOthersAnswerIt(t *testing.T) {
+	w := newTestEnv(t, 76)
+	w.target(1, "s1", "a")
+	b := w.host(1, "a")
+	w.is.NoErr(b.close())
+	b.stateMu.Lock()
+	defer b.stateMu.Unlock()
+	b.ready.Store(false)
+	b.joinedAt = time.Time{}
+	now := time.Now().Add(time.Hour) // later than the host's own timer
+	for _, c := range []struct {
+		after time.Duration
+		ready bool
+	}{{0, false}, {49 * time.Millisecond, false}, {50 * time.Millisecond, true}} {
+		b.checkReady(now.Add(c.after))
+		w.is.Equal(b.ready.Load(), c.ready)
+	}
+}
