Decide in the test of a caller that stood still when its answer arrives

The caller itself does what it should.

Change: the test holds the request until the first Ask has given up, forwards it, and waits until the target has sent its answer. The copy that the second Ask sends is never forwarded, so that only the answer that has arrived can be read, which the test before did not ensure.

--- a/fakeplatform/endpoints_test.go
+++ b/fakeplatform/endpoints_test.go
@@ -70,17 +70,25 @@
 	tg, err := fakeplatform.ListenTarget(netip.MustParseAddrPort("127.139.2.1:19000"), "i-1001", 1)
 	is.NoErr(err)
 	defer func() { _ = tg.Close() }()
-	host := relay(t, tg.Address())
+	ran := make(chan struct{}, 1)
+	tg.Configure(fakeplatform.TargetConfig{OnRun: func(netip.AddrPort, uint32) { ran <- struct{}{} }})
 	c, err := fakeplatform.ListenCaller(netip.MustParseAddrPort("127.139.3.1:18172"))
 	is.NoErr(err)
 	defer func() { _ = c.Close() }()
-	f, err := c.Open(t.Context(), host, netip.MustParseAddrPort("198.18.0.1:8001"))
+	f, err := c.Open(t.Context(), relay(t, tg.Address()), netip.MustParseAddrPort("198.18.0.1:8001"))
+	is.NoErr(err)
+
+	held, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.139.1.2:18172")))
 	is.NoErr(err)
-	const still = 100 * time.Millisecond
-	_, err = f.Ask(t.Context(), host, 0)
-	is.True(err == nil || errors.Is(err, fakeplatform.ErrNoReply))
-	time.Sleep(still)
-	name, err := f.Ask(t.Context(), host, 0)
+	defer func() { _ = held.Close() }()
+	holder := held.LocalAddr().(*net.UDPAddr).AddrPort()
+	_, err = f.Ask(t.Context(), holder, 0)
+	is.True(errors.Is(err, fakeplatform.ErrNoReply)) // the target hasn't got the request
+	is.NoErr(forward(held, tg.Address()))
+	<-ran
+	tg.Openings() // returns after the answer is sent, as both hold the target's lock
+	time.Sleep(100 * time.Millisecond)
+	name, err := f.Ask(t.Context(), holder, 0) // this copy never reaches the target
 	is.NoErr(err)
 	is.Equal(name, tg.Name)
 }
@@ -94,14 +102,19 @@
 	}
 	t.Cleanup(func() { _ = c.Close() })
 	go func() {
-		b := make([]byte, platform.TargetNumberBytes+platform.MaxPacketBytes) // number 0: any target
-		for {
-			n, _, err := c.ReadFromUDPAddrPort(b[platform.TargetNumberBytes:])
-			if err != nil {
-				return // closed
-			}
-			_, _ = c.WriteToUDPAddrPort(b[:platform.TargetNumberBytes+n], target) // a lost packet is sent again
+		for forward(c, target) == nil {
 		}
 	}()
-	return netip.MustParseAddrPort("127.139.1.1:18172")
+	return c.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+// forward waits for one packet and forwards it to a target.
+func forward(c *net.UDPConn, target netip.AddrPort) error {
+	b := make([]byte, platform.TargetNumberBytes+platform.MaxPacketBytes) // number 0: any target
+	n, _, err := c.ReadFromUDPAddrPort(b[platform.TargetNumberBytes:])
+	if err != nil {
+		return err // closed
+	}
+	_, err = c.WriteToUDPAddrPort(b[:platform.TargetNumberBytes+n], target)
+	return err
 }
