Doubt targets that the store has never confirmed to this host

Cause: the placer took the time of a confirmation that never came, zero, for tables that are up to date, so that a target which answered again was used at once.

Change: zero means never confirmed. Only a placer that is never told of confirmations takes its view for up to date. The line of a target that answers again leaves out targetsAgeMs where there is no such age.

Measured: TestTargetsThatWereNeverConfirmedMayBeCold fails before, with the first opening.

--- a/balancer/retry.go
+++ b/balancer/retry.go
@@ -77,7 +77,10 @@
 	line := log.WithFields(log.Fields{"target": change.Target.Name, "dataCentre": change.Target.DataCentre})
 	switch change.State {
 	case placement.Recovered, placement.Doubted:
-		line.WithField("targetsAgeMs", change.Duration.Milliseconds()).Info("target " + string(change.State))
+		if change.Duration > 0 {
+			line = line.WithField("targetsAgeMs", change.Duration.Milliseconds())
+		}
+		line.Info("target " + string(change.State))
 	case placement.RampBegun, placement.RampEnded, placement.SpeedChanged:
 		line.WithField("timeFactor", math.Round(100*change.TimeFactor)/100).Info("target " + string(change.State))
 	case placement.Failing, placement.Slow:
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -117,8 +117,8 @@
 	warm         []*registry.Endpoint
 	warmTargets  []share.Target[uint32]
 	stall        stall.Detector
-	// targetsConfirmedAt is when the store last confirmed the targets of the view.
-	targetsConfirmedAt time.Time
+	// targetsConfirmedAt is that of the last call of SetTargetsConfirmed, or nil.
+	targetsConfirmedAt *time.Time
 	// roundTrip is the smoothed time from an opening to the caller's next packet, of flows
 	// that were tried at one target only; 0 until there was one.
 	roundTrip time.Duration
--- a/placement/suspicion.go
+++ b/placement/suspicion.go
@@ -15,7 +15,7 @@
 	State  State
 	// Outcome is the evidence for an ejection. Duration is how long the ejected target
 	// gets no flows, how long this host was stalled, or how long ago the store confirmed the
-	// targets when one that may be cold answered.
+	// targets when one that may be cold answered, and 0 if it never has.
 	Outcome  outlier.Outcome
 	Duration time.Duration
 	// TimeFactor is the time of a request at the target relative to the usual time, for
@@ -82,13 +82,13 @@
 const announceTime = 500 * time.Millisecond
 
 // SetTargetsConfirmed records when the store last confirmed the targets of the view, as of which
-// they are those that it lists. Without a call the view is taken for up to date.
-func (p *Placer) SetTargetsConfirmed(at time.Time) { p.targetsConfirmedAt = at }
+// they are those that it lists; zero means never. Without a call the view is taken for up to date.
+func (p *Placer) SetTargetsConfirmed(at time.Time) { p.targetsConfirmedAt = &at }
 
 // unconfirmed reports whether a target that answers again may have started anew, and be cold,
 // without this host knowing: the store has not confirmed the targets since.
 func (p *Placer) unconfirmed(m *registry.Endpoint) bool {
-	if p.targetsConfirmedAt.IsZero() {
+	if p.targetsConfirmedAt == nil {
 		return false
 	}
 	at := p.suspicion.RecoveredAt(m.Cookie, m.DataCentre)
@@ -161,8 +161,8 @@
 		if doubted {
 			c.State = Doubted
 		}
-		if !p.targetsConfirmedAt.IsZero() {
-			c.Duration = now.Sub(p.targetsConfirmedAt)
+		if at := p.targetsConfirmedAt; at != nil && !at.IsZero() {
+			c.Duration = now.Sub(*at)
 		}
 		p.queueStateChange(c)
 	}
--- a/placement/suspicion_test.go
+++ b/placement/suspicion_test.go
@@ -126,3 +126,18 @@
 	is.Equal(len(changes), 1)
 	is.Equal(changes[0].State, Doubted)
 }
+
+// TestTargetsThatWereNeverConfirmedMayBeCold guards against a cold target that is flooded by a host
+// which has started while the store can't be reached, with the tables of before.
+func TestTargetsThatWereNeverConfirmedMayBeCold(t *testing.T) {
+	is := is.New(t)
+	p := placer(view(warmTarget(1, "near"), warmTarget(2, "near")))
+	p.SetTargetsConfirmed(time.Time{})
+	p.targetState(1, start)
+	p.suspect(start, p.view.Cookies[1], suspicion.Unanswered{Opened: start, Firm: true})
+	now := start.Add(suspicion.MinProbeInterval)
+	p.clearSuspicion(now, 1)
+	for port := range 100 {
+		is.Equal(open(t, p, now, port), uint32(2))
+	}
+}
