Tell the other hosts that a silent target answers again

Cause: each host finds out for itself that a target is back, by an opening: those that suspect it by probes, those that sent it nothing meanwhile by their usual flows.

Change: the first host that has an answer tells the others at once when the target was silent and since when it answers. They don't suspect it any longer for openings of before, and use it only if there is no other until the store confirms it, without an opening of their own, unless it has answered them meanwhile. The message is sent from the packet path's wake-up, not with the next tick, and has a rate limit of its own, so that it doesn't wait for the messages on silent targets. A gauge shows the number of targets that are kept from flows.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -135,6 +135,8 @@
 	ambiguous chan queuedAmbiguousFlow
 	// opened triggers a check for openings that are not answered in time.
 	opened chan struct{}
+	// recoveries queues the silent targets that have answered again.
+	recoveries chan []placement.Silence
 	// readWanted wakes, by kind, the goroutine that keeps a table up to date.
 	readWanted map[string]chan struct{}
 	// synced is closed once the tables are complete.
@@ -156,10 +158,9 @@
 	// without taking stateMu.
 	routesConfirmedAt, targetsConfirmedAt atomic.Int64
 
-	// silences are the silent targets that wait to be announced, not before silencesDue. Only
-	// retryLoop uses them.
-	silences    []placement.Silence
-	silencesDue time.Time
+	// silent and recovered are the targets to announce that don't answer, and that do so again.
+	// Only retryLoop uses them.
+	silent, recovered silences
 
 	metrics metrics
 	ctx     context.Context
@@ -180,6 +181,7 @@
 		changed:      make(chan struct{}, 1),
 		pullRequests: make(chan pullRequest, 16),
 		opened:       make(chan struct{}, 1),
+		recoveries:   make(chan []placement.Silence, maxSilences),
 		readWanted:   make(map[string]chan struct{}),
 		newest:       make(map[string]registry.Revision),
 		ambiguous:    make(chan queuedAmbiguousFlow, maxQueuedAmbiguous),
--- a/balancer/metrics.go
+++ b/balancer/metrics.go
@@ -201,6 +201,7 @@
 var (
 	openingsDesc        = prometheus.NewDesc("cornelbay_openings_total", "Openings of flows by what became of them.", []string{"outcome"}, nil)
 	targetOpeningsDesc  = prometheus.NewDesc("cornelbay_target_openings_total", "Openings at each target by what became of them.", []string{"target", "outcome"}, nil)
+	unconfirmedDesc     = prometheus.NewDesc("cornelbay_unconfirmed_targets", "Targets that answer again and are not used, as they may be cold, until the store confirms them.", nil, nil)
 	waitingDesc         = prometheus.NewDesc("cornelbay_waiting", "Openings that wait for a slot.", []string{"service"}, nil)
 	heldDesc            = prometheus.NewDesc("cornelbay_held", "Requests on open flows that wait for more urgent ones.", []string{"service"}, nil)
 	requestsDesc        = prometheus.NewDesc("cornelbay_requests", "Requests of a service at work, by the priority of their routes.", []string{"service", "priority"}, nil)
@@ -219,7 +220,7 @@
 // Describe implements prometheus.Collector.
 func (c placementCollector) Describe(ch chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
-		openingsDesc, targetOpeningsDesc, waitingDesc, heldDesc, requestsDesc, heldTotalDesc,
+		openingsDesc, targetOpeningsDesc, unconfirmedDesc, waitingDesc, heldDesc, requestsDesc, heldTotalDesc,
 		flowLimitDesc, rampingDesc, timeFactorDesc, shortagesDesc, ejectionsDesc, droppedLogLinesDesc,
 	} {
 		ch <- d
@@ -230,7 +231,7 @@
 func (c placementCollector) Collect(ch chan<- prometheus.Metric) {
 	c.b.trafficMu.Lock()
 	n, targets := c.b.placer.Counters(), c.b.placer.TargetCounters()
-	services := c.b.placer.ServiceStats(time.Now())
+	services, unconfirmed := c.b.placer.ServiceStats(time.Now()), c.b.placer.Unconfirmed()
 	c.b.trafficMu.Unlock()
 	counter := func(d *prometheus.Desc, n uint64, labels ...string) {
 		ch <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, float64(n), labels...)
@@ -255,6 +256,7 @@
 	gauge := func(d *prometheus.Desc, x float64, labels ...string) {
 		ch <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, x, labels...)
 	}
+	gauge(unconfirmedDesc, float64(unconfirmed))
 	for name, s := range services {
 		gauge(waitingDesc, float64(s.Waiting), string(name))
 		gauge(heldDesc, float64(s.Held), string(name))
--- a/balancer/packets.go
+++ b/balancer/packets.go
@@ -79,8 +79,16 @@
 	b.trafficMu.Lock()
 	v := b.decide(now, arrived, &p, packet)
 	ambiguous, admissions, releases := b.placer.AmbiguousFlows(), b.placer.Admissions(), b.placer.Releases()
+	recovered := b.placer.Silences()
 	b.trafficMu.Unlock()
 	b.queueAmbiguous(ambiguous, netip.AddrPort{})
+	if len(recovered) > 0 {
+		select {
+		case b.recoveries <- recovered:
+		default:
+			b.metrics.count("silenceNotTold")
+		}
+	}
 	b.metrics.count(v.reason)
 	b.sendReleases(releases) // first: they may be of the same flow
 	b.logReleases(releases)
--- a/balancer/retry.go
+++ b/balancer/retry.go
@@ -33,6 +33,9 @@
 				t.Reset(time.Until(due))
 			}
 			continue
+		case recovered := <-b.recoveries:
+			b.announceSilences(time.Now(), recovered)
+			continue
 		}
 		now := time.Now()
 		b.trafficMu.Lock()
--- a/gossip/messages.go
+++ b/gossip/messages.go
@@ -256,10 +256,21 @@
 	MsAgo uint32 `cbor:"2,keyasint,omitempty"`
 }
 
+// RecoveredTarget is a target that was silent and has answered again.
+type RecoveredTarget struct {
+	Cookie uint32 `cbor:"1,keyasint"`
+	// SilentMsAgo is the time since the opening was sent that was not answered, AnsweredMsAgo that
+	// since the answer.
+	SilentMsAgo   uint32 `cbor:"2,keyasint,omitempty"`
+	AnsweredMsAgo uint32 `cbor:"3,keyasint,omitempty"`
+}
+
 // SilentTargets tells other hosts that targets have not answered the sender: they may have crashed,
-// and be cold when they answer again. Hosts of earlier versions drop the message.
+// and be cold when they answer again, as the recovered ones have done. Hosts of earlier versions drop
+// the message.
 type SilentTargets struct {
-	Targets []SilentTarget `cbor:"1,keyasint"`
+	Targets   []SilentTarget    `cbor:"1,keyasint"`
+	Recovered []RecoveredTarget `cbor:"2,keyasint,omitempty"`
 }
 
 // Kind returns KindSilent.
--- a/placement/suspicion.go
+++ b/placement/suspicion.go
@@ -73,8 +73,12 @@
 }
 
 // probeDue reports whether an opening may be sent to a suspected target to find out
-// whether it answers again.
+// whether it answers again. If that is known and its data centre is suspected, it gets none until
+// the store confirms that it is warm.
 func (p *Placer) probeDue(now time.Time, m *registry.Endpoint) bool {
+	if p.unconfirmed(m) && !p.suspicion.Unanswered(m.Cookie) {
+		return false
+	}
 	return p.suspicion.ProbeDue(now, m.Cookie, m.DataCentre)
 }
 
@@ -95,6 +99,19 @@
 	return !at.IsZero() && p.targetsConfirmedAt.Before(at.Add(announceTime))
 }
 
+// Unconfirmed returns the number of targets that answer again and may be cold.
+func (p *Placer) Unconfirmed() int {
+	n := 0
+	if p.view != nil {
+		for _, m := range p.view.Cookies {
+			if !p.suspected(m) && p.unconfirmed(m) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // startProbe records that an opening is sent to a suspected target.
 func (p *Placer) startProbe(now time.Time, m *registry.Endpoint) {
 	p.suspicion.RecordProbe(now, m.Cookie, m.DataCentre)
@@ -104,8 +121,14 @@
 	if p.suspicion.RecordUnanswered(now, m.Cookie, m.DataCentre, u) {
 		p.queueStateChange(StateChange{Target: m, State: Silent})
 	}
-	if u.Firm && len(p.silences) < maxSilences && !p.suspicion.ToldLately(now, m.Cookie) {
-		p.silences = append(p.silences, Silence{Cookie: m.Cookie, Since: u.Opened})
+	if u.Firm && !p.suspicion.ToldLately(now, m.Cookie) {
+		p.queueSilence(Silence{Cookie: m.Cookie, Since: u.Opened})
+	}
+}
+
+func (p *Placer) queueSilence(s Silence) {
+	if len(p.silences) < maxSilences {
+		p.silences = append(p.silences, s)
 	}
 }
 
@@ -115,6 +138,8 @@
 	Cookie uint32
 	// Since is when the opening was sent.
 	Since time.Time
+	// Until is when the target answered again, and zero before.
+	Until time.Time
 }
 
 // maxSilences limits the silences that wait to be announced.
@@ -129,17 +154,28 @@
 
 // MergeSilence applies an announcement of another host.
 func (p *Placer) MergeSilence(now time.Time, s Silence) {
-	if !p.unknown(s.Cookie) {
+	if p.unknown(s.Cookie) {
+		return
+	}
+	if s.Until.IsZero() {
 		p.suspicion.RecordDoubt(now, s.Cookie, s.Since)
+		return
+	}
+	was := p.suspicion.Unanswered(s.Cookie)
+	if p.suspicion.RecordRecovery(s.Cookie, s.Since, s.Until) {
+		if t, ok := p.targets[s.Cookie]; ok && was && t.limits != nil {
+			t.limits.window.Restart(now)
+		}
+		p.queueRecovered(now, p.view.Cookies[s.Cookie], Doubted)
 	}
 }
 
 // clearSuspicion records that the target with the given cookie is alive and reachable.
 func (p *Placer) clearSuspicion(now time.Time, cookie uint32) {
 	t, known := p.targets[cookie]
-	var was, doubted bool
+	var r suspicion.Recovery
 	if known {
-		was, doubted = p.suspicion.RecordAnswer(now, cookie)
+		r = p.suspicion.RecordAnswer(now, cookie)
 	}
 	if p.view == nil {
 		return
@@ -148,22 +184,29 @@
 	if !ok {
 		return
 	}
-	if dcWas := p.suspicion.RecordAnswerFrom(now, m.DataCentre); was || dcWas {
+	if !r.SilentSince.IsZero() {
+		p.queueSilence(Silence{Cookie: cookie, Since: r.SilentSince, Until: now})
+	}
+	if dcWas := p.suspicion.RecordAnswerFrom(now, m.DataCentre); r.Suspected || dcWas {
 		for _, s := range p.short {
 			s.freed = true
 		}
 	}
-	if was && t.limits != nil {
+	if r.Suspected && t.limits != nil {
 		t.limits.window.Restart(now)
 	}
-	if was || doubted {
-		c := StateChange{Target: m, State: Recovered}
-		if doubted {
-			c.State = Doubted
-		}
-		if at := p.targetsConfirmedAt; at != nil && !at.IsZero() {
-			c.Duration = now.Sub(*at)
-		}
-		p.queueStateChange(c)
+	if r.Doubted {
+		p.queueRecovered(now, m, Doubted)
+	} else if r.Suspected {
+		p.queueRecovered(now, m, Recovered)
+	}
+}
+
+// queueRecovered queues the change of a target that answers this host or another one again.
+func (p *Placer) queueRecovered(now time.Time, m *registry.Endpoint, state State) {
+	c := StateChange{Target: m, State: state}
+	if at := p.targetsConfirmedAt; at != nil && !at.IsZero() {
+		c.Duration = now.Sub(*at)
 	}
+	p.queueStateChange(c)
 }
--- a/placement/suspicion_test.go
+++ b/placement/suspicion_test.go
@@ -140,4 +140,5 @@
 	for port := range 100 {
 		is.Equal(open(t, p, now, port), uint32(2))
 	}
+	is.Equal(p.Unconfirmed(), 1)
 }
--- a/suspicion/suspicion.go
+++ b/suspicion/suspicion.go
@@ -29,8 +29,11 @@
 	// unanswered are the openings that have not been answered since the last one that was, and
 	// firm those of them whose callers waited for an answer; see Unanswered.
 	unanswered, firm int
-	lastAnswer       time.Time
-	// recoveredAt is when the last time ended in which there was firm evidence.
+	// unansweredAt is when the last of them was sent, and firmAt when the last firm one was.
+	unansweredAt, firmAt time.Time
+	lastAnswer           time.Time
+	// recoveredAt is when the last time ended in which there was firm evidence, here or at
+	// another host.
 	recoveredAt time.Time
 	// gapFrom is when the answer before the last pause arrived that was long enough for a
 	// restart, and gapTo when the next one did.
@@ -43,12 +46,14 @@
 }
 
 func (e *evidence) recordUnanswered(now time.Time, u Unanswered) {
-	if u.Opened.Before(e.lastAnswer) {
+	if u.Opened.Before(e.lastAnswer) || u.Opened.Before(e.recoveredAt) {
 		return // a later opening was answered
 	}
 	e.unanswered++
+	e.unansweredAt = u.Opened
 	if u.Firm {
 		e.firm++
+		e.firmAt = u.Opened
 	}
 	e.probeInterval = min(max(2*e.probeInterval, MinProbeInterval), MaxProbeInterval)
 	e.probeAt = now.Add(e.probeInterval)
@@ -138,18 +143,36 @@
 	return !was && d.Unanswered(target)
 }
 
-// RecordAnswer records that a target answers, and reports whether it was suspected. doubted reports
-// whether it may have started anew although no firm evidence shows it here; see RecordDoubt.
-func (d *Detector[K]) RecordAnswer(now time.Time, target K) (was, doubted bool) {
-	was = d.Unanswered(target)
+// Recovery is what an answer of a target shows.
+type Recovery struct {
+	// Suspected is true if the target was suspected.
+	Suspected bool
+	// Doubted is true if the target may have started anew although no firm evidence shows it
+	// at this host; see RecordDoubt.
+	Doubted bool
+	// SilentSince is when the opening was sent, by this host or another, that was not answered
+	// before the target may have started anew. It is zero if it has not.
+	SilentSince time.Time
+}
+
+// RecordAnswer records that a target answers.
+func (d *Detector[K]) RecordAnswer(now time.Time, target K) Recovery {
+	r := Recovery{Suspected: d.Unanswered(target)}
 	e := get(&d.targets, target)
 	firm := e.firm > 0
 	e.recordAnswer(now)
-	doubted = !firm && e.gapTo.Equal(now) && e.mayHaveRestarted()
-	if firm || doubted {
-		e.recoveredAt = now
+	// Another host may have found out before that it is back.
+	r.Doubted = !firm && e.gapTo.Equal(now) && e.mayHaveRestarted() && e.recoveredAt.Before(e.doubtedAt)
+	switch {
+	case firm:
+		r.SilentSince = e.firmAt
+	case r.Doubted:
+		r.SilentSince = e.doubtedAt
+	default:
+		return r
 	}
-	return was, doubted
+	e.recoveredAt = now
+	return r
 }
 
 // mayHaveRestarted reports whether the target may have started anew in the last pause between two
@@ -169,6 +192,22 @@
 	}
 }
 
+// RecordRecovery records that a target answered another host at the time until, but not an opening
+// of the time since, and reports whether it may have started anew. It has not if it answered this
+// host meanwhile, or if it did so too short a time ago. The target is not suspected any longer
+// for openings of before that, so that not every host has to send it one to find out.
+func (d *Detector[K]) RecordRecovery(target K, since, until time.Time) bool {
+	e := get(&d.targets, target)
+	if e.lastAnswer.After(since) || until.Sub(e.lastAnswer) < minDowntime || e.recoveredAt.After(since) {
+		return false
+	}
+	e.recoveredAt = until
+	if e.unansweredAt.Before(until) {
+		e.unanswered, e.firm = 0, 0
+	}
+	return true
+}
+
 // ToldLately reports whether another host has just told this one of an unanswered opening.
 func (d *Detector[K]) ToldLately(now time.Time, target K) bool {
 	e, ok := d.targets[target]
--- a/suspicion/suspicion_test.go
+++ b/suspicion/suspicion_test.go
@@ -13,7 +13,7 @@
 	now := time.Unix(1_700_000_000, 0)
 	fmt.Println(d.RecordUnanswered(now, 1, "a", Unanswered{Opened: now, Firm: true}), d.Suspected(1, "a"), d.Suspected(2, "a"))
 	fmt.Println(d.RecordUnanswered(now, 2, "a", Unanswered{Opened: now, Firm: true}), d.Suspected(3, "a"), d.ProbeDue(now, 3, "a"))
-	was, _ := d.RecordAnswer(now, 1)
+	was := d.RecordAnswer(now, 1).Suspected
 	fmt.Println(was, d.RecordAnswerFrom(now, "a"), d.Suspected(3, "a"))
 	// Output:
 	// true true false
@@ -58,3 +58,38 @@
 		is.Equal(!d.RecoveredAt(3, "a").IsZero(), c.firm)
 	}
 }
+
+// TestRecoveryAtAnotherHost guards against hosts that take a target for restarted which has answered
+// them all the while, and against those that go on with it although it may have started anew.
+func TestRecoveryAtAnotherHost(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_700_000_000, 0)
+	const since, until = 1000, 1400 // in ms, as the other host says
+	for _, c := range []struct {
+		answers, unanswered  []int // in ms
+		restarted, suspected bool
+	}{
+		{nil, nil, true, false},
+		{[]int{900}, nil, true, false},
+		{[]int{900}, []int{1100, 1200}, true, false},
+		{[]int{900}, []int{1100, 1500}, true, true},
+		{[]int{900, 1000, 1100, 1200, 1300}, nil, false, false},
+		{[]int{1399}, nil, false, false}, // shows the same
+		{[]int{900, 1350}, nil, false, false},
+	} {
+		var d Detector[int]
+		at := func(ms int) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
+		for _, ms := range c.answers {
+			d.RecordAnswer(at(ms), 1)
+		}
+		for _, ms := range c.unanswered {
+			d.RecordUnanswered(at(ms), 1, "a", Unanswered{Opened: at(ms)})
+		}
+		is.Equal(d.RecordRecovery(1, at(since), at(until)), c.restarted)
+		is.Equal(!d.RecoveredAt(1, "a").IsZero(), c.restarted)
+		is.Equal(d.Unanswered(1), c.suspected)
+		is.True(!c.restarted || !d.RecordRecovery(1, at(since), at(until+1))) // of a third host
+		d.RecordUnanswered(at(1600), 1, "a", Unanswered{Opened: at(until - 1)})
+		is.Equal(d.Unanswered(1), c.suspected || !c.restarted)
+	}
+}
