Let packets wait in the socket of a host that starts

Seen by callers: a host is killed and back before the routers notice, and the first packets that they send it are dropped, or follow the cookie of a late answer to a target that resets the flow.

Cause: a host read packets from its first moment on, with no tables, or with tables and without what the others know of flows.

Change: it reads the packets once it is ready, or 150 ms after its start, which is less than the time after which callers retransmit them. Until then the kernel keeps them, with the stamp of their arrival, by which openings that have waited for too long are still dropped.

Measured: TestPacketWaitsUntilTheHostKnowsAmbiguousFlows sends one packet, with the cookie of a late answer, to a host that has just started.

--- a/balancer/ambiguous_test.go
+++ b/balancer/ambiguous_test.go
@@ -218,6 +218,28 @@
 	is.Equal(started.placer.RoutePacket(time.Now(), flow, placement.Segment{Cookie: wrong}), cookie)
 }
 
+// TestPacketWaitsUntilTheHostKnowsAmbiguousFlows guards against a flow that is reset when its host has
+// been killed and is back before the routers notice: they send it packets although it isn't ready.
+func TestPacketWaitsUntilTheHostKnowsAmbiguousFlows(t *testing.T) {
+	w := newTestEnv(t, 78)
+	is := is.New(t)
+	late, tg := w.target(1, "s1", "a"), w.target(2, "s1", "b")
+	const lateBy = 150 * time.Millisecond
+	late.Delay.Store(int64(lateBy))
+	w.host(1, "a")
+	f, err := w.caller().Open(t.Context(), w.at(1), service1)
+	is.NoErr(err)
+	is.NoErr(f.Acknowledge(w.at(1)))
+	_, err = f.Ask(t.Context(), w.at(9), 2*lateBy) // no host
+	is.True(errors.Is(err, fakeplatform.ErrNoReply))
+	is.Equal(late.Openings(), 1) // its packets carry the cookie of the late answer now
+	w.startHost(2, "a")
+	name, err := f.Ask(t.Context(), w.at(2), answerTime) // sent once
+	is.NoErr(err)
+	is.Equal(name, tg.Name)
+	is.Equal(late.Stray(), 0)
+}
+
 // TestHostIsNotReadyWhileOthersAnswerIt is TestStartingHostKnowsAmbiguousFlowsOnceReady without a race:
 // a host has to leave the others time for their answers.
 func TestHostIsNotReadyWhileOthersAnswerIt(t *testing.T) {
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -147,6 +147,9 @@
 	// rotation is why the host is ready, or is not although it can open flows.
 	rotation atomic.Pointer[readiness.Reason]
 	stopping atomic.Bool
+	// settled is closed once the host is ready, or after settleTime.
+	settled     chan struct{}
+	settledOnce sync.Once
 	// refusedAt is when the store last failed a call of syncTable, in nanoseconds since
 	// started, or 0 if the last call succeeded.
 	refusedAt atomic.Int64
@@ -186,6 +189,7 @@
 		newest:       make(map[string]registry.Revision),
 		ambiguous:    make(chan queuedAmbiguousFlow, maxQueuedAmbiguous),
 		synced:       make(chan struct{}),
+		settled:      make(chan struct{}),
 		sourcesNamed: make(chan struct{}, 1),
 		started:      time.Now(),
 	}
@@ -215,6 +219,7 @@
 }
 
 func (b *Balancer) run() {
+	time.AfterFunc(settleTime, b.settle)
 	b.goRun(b.forward)
 	b.goRun(b.retryLoop)
 	b.goRun(b.receiveGossip)
--- a/balancer/bootstrap.go
+++ b/balancer/bootstrap.go
@@ -22,6 +22,9 @@
 	// readiness: they answer with the ambiguous flows. It is some round trips within a data
 	// centre.
 	joinTime = 50 * time.Millisecond
+	// settleTime is for how long packets wait in the socket of a starting host that is not ready.
+	// It is less than the time after which callers retransmit a packet.
+	settleTime = 150 * time.Millisecond
 )
 
 // bootstrap fills the tables of a starting host. It lists the store's copies, which may be
@@ -110,11 +113,15 @@
 		return
 	}
 	b.ready.Store(true)
+	b.settle()
 	log.WithFields(log.Fields{
 		"version": b.tables.ConfigVersion(), "afterMs": now.Sub(b.started).Milliseconds(),
 	}).Info("ready")
 }
 
+// settle lets the host forward packets.
+func (b *Balancer) settle() { b.settledOnce.Do(func() { close(b.settled) }) }
+
 // listCopy fills a table that is still empty from the store's copy.
 func (b *Balancer) listCopy(k objectKind) {
 	if !b.neverFilled(k) {
--- a/balancer/packets.go
+++ b/balancer/packets.go
@@ -43,8 +43,14 @@
 	reasonLength        = "length"
 )
 
-// forward reads packets until the socket is closed.
+// forward reads packets until the socket is closed. Routers that have not noticed the restart of a
+// host send it packets before it knows which targets have the ambiguous flows; these wait in the
+// socket.
 func (b *Balancer) forward() {
+	select {
+	case <-b.ctx.Done():
+	case <-b.settled:
+	}
 	// One more byte than allowed, so that overlong packets are detected.
 	buf := make([]byte, platform.TargetNumberBytes+platform.MaxPacketBytes+1)
 	packet := buf[platform.TargetNumberBytes:]
