Doubt a target for no longer than it can be cold

Seen by callers: a data centre is cut off for a moment while the store can't be reached. For as long as the store is away, its targets get no flows, and those of the others wait at full ones.

Cause: only a confirmation of the store ended the doubt whether a target that answers again may have started anew, and be cold.

Change: it ends 15 s after the target has answered.

Measured: TestTargetIsNotDoubtedForLongerThanItIsCold fails before.

--- a/balancer/metrics.go
+++ b/balancer/metrics.go
@@ -231,7 +231,7 @@
 func (c placementCollector) Collect(ch chan<- prometheus.Metric) {
 	c.b.trafficMu.Lock()
 	n, targets := c.b.placer.Counters(), c.b.placer.TargetCounters()
-	services, unconfirmed := c.b.placer.ServiceStats(time.Now()), c.b.placer.Unconfirmed()
+	services, unconfirmed := c.b.placer.ServiceStats(time.Now()), c.b.placer.Unconfirmed(time.Now())
 	c.b.trafficMu.Unlock()
 	counter := func(d *prometheus.Desc, n uint64, labels ...string) {
 		ch <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, float64(n), labels...)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -369,7 +369,7 @@
 			cold.Keep(c)
 		case p.ejected(now, m):
 			lastResort.Keep(c)
-		case !p.suspected(m) && p.unconfirmed(m):
+		case !p.suspected(m) && p.unconfirmed(now, m):
 			unconfirmed.Keep(c)
 		case !p.suspected(m):
 			samples.Add(c, m.DataCentre == p.DataCentre)
--- a/placement/service.go
+++ b/placement/service.go
@@ -532,7 +532,7 @@
 // is one.
 func (p *Placer) hasFreeSlot(now time.Time, s *serviceState) bool {
 	for _, m := range p.view.Services[s.name] {
-		if !m.Usable(now) || now.Before(m.ColdUntil) || p.suspected(m) || p.ejected(now, m) || p.unconfirmed(m) {
+		if !m.Usable(now) || now.Before(m.ColdUntil) || p.suspected(m) || p.ejected(now, m) || p.unconfirmed(now, m) {
 			continue
 		}
 		if p.load(now, m.Cookie)+1 <= float64(slotsOf(m)) {
@@ -582,7 +582,7 @@
 // avoided reports whether a target gets no flows because it is ejected, or may be cold. While
 // requests wait for a slot, targets that are only slow are used.
 func (p *Placer) avoided(now time.Time, s *serviceState, m *registry.Endpoint) bool {
-	if p.unconfirmed(m) && !p.suspected(m) { // a suspected one may be due for a probe
+	if p.unconfirmed(now, m) && !p.suspected(m) { // a suspected one may be due for a probe
 		return true
 	}
 	return p.ejected(now, m) && !(s.shortage.active && p.outliers.IsSlow(m.Cookie))
--- a/placement/suspicion.go
+++ b/placement/suspicion.go
@@ -76,14 +76,19 @@
 // whether it answers again. If that is known and its data centre is suspected, it gets none until
 // the store confirms that it is warm.
 func (p *Placer) probeDue(now time.Time, m *registry.Endpoint) bool {
-	if p.unconfirmed(m) && !p.suspicion.Unanswered(m.Cookie) {
+	if p.unconfirmed(now, m) && !p.suspicion.Unanswered(m.Cookie) {
 		return false
 	}
 	return p.suspicion.ProbeDue(now, m.Cookie, m.DataCentre)
 }
 
-// announceTime is the time after which the store has what a target announces as it starts.
-const announceTime = 500 * time.Millisecond
+const (
+	// announceTime is the time after which the store has what a target announces as it starts.
+	announceTime = 500 * time.Millisecond
+	// maxColdTime is longer than a target stays cold: one that has answered for that long is warm,
+	// even if the store can't be reached.
+	maxColdTime = 15 * time.Second
+)
 
 // SetTargetsConfirmed records when the store last confirmed the targets of the view, as of which
 // they are those that it lists; zero means never. Without a call the view is taken for up to date.
@@ -91,20 +96,20 @@
 
 // unconfirmed reports whether a target that answers again may have started anew, and be cold,
 // without this host knowing: the store has not confirmed the targets since.
-func (p *Placer) unconfirmed(m *registry.Endpoint) bool {
+func (p *Placer) unconfirmed(now time.Time, m *registry.Endpoint) bool {
 	if p.targetsConfirmedAt == nil {
 		return false
 	}
 	at := p.suspicion.RecoveredAt(m.Cookie, m.DataCentre)
-	return !at.IsZero() && p.targetsConfirmedAt.Before(at.Add(announceTime))
+	return !at.IsZero() && now.Sub(at) < maxColdTime && p.targetsConfirmedAt.Before(at.Add(announceTime))
 }
 
 // Unconfirmed returns the number of targets that answer again and may be cold.
-func (p *Placer) Unconfirmed() int {
+func (p *Placer) Unconfirmed(now time.Time) int {
 	n := 0
 	if p.view != nil {
 		for _, m := range p.view.Cookies {
-			if !p.suspected(m) && p.unconfirmed(m) {
+			if !p.suspected(m) && p.unconfirmed(now, m) {
 				n++
 			}
 		}
--- a/placement/suspicion_test.go
+++ b/placement/suspicion_test.go
@@ -93,7 +93,7 @@
 	is.Equal(silences[0], Silence{Cookie: 1, Since: start})
 	for cookie := uint32(1); cookie <= 3; cookie++ {
 		p.clearSuspicion(now, cookie)
-		is.Equal(p.unconfirmed(p.view.Cookies[cookie]), cookie == 1)
+		is.Equal(p.unconfirmed(now, p.view.Cookies[cookie]), cookie == 1)
 	}
 }
 
@@ -140,5 +140,21 @@
 	for port := range 100 {
 		is.Equal(open(t, p, now, port), uint32(2))
 	}
-	is.Equal(p.Unconfirmed(), 1)
+	is.Equal(p.Unconfirmed(now), 1)
+}
+
+// TestTargetIsNotDoubtedForLongerThanItIsCold guards against targets that are left idle, while others
+// are full, for as long as the store can't be reached: a data centre was cut off for a moment.
+func TestTargetIsNotDoubtedForLongerThanItIsCold(t *testing.T) {
+	is := is.New(t)
+	p := placer(view(warmTarget(1, "near"), warmTarget(2, "far")))
+	p.SetTargetsConfirmed(start)
+	p.targetState(1, start)
+	p.suspect(start, p.view.Cookies[1], suspicion.Unanswered{Opened: start, Firm: true})
+	now := start.Add(suspicion.MinProbeInterval)
+	p.clearSuspicion(now, 1)
+	is.Equal(open(t, p, now, 1), uint32(2))
+	p.MergeSilence(now, Silence{Cookie: 1, Since: start, Until: now}) // another host has found out later
+	now = now.Add(maxColdTime)
+	is.Equal(open(t, p, now, 2), uint32(1))
 }
