Sample among targets that may be cold

Seen by callers: one host of a large fleet is cut off and back, it tells the others that the targets were silent for it, and all hosts send their flows to the one target that the last reports show as the least loaded, until the store confirms the targets.

Cause: targets that may be cold are used if there is no other, and then the least loaded of all, not the better one of two as otherwise in a large fleet.

Change: they are sampled as the others are.

Measured: TestTargetsThatMayBeColdShareTheLoad fails before.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -356,8 +356,9 @@
 	if p.view == nil {
 		return nil, ErrNoTarget
 	}
-	var best, lastResort, due, cold, unconfirmed candidate
+	var best, lastResort, due, cold candidate
 	samples := choice.Sampler[*registry.Endpoint]{All: len(p.view.Hosts) <= leastLoadedLimit}
+	unconfirmed := samples
 	p.choices++
 	for _, m := range p.view.Services[service] {
 		if !m.Usable(now) || slices.Contains(tried, m.Cookie) {
@@ -370,7 +371,7 @@
 		case p.ejected(now, m):
 			lastResort.Keep(c)
 		case !p.suspected(m) && p.unconfirmed(now, m):
-			unconfirmed.Keep(c)
+			unconfirmed.Add(c, m.DataCentre == p.DataCentre)
 		case !p.suspected(m):
 			samples.Add(c, m.DataCentre == p.DataCentre)
 		case p.probeDue(now, m):
@@ -391,11 +392,13 @@
 		p.counters.Cold++
 		return cold.Target, nil
 	}
+	if best.Target != nil {
+		return best.Target, nil
+	}
+	best = unconfirmed.Best()
 	switch {
 	case best.Target != nil:
 		return best.Target, nil
-	case unconfirmed.Target != nil:
-		return unconfirmed.Target, nil
 	case lastResort.Target != nil:
 		if p.suspected(lastResort.Target) {
 			p.reach.RecordUnreached(now)
--- a/placement/suspicion_test.go
+++ b/placement/suspicion_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/cornelbay/cornelbay/loads"
 	"github.com/cornelbay/cornelbay/registry"
 	"github.com/cornelbay/cornelbay/suspicion"
 )
@@ -158,3 +159,33 @@
 	now = now.Add(maxColdTime)
 	is.Equal(open(t, p, now, 2), uint32(1))
 }
+
+// TestTargetsThatMayBeColdShareTheLoad guards against the hosts of a large fleet that all choose the
+// target with the least reported load while all targets may have started anew.
+func TestTargetsThatMayBeColdShareTheLoad(t *testing.T) {
+	is := is.New(t)
+	const targets, hosts = 10, 200
+	reported := make(map[uint32]float64)
+	var all []*registry.Endpoint
+	for n := range uint32(targets) {
+		all = append(all, warmTarget(n+1, "near"))
+		reported[n+1] = 0.1 * float64(n)
+	}
+	v := view(all...)
+	v.Hosts = make([]registry.Host, hosts)
+	got := make(map[uint32]int)
+	now := start.Add(suspicion.MinProbeInterval)
+	for n := range hosts {
+		p := placer(v)
+		p.choices = uint64(n)
+		p.SetTargetsConfirmed(start)
+		p.MergeReport("other", loads.Report{At: now, Loads: reported})
+		for _, m := range all {
+			p.MergeSilence(now, Silence{Cookie: m.Cookie, Since: start, Until: now})
+		}
+		got[open(t, p, now, n)]++
+	}
+	for _, n := range got {
+		is.True(n <= hosts/2)
+	}
+}
