Read an overdue table before its bound is over

Suspected cause, from the code: hosts of which none knows of a newer revision read an overdue table one after the other by rank, 150 ms apart. With 20 hosts before it, and a bound of 5 s, a host waits until 6.85 s after the last confirmation. Why no other host told this one of the change is open, and listed.

Change: the head start of the others ends 0.4 s before the bound of the kind.

Measured: TestHostReadsOverdueTableWithinItsBound fails before, in 3 of 3 runs, and holds in 40 of 40.

--- a/balancer/sync.go
+++ b/balancer/sync.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -29,6 +30,9 @@
 	// overdueStep is the head start that a host with an overdue table has over the next one
 	// of its data centre. Its answer confirms the tables of the others, too.
 	overdueStep = 150 * time.Millisecond
+	// readTime is for how long a read of the store takes. A host of a large data centre reads that
+	// much before a bound is over, although it is not its turn yet.
+	readTime = 400 * time.Millisecond
 	// changeDebounce is the pause after a change, so that changes in quick succession
 	// are fetched by one call. Changes of the registered hosts are less urgent.
 	changeDebounce      = 60 * time.Millisecond
@@ -137,6 +141,20 @@
 	return k.table(&b.tables).Revision() == 0
 }
 
+// bound returns the time within which a change of a kind of objects has to be in force.
+func (b *Balancer) bound(name string) time.Duration {
+	s := b.settings.Load()
+	switch name {
+	case platform.RoutingKind:
+		return s.ConfigBound
+	case platform.TargetKind:
+		return s.DrainBound
+	case platform.EvacuationKind:
+		return s.EvacuationBound
+	}
+	return math.MaxInt64 // none applies
+}
+
 // shouldReadStore reports whether the host reads a kind of objects itself: because it
 // is the reader, or because the table is overdue and it is this host's turn.
 func (b *Balancer) shouldReadStore(k objectKind) bool {
@@ -157,7 +175,8 @@
 	// While others are no better off, those before this host read first. A host that others
 	// are ahead of, or that hears none, has to meet the bound by itself.
 	if t.Revision() >= b.newest[k.name] && !b.members.IsAlone(now) {
-		overdue += time.Duration(b.members.Rank()) * overdueStep
+		headStart := time.Duration(b.members.Rank()) * overdueStep
+		overdue += max(0, min(headStart, b.bound(k.name)-readTime-overdue))
 	}
 	return now.Sub(confirmed) > overdue || b.isReader(now)
 }
--- a/balancer/tree_test.go
+++ b/balancer/tree_test.go
@@ -121,22 +121,55 @@
 	w.is.True(w.storeCalls()-calls <= len(objectKinds)+1+readerCalls)
 }
 
-// TestHostThatIsBehindReadsOverdueTableAtOnce guards against a host that waits for its turn
-// to read the store although it can't get what others already know.
-func TestHostThatIsBehindReadsOverdueTableAtOnce(t *testing.T) {
-	w := newTestEnv(t, 129)
-	w.target(1, "s1", "a")
+// atTheEnd returns a host that is the last of a data centre, and hears another one.
+func (w *testEnv) atTheEnd() *Balancer {
 	b := w.host(1, "a")
-	b.stateMu.Lock()
-	defer b.stateMu.Unlock()
 	var others []registry.Host
 	for n := range fleetSize {
 		others = append(others, registry.Host{Name: cornelbay.HostName(fmt.Sprintf("a%02d", n)), DataCentre: "a"})
 	}
+	b.stateMu.Lock()
+	defer b.stateMu.Unlock()
 	b.started = time.Now().Add(-time.Minute)
 	b.members = gossip.Members{Self: b.self}
 	b.members.SetRegistered(time.Now(), others) // all are before h1
 	b.members.Observe(time.Now(), 1, gossip.Heartbeat{Host: others[0], Relay: true, IntervalMs: 250})
+	return b
+}
+
+// TestHostReadsOverdueTableWithinItsBound guards against a host of a large data centre that waits for
+// its turn to read the store until the bound on changes is over, while no other host tells it of them.
+func TestHostReadsOverdueTableWithinItsBound(t *testing.T) {
+	w := newTestEnv(t, 79)
+	w.target(1, "s1", "a")
+	b := w.atTheEnd()
+	b.stateMu.Lock()
+	defer b.stateMu.Unlock()
+	for _, c := range []struct {
+		kind  objectKind
+		bound time.Duration
+	}{
+		{routingKind, b.settings.Load().ConfigBound},
+		{targetKind, b.settings.Load().DrainBound},
+		{evacuationKind, b.settings.Load().EvacuationBound},
+	} {
+		confirmed := time.Now()
+		c.kind.table(&b.tables).Confirm(confirmed)
+		latest := confirmed.Add(c.bound - readTime)
+		b.members.Observe(latest, 1, gossip.Heartbeat{Host: registry.Host{Name: "a00", DataCentre: "a"}, Relay: true, IntervalMs: 250})
+		w.is.True(!b.wantsRead(c.kind, latest.Add(-100*time.Millisecond))) // the others first
+		w.is.True(b.wantsRead(c.kind, latest.Add(time.Millisecond)))
+	}
+}
+
+// TestHostThatIsBehindReadsOverdueTableAtOnce guards against a host that waits for its turn
+// to read the store although it can't get what others already know.
+func TestHostThatIsBehindReadsOverdueTableAtOnce(t *testing.T) {
+	w := newTestEnv(t, 129)
+	w.target(1, "s1", "a")
+	b := w.atTheEnd()
+	b.stateMu.Lock()
+	defer b.stateMu.Unlock()
 	overdue := 2*time.Second + 100*time.Millisecond
 	var confirmed registry.Table[registry.Target]
 	confirmed.Replace(time.Now(), b.tables.Targets.Revision(), nil)
