Count answers that were on their way when a target crashed as earlier

Seen by callers: none saw it; found at reading. A host tells the others of an opening that a target did not answer. One whose last answer of the target was still on its way, by the caller and back, gets it after that, and takes it for a sign of life: it does not doubt the target when it is back.

Cause: answers were set against the time of the opening itself, although a target takes 150 ms or more to start anew.

Change: an answer within 150 ms after the opening says nothing of a restart.

Measured: the new case of TestRecoveryAtAnotherHost fails before.

--- a/placement/cold_fleet_test.go
+++ b/placement/cold_fleet_test.go
@@ -25,6 +25,7 @@
 		down  time.Duration
 	}{
 		{6, 300 * time.Millisecond},
+		{40, 160 * time.Millisecond},
 		{100, 300 * time.Millisecond},
 		{100, 3 * time.Second},
 		{900, 300 * time.Millisecond},
@@ -60,7 +61,8 @@
 const (
 	toTarget  = time.Millisecond
 	toHost    = 2 * time.Millisecond
-	crashable = uint32(1) // its cookie
+	toCaller  = 30 * time.Millisecond // and back to a host
+	crashable = uint32(1)             // its cookie
 )
 
 func newColdFleet(hosts, targets int) *coldFleet {
@@ -138,8 +140,8 @@
 			}
 			f.cold = append(f.cold, f.now)
 		}
-		f.after(toTarget, func() { p.RoutePacket(f.time(), k, Segment{Cookie: cookie, Acknowledged: 1, Bytes: 1}) })
-		f.after(20*time.Millisecond, func() {
+		f.after(toCaller, func() { p.RoutePacket(f.time(), k, Segment{Cookie: cookie, Acknowledged: 1, Bytes: 1}) })
+		f.after(toCaller+20*time.Millisecond, func() {
 			p.RoutePacket(f.time(), k, Segment{Cookie: cookie, Sequence: 1, Acknowledged: 2000})
 			p.RoutePacket(f.time(), k, Segment{Cookie: cookie, Sequence: 1, Acknowledged: 2000, Finishing: true})
 		})
--- a/suspicion/suspicion.go
+++ b/suspicion/suspicion.go
@@ -17,7 +17,8 @@
 	// centre from which the whole data centre is suspected.
 	DataCentreThreshold = 2
 	// minDowntime is less than the time that a target takes to start anew: between two answers
-	// that are not further apart it has not.
+	// that are not further apart it has not. One that arrives within that time after an opening
+	// was sent is no answer of a target that has crashed at that opening and is back.
 	minDowntime = 150 * time.Millisecond
 	// doubtTime is for how long a target may be down after another host got no answer from it.
 	// Later, the store has removed the entry of one that crashed.
@@ -178,7 +179,7 @@
 // mayHaveRestarted reports whether the target may have started anew in the last pause between two
 // of its answers: another host got none.
 func (e *evidence) mayHaveRestarted() bool {
-	return !e.doubtedAt.IsZero() && !e.gapFrom.After(e.doubtedAt) && e.gapTo.After(e.doubtedAt) && e.gapTo.Sub(e.doubtedAt) < doubtTime
+	return !e.doubtedAt.IsZero() && !e.gapFrom.After(e.doubtedAt.Add(minDowntime)) && e.gapTo.After(e.doubtedAt) && e.gapTo.Sub(e.doubtedAt) < doubtTime
 }
 
 // RecordDoubt records that another host sent an opening at the given time that was not answered.
@@ -198,7 +199,7 @@
 // for openings of before that, so that not every host has to send it one to find out.
 func (d *Detector[K]) RecordRecovery(target K, since, until time.Time) bool {
 	e := get(&d.targets, target)
-	if e.lastAnswer.After(since) || until.Sub(e.lastAnswer) < minDowntime || e.recoveredAt.After(since) {
+	if e.lastAnswer.After(since.Add(minDowntime)) || until.Sub(e.lastAnswer) < minDowntime || e.recoveredAt.After(since) {
 		return false
 	}
 	e.recoveredAt = until
--- a/suspicion/suspicion_test.go
+++ b/suspicion/suspicion_test.go
@@ -72,6 +72,7 @@
 		{nil, nil, true, false},
 		{[]int{900}, nil, true, false},
 		{[]int{900}, []int{1100, 1200}, true, false},
+		{[]int{900, 1100}, nil, true, false}, // the answer was on its way at the crash
 		{[]int{900}, []int{1100, 1500}, true, true},
 		{[]int{900, 1000, 1100, 1200, 1300}, nil, false, false},
 		{[]int{1399}, nil, false, false}, // shows the same
