Tell a host at once that its clock was set back

Seen by callers: nothing measured; a flow can be reset while its target lives.

Cause, of a fault found on the way: the others refuse the datagrams of an earlier incarnation as replays, and the host found out only by the answer to a pull. Pulls also raised the incarnation of hosts that were heard.

Change: who refuses a datagram for its incarnation tells the sender, which passes the one that the other listens to, joins again, and repeats its announcements. Builds before ignore the field and don't send it.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -123,6 +123,8 @@
 	sources   []netip.AddrPort
 	// sourcesNamed signals that sources has been set.
 	sourcesNamed chan struct{}
+	// latestDue is the time before which no host is told its latest incarnation.
+	latestDue time.Time
 	// hostsPulledAt is when this host last asked for a pull of nothing but registered hosts.
 	hostsPulledAt time.Time
 	// inMesh is true if the last heartbeat went to all hosts of a small fleet.
--- a/balancer/heartbeat.go
+++ b/balancer/heartbeat.go
@@ -20,7 +20,7 @@
 	buf := make([]byte, peer.MaxDatagramBytes)
 	control := make([]byte, controlBytes)
 	for {
-		n, c, _, _, err := b.peerConn.ReadMsgUDPAddrPort(buf, control)
+		n, c, _, from, err := b.peerConn.ReadMsgUDPAddrPort(buf, control)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -29,21 +29,24 @@
 			continue
 		}
 		now := time.Now()
-		b.handleDatagram(buf[:n], now.Add(-queueingTime(now, control[:c])))
+		b.handleDatagram(buf[:n], from, now.Add(-queueingTime(now, control[:c])))
 	}
 }
 
 // handleDatagram verifies and processes one datagram of another host, which arrived at the given
-// time.
-func (b *Balancer) handleDatagram(datagram []byte, arrived time.Time) {
+// time from an address.
+func (b *Balancer) handleDatagram(datagram []byte, from netip.AddrPort, arrived time.Time) {
 	b.stateMu.Lock()
 	defer b.stateMu.Unlock()
 	e, m, err := b.codec.Open(datagram)
+	now := time.Now()
 	if err != nil {
 		b.metrics.countRejected(err)
+		if errors.Is(err, peer.ErrEarlier) {
+			b.tellLatest(now, e.From, from)
+		}
 		return
 	}
-	now := time.Now()
 	switch m := m.(type) {
 	case gossip.Push:
 		if b.merge(now, &m.PullReply) {
@@ -73,6 +76,10 @@
 // replies if the sender has older tables, and requests a pull if it has newer ones.
 // The caller holds stateMu.
 func (b *Balancer) handleHeartbeat(now time.Time, incarnation cornelbay.Incarnation, hb gossip.Heartbeat) {
+	if hb.Latest > 0 {
+		b.passIncarnation(now, hb.Latest, hb.Host.Address)
+		return
+	}
 	if hb.AsksSources {
 		b.answerSources(now, hb.Host)
 		return
--- a/balancer/pull.go
+++ b/balancer/pull.go
@@ -163,9 +163,10 @@
 	}
 	changed := false
 	b.updateTables(func(now time.Time, _ *registry.Tables) bool {
-		if r.Incarnation >= b.codec.Incarnation {
-			b.codec.Incarnation = r.Incarnation + 1
+		if r.Incarnation == b.codec.Incarnation && b.joinedAt.IsZero() {
+			b.codec.Incarnation++ // the process before may have had the same one
 		}
+		b.passIncarnation(now, r.Incarnation, h.Address)
 		changed = b.merge(now, &r)
 		return changed
 	})
--- a/gossip/messages.go
+++ b/gossip/messages.go
@@ -155,6 +155,9 @@
 	// Census is that of the host and of those below it, and in a heartbeat of a relay or a
 	// lead that of its data centre. It is nil in heartbeats that tell no loads.
 	Census *Census `cbor:"15,keyasint,omitempty"`
+	// Latest is the incarnation of the receiver below which the sender refuses its datagrams, in
+	// the reply to one that it has refused, and otherwise 0.
+	Latest cornelbay.Incarnation `cbor:"16,keyasint,omitempty"`
 }
 
 // Census counts hosts of one data centre and tells what is known of the others; see package
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -27,8 +27,9 @@
 	ErrMalformed = merry.New("datagram is malformed")
 	ErrTooLarge  = merry.New("message exceeds the size limit")
 	// ErrReplay means that a datagram was received before, is too old for the replay
-	// window, or is from an earlier incarnation of its sender.
-	ErrReplay = merry.New("datagram is a replay")
+	// window, or is from an earlier incarnation of its sender, which ErrEarlier tells apart.
+	ErrReplay  = merry.New("datagram is a replay")
+	ErrEarlier = merry.Wrap(ErrReplay, merry.WithMessage("datagram is from an earlier incarnation"))
 )
 
 // Envelope is the authenticated content of a datagram.
@@ -77,7 +78,8 @@
 	return append(b, mac(c.Keys[0], b)...), nil
 }
 
-// Open verifies a datagram and returns its envelope and message.
+// Open verifies a datagram and returns its envelope and message. With ErrEarlier it returns the
+// envelope only.
 func (c *Codec) Open(b []byte) (Envelope, cornelbay.Message, error) {
 	var e Envelope
 	if len(b) < macBytes {
@@ -96,11 +98,23 @@
 	}
 	if !c.windows.accept(e) {
 		c.Refused.Replay++
+		if e.Incarnation < c.Latest(e.From) {
+			return e, nil, ErrEarlier
+		}
 		return e, nil, ErrReplay
 	}
 	return e, m, nil
 }
 
+// Latest returns the latest incarnation of a host whose datagrams were accepted, or 0. Those of
+// earlier ones are refused.
+func (c *Codec) Latest(name cornelbay.HostName) cornelbay.Incarnation {
+	if w, ok := c.windows.bySender[name]; ok {
+		return w.incarnation
+	}
+	return 0
+}
+
 func decodeEnvelope(body []byte, e *Envelope) (cornelbay.Message, error) {
 	if err := cbor.Unmarshal(body, e); err != nil {
 		return nil, merry.Wrap(ErrMalformed, merry.WithCause(err))
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -34,7 +34,8 @@
 	is.NoErr(open(sealed[0]))  // sealed with the second of b's keys
 	is.NoErr(open(sealed[99])) // a gap in the sequence numbers
 	is.NoErr(open(sealed[60])) // out of order
-	is.True(errors.Is(open(sealed[60]), ErrReplay))
+	err := open(sealed[60])
+	is.True(errors.Is(err, ErrReplay) && !errors.Is(err, ErrEarlier))
 	is.True(errors.Is(open(sealed[0]), ErrReplay))
 	is.True(errors.Is(open(sealed[10]), ErrReplay)) // too old for the replay window
 	for i := range sealed[50] {
@@ -45,7 +46,9 @@
 	earlier := Codec{Self: "a", Incarnation: 1, Keys: a.Keys}
 	d, err := earlier.Seal(testMessage{"x"})
 	is.NoErr(err)
-	is.True(errors.Is(open(d), ErrReplay)) // from an earlier incarnation
+	err = open(d)
+	is.True(errors.Is(err, ErrReplay))
+	is.True(errors.Is(err, ErrEarlier))
 	is.True(errors.Is(open(nil), ErrMalformed))
 	is.Equal(b.Refused, Refusals{MAC: uint64(len(sealed[50])), Malformed: 1, Replay: 4})
 	b.Keys = [][]byte{newer} // the older key is removed
