Tell hosts that start of flows whose target is not known yet

A host that is heard anew was told only of ambiguous flows whose target is known. When it gets the first packet after an opening at two targets it doesn't know that the flow is ambiguous, and tells nobody which target the packet shows. Others follow the cookie of the late answer.

Change: such flows are told as well, for as long as callers wait for an answer; also at a planned stop, and when a host repeats its announcements.

Measured: TestHostThatStartsIsToldOfFlowsWithoutATarget fails before (target 2 instead of 1).

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -400,7 +400,7 @@
 // handOver tells the other hosts which targets have the ambiguous flows of this host.
 func (b *Balancer) handOver() {
 	b.trafficMu.Lock()
-	flows := b.placer.ResolvedFlows()
+	flows := b.placer.OpenAmbiguousFlows(time.Now())
 	b.trafficMu.Unlock()
 	b.queueAmbiguous(flows, netip.AddrPort{})
 }
--- a/balancer/heartbeat.go
+++ b/balancer/heartbeat.go
@@ -91,9 +91,9 @@
 	if isNew := b.members.Observe(now, incarnation, hb); isNew || hb.Joining {
 		log.WithFields(log.Fields{"host": hb.Host.Name, "incarnation": incarnation}).Info("host heard")
 		b.trafficMu.Lock()
-		resolved := b.placer.ResolvedFlows()
+		ambiguous := b.placer.OpenAmbiguousFlows(now)
 		b.trafficMu.Unlock()
-		b.queueAmbiguous(resolved, hb.Host.Address)
+		b.queueAmbiguous(ambiguous, hb.Host.Address)
 	}
 	recoveredAt := b.tables.Targets.RecoveredAt()
 	hb.Ages.Confirm(now, hb.Revisions, &b.tables)
--- a/balancer/incarnation.go
+++ b/balancer/incarnation.go
@@ -48,7 +48,7 @@
 		b.checkReady(now) // joins again
 	}
 	b.trafficMu.Lock()
-	resolved := b.placer.ResolvedFlows()
+	ambiguous := b.placer.OpenAmbiguousFlows(now)
 	b.trafficMu.Unlock()
-	b.queueAmbiguous(resolved, netip.AddrPort{})
+	b.queueAmbiguous(ambiguous, netip.AddrPort{})
 }
--- a/balancer/incarnation_test.go
+++ b/balancer/incarnation_test.go
@@ -38,7 +38,7 @@
 	w.eventually("the first knows the flow", func() bool {
 		first.trafficMu.Lock()
 		defer first.trafficMu.Unlock()
-		for _, f := range first.placer.ResolvedFlows() {
+		for _, f := range first.placer.OpenAmbiguousFlows(time.Now()) {
 			if f.Key == flow && f.Chosen == cookie {
 				return true
 			}
--- a/placement/ambiguous.go
+++ b/placement/ambiguous.go
@@ -162,15 +162,23 @@
 	return c
 }
 
-// ResolvedFlows returns the open flows that were sent to several targets and whose target
-// is now known, for hosts that have not received their announcements.
-func (p *Placer) ResolvedFlows() []AmbiguousFlow {
+// OpenAmbiguousFlows returns the open flows that were sent to several targets, for hosts that have
+// not received their announcements. Those whose target is not known are among them as long as the
+// first packet after their opening may still arrive, at any host: only a host that knows that a flow
+// is ambiguous tells the others which target that packet has shown.
+func (p *Placer) OpenAmbiguousFlows(now time.Time) []AmbiguousFlow {
 	var all []AmbiguousFlow
 	for _, f := range p.flows {
-		if f.isAmbiguous() && f.answered && !f.closed && len(all) < maxAmbiguousFlows {
+		switch {
+		case len(all) == maxAmbiguousFlows:
+			return all
+		case !f.isAmbiguous() || f.closed:
+		case f.answered:
 			a := f.known()
 			a.Tried = slices.Clone(a.Tried)
 			all = append(all, a)
+		case now.Sub(f.lastSeen) <= openingTime || now.Sub(f.heardAt) <= openingTime:
+			all = append(all, AmbiguousFlow{Key: f.key, Tried: slices.Clone(f.tried)})
 		}
 	}
 	return all
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -199,14 +199,45 @@
 	is.Equal(opener.load(now, first), 0.0) // its packets arrive at the other host
 	is.Equal(other.load(now, first), 1.0)
 	is.Equal(opener.RoutePacket(now, key(1), Segment{Cookie: second}), first)
-	is.Equal(opener.ResolvedFlows(), []AmbiguousFlow{{Key: key(1), Tried: []uint32{first, second}, Chosen: first, ChosenAt: now}}) // for hosts that have just started
+	is.Equal(opener.OpenAmbiguousFlows(now), []AmbiguousFlow{{Key: key(1), Tried: []uint32{first, second}, Chosen: first, ChosenAt: now}}) // for hosts that have just started
 	is.Equal(len(tickTo(opener, now, now.Add(time.Second))), 0)
 	other.RoutePacket(now, key(1), Segment{Cookie: second, Finishing: true})
-	is.Equal(len(other.ResolvedFlows()), 0)
+	is.Equal(len(other.OpenAmbiguousFlows(now)), 0)
 	is.Equal(other.load(now, first), 0.0)
 	is.Equal(other.load(now, second), 0.0)
 }
 
+// TestHostThatStartsIsToldOfFlowsWithoutATarget guards against a flow that is reset while its target
+// lives: a host starts between an opening at two targets and the first packet after it, which it gets,
+// and doesn't tell the others which target that packet has shown. They follow the late answer's cookie.
+func TestHostThatStartsIsToldOfFlowsWithoutATarget(t *testing.T) {
+	is := is.New(t)
+	v := view(warmTarget(1, "near"), warmTarget(2, "near"))
+	opener, other, started := placer(v), placer(v), placer(v)
+	first := open(t, opener, start, 1)
+	retries := tickTo(opener, start, start.Add(60*time.Millisecond))
+	second := retries[0].Target.Cookie
+	now := start.Add(61 * time.Millisecond)
+	for _, d := range opener.AmbiguousFlows() {
+		other.MergeAmbiguousFlow(now, d)
+	}
+	for _, d := range other.OpenAmbiguousFlows(now) { // the opener has ended meanwhile
+		started.MergeAmbiguousFlow(now, d)
+	}
+	now = start.Add(70 * time.Millisecond)
+	is.Equal(started.RoutePacket(now, key(1), Segment{Cookie: first}), first)
+	for _, d := range started.AmbiguousFlows() {
+		other.MergeAmbiguousFlow(now, d)
+	}
+	is.Equal(other.RoutePacket(now, key(1), Segment{Cookie: second}), first)
+
+	abandoned := placer(v)
+	open(t, abandoned, start, 2)
+	tickTo(abandoned, start, start.Add(60*time.Millisecond))
+	is.Equal(len(abandoned.OpenAmbiguousFlows(start.Add(openingTime))), 1)
+	is.Equal(len(abandoned.OpenAmbiguousFlows(start.Add(openingTime+time.Millisecond))), 0) // its caller has given up
+}
+
 // TestTheHostThatReceivesTheFlowAnnouncesItsTarget: the routers send all flows of a host
 // elsewhere, and that host retries their openings at other targets. A third host must learn
 // from the host that receives the packets which target has the flow, and not follow the
