Tell what both ends saw in the story of a flow of the soak

The story of a flow had only the lines of hosts that named it: neither the caller's packets nor the targets', nor the hosts that got packets without a line.

Change: the stand-ins report the packets that they send and take, the story has the first 60 of a flow with the target of each cookie, and the lines of the hosts that they went to. A failing test names its promises again at the end.

--- a/fakeplatform/endpoints.go
+++ b/fakeplatform/endpoints.go
@@ -59,6 +59,19 @@
 	flowSpacing    = 500
 )
 
+// Event is a packet of a flow as the caller or a target sees it.
+type Event struct {
+	At     time.Time
+	Source netip.AddrPort
+	// Sent is true for packets of the caller, and Via is the host that it sends them to.
+	Sent bool
+	Via  netip.AddrPort
+	// Stray is true at a target that resets the flow, as it has not accepted it.
+	Stray  bool
+	Packet platform.Packet
+	Length int // of the data
+}
+
 // TargetConfig is how a target serves requests. With the zero value it answers any number of
 // requests at once.
 type TargetConfig struct {
@@ -71,6 +84,8 @@
 	// request at a sequence number of a flow. Both may be nil.
 	OnAccept func(source netip.AddrPort)
 	OnRun    func(source netip.AddrPort, sequence uint32)
+	// OnPacket is called for each packet that the target takes. It may be nil.
+	OnPacket func(Event)
 }
 
 // Target is a fake target: it accepts flows and replies to each request with its own
@@ -189,9 +204,13 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	f, ok := t.flows[p.Key]
+	stray := !p.Opening && (!ok || p.Acknowledged-f.initial > maxAnswerBytes)
+	if t.cfg.OnPacket != nil {
+		t.cfg.OnPacket(Event{At: time.Now(), Source: p.Key.Source, Stray: stray, Packet: p, Length: len(b) - platform.HeaderBytes})
+	}
 	if p.Opening {
 		t.openings++
-		f, ok := t.flows[p.Key]
 		if !ok {
 			t.nextSequence += flowSpacing
 			f = &targetFlow{initial: t.nextSequence, next: 1}
@@ -205,8 +224,7 @@
 		time.AfterFunc(time.Duration(t.Delay.Load()), func() { t.send(p.Key, reply) })
 		return
 	}
-	f, ok := t.flows[p.Key]
-	if !ok || p.Acknowledged-f.initial > maxAnswerBytes {
+	if stray {
 		t.stray++
 		t.send(p.Key, packet(replyKey(p.Key), flagReset, 0, 0, p.Cookie, nil))
 		return
@@ -287,6 +305,10 @@
 
 // Caller opens flows from one address and port, to which targets reply.
 type Caller struct {
+	// OnPacket, if not nil, is called for each packet that the caller sends or takes. It is to be
+	// set before the caller opens flows.
+	OnPacket func(Event)
+
 	conn *net.UDPConn
 }
 
@@ -328,7 +350,7 @@
 	f := &Flow{caller: c, key: cornelbay.FlowKey{Source: c.Address(), Destination: service}, sequence: 1}
 	for copies, wait := range []time.Duration{200 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond} {
 		if host, ok := route(); ok {
-			if _, err := c.conn.WriteToUDPAddrPort(packet(f.key, flagOpen, 0, uint32(copies), 0, nil), host); err != nil {
+			if err := c.write(packet(f.key, flagOpen, 0, uint32(copies), 0, nil), host); err != nil {
 				return nil, err
 			}
 		}
@@ -384,10 +406,26 @@
 }
 
 func (f *Flow) send(host netip.AddrPort, flags byte, data []byte) error {
-	_, err := f.caller.conn.WriteToUDPAddrPort(packet(f.key, flags, f.sequence, f.acknowledged, f.cookie, data), host)
+	return f.caller.write(packet(f.key, flags, f.sequence, f.acknowledged, f.cookie, data), host)
+}
+
+func (c *Caller) write(b []byte, host netip.AddrPort) error {
+	c.observe(b, host)
+	_, err := c.conn.WriteToUDPAddrPort(b, host)
 	return err
 }
 
+// observe tells of a packet that is sent to a host, or that was received if host is invalid.
+func (c *Caller) observe(b []byte, host netip.AddrPort) {
+	var p platform.Packet
+	if c.OnPacket == nil || platform.Parse(b, &p) != nil {
+		return
+	}
+	c.OnPacket(Event{
+		At: time.Now(), Source: c.Address(), Sent: host.IsValid(), Via: host, Packet: p, Length: len(b) - platform.HeaderBytes,
+	})
+}
+
 // read returns the next packet of the flow and stores its cookie for later packets.
 func (f *Flow) read(ctx context.Context, timeout time.Duration) ([]byte, error) {
 	until := time.Now().Add(timeout)
@@ -417,6 +455,7 @@
 		if platform.Parse(b[:n], &p) != nil || p.Key.Destination != f.key.Source || p.Key.Source != f.key.Destination {
 			continue
 		}
+		f.caller.observe(b[:n], netip.AddrPort{})
 		if p.Resetting {
 			return nil, ErrReset
 		}
--- a/oplog/explain.go
+++ b/oplog/explain.go
@@ -60,7 +60,8 @@
 }
 
 // Explain returns the lines relevant to the flow from a source, ordered by time: those
-// that name the flow, and those of the hosts involved that name no source, from
+// that name the flow, and those of the hosts involved, which also are those that packets
+// were sent via, that name no source, from
 // margin before the flow's first line until margin after its last. Clocks of
 // hosts may differ, so the order of lines of different hosts is approximate.
 func Explain(lines []Line, source string, margin time.Duration) []Line {
@@ -70,6 +71,9 @@
 		if l.Fields["source"] == source {
 			flow = append(flow, l)
 			involved[l.Host] = true
+			if via, ok := l.Fields["via"].(string); ok {
+				involved[via] = true
+			}
 		}
 	}
 	if len(flow) == 0 {
--- a/oplog/explain_test.go
+++ b/oplog/explain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -19,19 +20,29 @@
 {"fields":{"kind":"servers"},"level":"warn","timestamp":"2026-03-18T03:18:50Z","message":"store lost"}
 `
 
+// hostC has got packets of the flow without a line on it.
+const hostC = `{"fields":{"host":"c"},"level":"info","timestamp":"2026-03-18T03:18:07Z","message":"started"}
+`
+
+const ends = `caller {"fields":{"source":"100.64.0.4:1","via":"c"},"level":"info","timestamp":"2026-03-18T03:18:06.5Z","message":"sent packet"}
+`
+
 const hostB = `   6.1 b {"fields":{"source":"100.64.0.4:1","reason":"unknownCookie"},"level":"info","timestamp":"2026-03-18T03:18:06Z","message":"packet dropped"}
 `
 
 func ExampleExplain() {
 	a, _ := oplog.Read(strings.NewReader(hostA), "file")
 	b, _ := oplog.Read(strings.NewReader(hostB), "file")
-	for _, l := range oplog.Explain(append(a, b...), "100.64.0.4:1", 2*time.Second) {
+	c, _ := oplog.Read(strings.NewReader(hostC+ends), "file")
+	for _, l := range oplog.Explain(slices.Concat(a, b, c), "100.64.0.4:1", 2*time.Second) {
 		fmt.Println(l)
 	}
 	// Output:
 	// 03:18:04.000 a table changed kind=servers revision=9
 	// 03:18:05.000 a opened source=100.64.0.4:1 target=i-1
 	// 03:18:06.000 b packet dropped reason=unknownCookie source=100.64.0.4:1
+	// 03:18:06.500 caller sent packet source=100.64.0.4:1 via=c
+	// 03:18:07.000 c started host=c
 }
 
 func TestExplainUnknownFlow(t *testing.T) {
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -3,10 +3,13 @@
 import (
 	"errors"
 	"net/netip"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/cornelbay/cornelbay/fakeplatform"
+	"github.com/cornelbay/cornelbay/oplog"
+	"github.com/cornelbay/cornelbay/registry"
 )
 
 // record is what the targets have done with a flow. world.records has one for each source,
@@ -16,6 +19,77 @@
 	refused    bool
 	// runs are the sequence numbers of the requests that have run.
 	runs map[uint32]bool
+	// packets are the first ones of the flow, as its caller and targets have seen them.
+	packets []oplog.Line
+}
+
+// maxPackets limits the packets of one flow that are kept.
+const maxPackets = 60
+
+// onPacket keeps what a caller or a target has seen of a packet, in the form of a log line.
+func (w *world) onPacket(at string, e fakeplatform.Event) {
+	message := "got packet"
+	switch {
+	case e.Sent && e.Packet.Opening:
+		message = "sent opening"
+	case e.Sent:
+		message = "sent packet"
+	case e.Packet.Resetting:
+		message = "got reset"
+	case e.Stray:
+		message = "got packet of no flow"
+	case e.Packet.Opening && at == callerEnd:
+		message = "got answer to opening"
+	case e.Packet.Opening:
+		message = "got opening"
+	}
+	l := oplog.Line{Host: at, Time: e.At, Message: message, Fields: map[string]any{
+		"source": e.Source.String(), "cookie": e.Packet.Cookie, "acknowledged": e.Packet.Acknowledged, "bytes": e.Length,
+	}}
+	if e.Sent {
+		l.Fields["via"] = w.hostAt(e.Via)
+	}
+	w.recordMu.Lock()
+	defer w.recordMu.Unlock()
+	if r := w.records[e.Source]; r != nil && len(r.packets) < maxPackets {
+		r.packets = append(r.packets, l)
+	}
+}
+
+// seenPackets returns what the ends of a flow have seen, with the names of targets as cookies.
+func (w *world) seenPackets(source netip.AddrPort) []oplog.Line {
+	names := make(map[uint32]string)
+	w.mu.Lock()
+	for _, t := range w.targets {
+		names[registry.Cookie(t.Number)] = t.Name
+	}
+	w.mu.Unlock()
+	w.recordMu.Lock()
+	defer w.recordMu.Unlock()
+	r := w.records[source]
+	if r == nil {
+		return nil
+	}
+	for _, l := range r.packets {
+		cookie, _ := l.Fields["cookie"].(uint32) // a name already if the story is told again
+		if name, ok := names[cookie]; ok {
+			l.Fields["cookie"] = name
+		}
+	}
+	return slices.Clone(r.packets)
+}
+
+// callerEnd names the caller in the story of a flow.
+const callerEnd = "caller"
+
+// hostAt returns the name of the host that takes packets at an address.
+func (w *world) hostAt(at netip.AddrPort) string {
+	for _, p := range w.hosts {
+		if w.packets(p) == at {
+			return p.name()
+		}
+	}
+	return at.String()
 }
 
 // verify runs f on the record of a flow. If f returns true, the promise is broken.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -341,19 +341,20 @@
 // changed at the hosts.
 const storyTime = time.Second
 
-// story tells what the hosts have logged of a flow.
+// story tells what the hosts have logged of a flow, and what its ends have seen of it.
 func (w *world) story(source netip.AddrPort) string {
 	time.Sleep(storyTime / 10) // hosts log asynchronously
 	var lines []oplog.Line
 	for _, p := range w.hosts {
 		p.mu.Lock()
-		l, err := oplog.Read(bytes.NewReader(p.log.Bytes()), fmt.Sprintf("h%02d", p.number))
+		l, err := oplog.Read(bytes.NewReader(p.log.Bytes()), p.name())
 		p.mu.Unlock()
 		if err != nil {
 			return err.Error()
 		}
 		lines = append(lines, l...)
 	}
+	lines = append(lines, w.seenPackets(source)...)
 	b := fmt.Sprintf("flow from %s:", source)
 	for _, l := range oplog.Explain(lines, source.String(), storyTime) {
 		b += "\n  " + l.String()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -6,6 +6,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -99,12 +100,24 @@
 				Only: c.only,
 			})
 			is.NoErr(err)
-			is.Equal(res.Violations, []string{})
+			holds(t, res)
 			is.True(res.Flows > 0 && res.Requests > 0)
 		})
 	}
 }
 
+// holds fails the test for each promise that was broken, and names them again below the stories.
+func holds(t *testing.T, res Result) {
+	t.Helper()
+	for _, v := range res.Violations {
+		t.Errorf("promise broken: %s", v)
+	}
+	for _, v := range res.Violations {
+		promise, _, _ := strings.Cut(v, "\n")
+		t.Logf("seed %d: promise broken: %s", res.Seed, promise)
+	}
+}
+
 // TestStepsOfLoad plays each kind of step of load alone. Callers must be answered, and a shortage must
 // refuse some of them.
 func TestStepsOfLoad(t *testing.T) {
@@ -119,7 +132,7 @@
 			o.Steps = []Step{{Fault: c.load, On: c.on, For: 2 * time.Second}}
 			res, err := Run(t.Context(), o)
 			is.NoErr(err)
-			is.Equal(res.Violations, []string{})
+			holds(t, res)
 			is.True(res.Requests > 100)
 			is.True(res.Refused > 0 || c.load != Shortage)
 		})
--- a/soak/world.go
+++ b/soak/world.go
@@ -47,6 +47,9 @@
 	log     bytes.Buffer
 }
 
+// name returns the host's name.
+func (p *process) name() string { return fmt.Sprintf("h%02d", p.number) }
+
 // Write takes the process's log and keeps its end.
 func (p *process) Write(b []byte) (int, error) {
 	p.mu.Lock()
@@ -187,6 +190,7 @@
 		Slots: slots, MaxQueue: maxQueue, WarmUp: warmUp,
 		OnAccept: func(source netip.AddrPort) { w.onAccept(source, t.Name) },
 		OnRun:    func(source netip.AddrPort, sequence uint32) { w.onRun(source, sequence, t.Name) },
+		OnPacket: func(e fakeplatform.Event) { w.onPacket(t.Name, e) },
 	})
 	t.Work.Store(int64(workTime))
 	tg := &target{Target: t, service: service, dataCentre: dataCentre}
@@ -219,7 +223,7 @@
 
 func (w *world) writeSettings(p *process, drainMs int) error {
 	s := fakeplatform.Settings{
-		Host: fmt.Sprintf("h%02d", p.number), DataCentre: dataCentres[p.number%len(dataCentres)],
+		Host: p.name(), DataCentre: dataCentres[p.number%len(dataCentres)],
 		Address: w.address(1, p.number), PacketPort: packetPort, ReadyPort: readyPort, PeerPort: peerPort,
 		Seeds: []netip.Addr{w.address(1, 1), w.address(1, 2)}, Store: p.proxy.Address(),
 		GraceSeconds: graceSeconds, DrainMs: drainMs,
@@ -303,7 +307,12 @@
 	w.recordMu.Lock()
 	w.records[at] = &record{runs: make(map[uint32]bool)}
 	w.recordMu.Unlock()
-	return fakeplatform.ListenCaller(at)
+	c, err := fakeplatform.ListenCaller(at)
+	if err != nil {
+		return nil, err
+	}
+	c.OnPacket = func(e fakeplatform.Event) { w.onPacket(callerEnd, e) }
+	return c, nil
 }
 
 func (w *world) targetNamed(name string) *target {
