Don't try openings elsewhere while flows move to a host that joins

Cause (trace in the postmortem): the routers move flows to a host that joins. The host that opened one of them sees no packet of it, and none of other hosts' flows either, which would show that flows move. It takes the target for silent after 41 ms and tries the opening at two others, which answer. The one host that knows the flow's target is killed; started again it follows the cookie of the last answer.

Change: for 0.7 s after this host or another joins, an opening is tried elsewhere only when the caller has sent it again.

Measured: TestJoinIsNoEvidenceAgainstTargets and TestJoiningHostIsNoEvidenceAgainstTargets fail before. Two tests that need an opening at two targets wait until the join is over; their checks are the same.

--- a/balancer/ambiguous_test.go
+++ b/balancer/ambiguous_test.go
@@ -75,6 +75,27 @@
 	}
 }
 
+// joinTimeOfRouters is the time after a host has joined until the routers send it packets, and
+// others don't try openings at several targets for lack of packets.
+const joinTimeOfRouters = 800 * time.Millisecond
+
+// TestJoiningHostIsNoEvidenceAgainstTargets guards against a flow that is reset while its target lives:
+// its packets go to a host that joins, and the host that opened it tries it at another target.
+func TestJoiningHostIsNoEvidenceAgainstTargets(t *testing.T) {
+	w := newTestEnv(t, 83)
+	first, second := w.target(1, "s1", "a"), w.target(2, "s1", "b")
+	b := w.host(1, "a")
+	p := newFakePeer(w, 1, "p1")
+	time.Sleep(joinTimeOfRouters)
+	p.sendHeartbeat(t, b)
+	w.eventually("the peer is heard", func() bool { return lastIncarnation(b, "p1") > 0 })
+	f, err := w.caller().Open(t.Context(), w.at(1), service1)
+	w.is.NoErr(err)
+	_, err = f.Ask(t.Context(), w.at(9), 150*time.Millisecond) // no host
+	w.is.True(errors.Is(err, fakeplatform.ErrNoReply))
+	w.is.Equal(first.Openings()+second.Openings(), 1)
+}
+
 // TestAmbiguousFlowsAreSentOnlyToReturningHost checks that only a host that is heard
 // again gets all ambiguous flows. If all hosts got them, these datagrams would overload
 // a large fleet whose hosts come back together.
@@ -149,6 +170,7 @@
 	const lateBy, work = 150 * time.Millisecond, 500 * time.Millisecond
 	late.Delay.Store(int64(lateBy))
 	w.host(1, "a")
+	time.Sleep(joinTimeOfRouters)
 	f, err := w.caller().Open(t.Context(), w.at(1), service1)
 	is.NoErr(err)
 	tg.Work.Store(int64(work))
@@ -227,6 +249,7 @@
 	const lateBy = 150 * time.Millisecond
 	late.Delay.Store(int64(lateBy))
 	w.host(1, "a")
+	time.Sleep(joinTimeOfRouters)
 	f, err := w.caller().Open(t.Context(), w.at(1), service1)
 	is.NoErr(err)
 	is.NoErr(f.Acknowledge(w.at(1)))
--- a/balancer/bootstrap.go
+++ b/balancer/bootstrap.go
@@ -113,6 +113,9 @@
 		return
 	}
 	b.ready.Store(true)
+	b.trafficMu.Lock()
+	b.placer.RecordJoin(now)
+	b.trafficMu.Unlock()
 	b.settle()
 	log.WithFields(log.Fields{
 		"version": b.tables.ConfigVersion(), "afterMs": now.Sub(b.started).Milliseconds(),
--- a/balancer/heartbeat.go
+++ b/balancer/heartbeat.go
@@ -91,6 +91,7 @@
 	if isNew := b.members.Observe(now, incarnation, hb); isNew || hb.Joining {
 		log.WithFields(log.Fields{"host": hb.Host.Name, "incarnation": incarnation}).Info("host heard")
 		b.trafficMu.Lock()
+		b.placer.RecordJoin(now)
 		ambiguous := b.placer.OpenAmbiguousFlows(now)
 		b.trafficMu.Unlock()
 		b.queueAmbiguous(ambiguous, hb.Host.Address)
--- a/placement/flow.go
+++ b/placement/flow.go
@@ -43,6 +43,9 @@
 	// evidence against its target: the routers are sending flows to different hosts than
 	// before, and the answer may be seen by another host.
 	rerouteWindow = 60 * time.Millisecond
+	// joinWindow is the same time after a host has joined: the routers check twice a second whether
+	// it is ready. A host whose flows move to the new one gets no packets that show it.
+	joinWindow = 700 * time.Millisecond
 	// maxFlows limits the recorded flows. Flows beyond it are still forwarded, but do not
 	// count as load and are not retried at other targets.
 	maxFlows = 1 << 17
@@ -375,7 +378,16 @@
 // rerouted reports whether the routers appear to have moved flows between hosts around the
 // time of an opening. Then only a retransmission shows that the caller has had no answer.
 func (p *Placer) rerouted(f *Flow) bool {
-	return !p.foreignPacketAt.IsZero() && p.foreignPacketAt.Sub(f.opened).Abs() < rerouteWindow
+	if !p.foreignPacketAt.IsZero() && p.foreignPacketAt.Sub(f.opened).Abs() < rerouteWindow {
+		return true
+	}
+	since := f.opened.Sub(p.joinedAt)
+	return !p.joinedAt.IsZero() && since > -rerouteWindow && since < joinWindow
+}
+
+// RecordJoin records that this host or another one is about to get packets from the routers.
+func (p *Placer) RecordJoin(now time.Time) {
+	p.joinedAt = now
 }
 
 // retry records that a target did not answer an opening and moves the opening to another
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -130,6 +130,8 @@
 	// recorded, such as one that another host opened. Later packets of the flow do not
 	// count once it is recorded, nor does one that finishes the flow.
 	foreignPacketAt time.Time
+	// joinedAt is when a host last joined.
+	joinedAt time.Time
 	// choices is the number of choices so far, which varies how ties are broken and which
 	// targets are compared.
 	choices      uint64
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -293,6 +293,34 @@
 	is.True(len(tickTo(p, now, now.Add(100*time.Millisecond))) > 0)
 }
 
+// TestJoinIsNoEvidenceAgainstTargets guards against a flow that is reset while its target lives: the
+// routers send its packets to a host that has just joined, and the host that opened it, which sees
+// none, tries the opening at other targets. Only a copy of the opening shows that there is no answer.
+func TestJoinIsNoEvidenceAgainstTargets(t *testing.T) {
+	for _, c := range []struct {
+		joined time.Duration // before the opening
+		waits  bool
+	}{{-50 * time.Millisecond, true}, {0, true}, {600 * time.Millisecond, true}, {750 * time.Millisecond, false}} {
+		t.Run(c.joined.String(), func(t *testing.T) {
+			is := is.New(t)
+			p := placer(view(warmTarget(1, "near"), warmTarget(2, "far")))
+			p.RecordJoin(start.Add(-c.joined))
+			is.Equal(open(t, p, start, 1), uint32(1))
+			is.Equal(len(tickTo(p, start, start.Add(190*time.Millisecond))) == 0, c.waits)
+			is.Equal(len(p.StateChanges()) == 0, c.waits) // nor is it taken for silent
+			if !c.waits {
+				return
+			}
+			now := start.Add(200 * time.Millisecond)
+			_, err := p.Open(now, Opening{Key: key(1), Service: service, Packet: []byte("opening"), Copy: 1})
+			is.NoErr(err)
+			retries := tickTo(p, now, now.Add(100*time.Millisecond))
+			is.True(len(retries) > 0)
+			is.Equal(retries[0].Target.Cookie, uint32(2))
+		})
+	}
+}
+
 // TestFlowsThatAreReroutedAreNoEvidence: when the routers send flows to other hosts than
 // before, the answer to an opening is seen by another host, so that its absence here is no
 // evidence against the target. A retransmission of the opening shows that there was no
