Soak: judge resets of flows from when they are open

Cause: the soak counted a reset as broken from the acceptance of the opening on. By the users' pages a flow is open once its target has the end of the handshake. The host that has sent the opening to two targets is stopped or killed with the caller's next packet, and the one after that carries the cookie of the other answer. No host can know which came first.

Change: a reset is broken if a target that lives has taken a packet after the opening, or if the caller has had an answer. Before, any target that had only accepted the opening counted, and the last one to do so hid the one that had the flow. An earlier reset is told with its story.

Measured: TestChecks has a case for each side. The other checks are as before.

--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -16,6 +16,8 @@
 // that of its last flow.
 type record struct {
 	acceptedBy string
+	// openAt is the target that has the flow: the first one that took a packet after the opening.
+	openAt string
 	refused    bool
 	// runs are the sequence numbers of the requests that have run.
 	runs map[uint32]bool
@@ -51,7 +53,14 @@
 	}
 	w.recordMu.Lock()
 	defer w.recordMu.Unlock()
-	if r := w.records[e.Source]; r != nil && len(r.packets) < maxPackets {
+	r := w.records[e.Source]
+	if r == nil {
+		return
+	}
+	if r.openAt == "" && at != callerEnd && !e.Packet.Opening && !e.Stray {
+		r.openAt = at
+	}
+	if len(r.packets) < maxPackets {
 		r.packets = append(r.packets, l)
 	}
 }
@@ -102,6 +111,20 @@
 	}
 }
 
+// onReset checks the promise on a flow that was reset, of which the caller has had answers of the
+// named target, if any. A flow is open once its target has a packet after the opening: before that
+// no host may know which of several answers the caller took. A reset until then is told only.
+func (r *run) onReset(source netip.AddrPort, answeredBy string) {
+	early := false
+	r.verify(source, "flow was reset while its target lives", func(rec *record) bool {
+		early = rec.openAt == "" && answeredBy == ""
+		return r.sound(r.targetNamed(rec.openAt)) || r.sound(r.targetNamed(answeredBy))
+	})
+	if early && r.o.Tell != nil {
+		r.o.Tell("flow was reset before it was open\n%s", r.story(source))
+	}
+}
+
 func (w *world) onAccept(source netip.AddrPort, target string) {
 	w.verify(source, target+" accepted a flow that had been refused", func(r *record) bool {
 		r.acceptedBy = target
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -311,9 +311,7 @@
 			r.count(&r.result.Rejected)
 			return false
 		case errors.Is(err, fakeplatform.ErrReset):
-			r.verify(t.source, "flow was reset while its target lives", func(rec *record) bool {
-				return r.sound(r.targetNamed(rec.acceptedBy)) || r.sound(r.targetNamed(first))
-			})
+			r.onReset(t.source, first)
 			return false
 		case err != nil:
 			r.count(&r.result.Stalled)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -149,6 +149,10 @@
 		r.notOpened(trip{source: source, service: "s1", begun: time.Now(), via: []string{"h"}}, fakeplatform.ErrNoReply)
 	}
 	accept := func(r *run) { r.onAccept(source, "i-1") }
+	packetAt := func(at string, stray bool) func(*run) {
+		return func(r *run) { r.onPacket(at, fakeplatform.Event{Source: source, Stray: stray}) }
+	}
+	resetOpen := func(r *run) { r.onReset(source, "") }
 	for _, c := range []struct {
 		name  string
 		do    []func(*run)
@@ -163,6 +167,11 @@
 		{"no reply in a shortage", []func(*run){load, silence}, 1},
 		{"no reply while a target is harmed", []func(*run){func(r *run) { r.begin(harmed + "s1") }, silence}, 0},
 		{"no reply from a host that was killed", []func(*run){func(r *run) { r.begin("h")() }, silence}, 0},
+		{"reset before any target had a packet", []func(*run){accept, resetOpen}, 0},
+		{"reset by another target before its own had a packet", []func(*run){accept, packetAt("i-2", true), resetOpen}, 0},
+		{"reset after its target had a packet", []func(*run){accept, packetAt("i-1", false), packetAt("i-2", true), resetOpen}, 1},
+		{"reset while a target lives that only accepted it", []func(*run){accept, packetAt("i-3", false), resetOpen}, 0},
+		{"reset after an answer", []func(*run){func(r *run) { r.onReset(source, "i-1") }}, 1},
 		{"two requests run", []func(*run){accept, ranAt(source, 1), ranAt(source, 2)}, 0},
 		{"a request runs twice", []func(*run){accept, ranAt(source, 1), ranAt(source, 1)}, 1},
 	} {
@@ -170,6 +179,7 @@
 			is := is.New(t)
 			r := &run{world: &world{
 				troubles: make(map[string]trouble), records: map[netip.AddrPort]*record{source: {runs: make(map[uint32]bool)}},
+				targets: []*target{named("i-1"), named("i-2")}, // i-3 has ended
 			}}
 			for _, do := range c.do {
 				do(r)
@@ -179,6 +189,8 @@
 	}
 }
 
+func named(name string) *target { return &target{Target: &fakeplatform.Target{Name: name}} }
+
 func load(r *run) { r.begin(loaded + "s1") }
 
 func ranAt(source netip.AddrPort, sequence uint32) func(*run) {
