--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -17,8 +17,8 @@
 type record struct {
 	acceptedBy string
 	// openAt is the target that has the flow: the first one that took a packet after the opening.
-	openAt string
-	refused    bool
+	openAt  string
+	refused bool
 	// runs are the sequence numbers of the requests that have run.
 	runs map[uint32]bool
 	// packets are the first ones of the flow, as its caller and targets have seen them.
