Count targets rather than copies in the test of a host that joins

TestJoiningHostIsNoEvidenceAgainstTargets counted openings, and would count a copy that the caller sends when the machine stands still. It asks whether another target got the opening, and still fails without.

--- a/balancer/ambiguous_test.go
+++ b/balancer/ambiguous_test.go
@@ -93,7 +93,7 @@
 	w.is.NoErr(err)
 	_, err = f.Ask(t.Context(), w.at(9), 150*time.Millisecond) // no host
 	w.is.True(errors.Is(err, fakeplatform.ErrNoReply))
-	w.is.Equal(first.Openings()+second.Openings(), 1)
+	w.is.True(first.Openings() == 0 || second.Openings() == 0)
 }
 
 // TestAmbiguousFlowsAreSentOnlyToReturningHost checks that only a host that is heard
